--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,11 @@
+// Command standin plays the platform: the log service, the VM list or a fleet
+// of workers, one role to a process.
+package main
+
+import (
+	"os"
+
+	"github.com/almondpost/almondpost/pkg/standin"
+)
+
+func main() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/main.go
@@ -0,0 +1,10 @@
+// Command almondpost runs an entry VM of the scheduler and its operator tools.
+package main
+
+import (
+	"os"
+
+	"github.com/almondpost/almondpost/pkg/app"
+)
+
+func main() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/pkg/app/entry.go
@@ -0,0 +1,154 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/almondpost/almondpost/pkg/caller"
+	"github.com/almondpost/almondpost/pkg/common"
+	"github.com/almondpost/almondpost/pkg/daemon"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/metrics"
+	"github.com/almondpost/almondpost/pkg/settings"
+)
+
+// Started is the line that an entry VM prints once it serves.
+type Started struct {
+	Name   string         `json:"name"`
+	Caller netip.AddrPort `json:"caller"`
+	Peer   netip.AddrPort `json:"peer"`
+}
+
+// settingsFlags adds the flags that override the settings file.
+func settingsFlags(c *invocation) func() (settings.Settings, error) {
+	file := c.flags.String("settings", "", "JSON file with the settings")
+	name := c.flags.String("name", "", "overrides name")
+	domain := c.flags.String("domain", "", "overrides domain")
+	callerListen := c.flags.String("caller-listen", "", "overrides caller_listen")
+	peerListen := c.flags.String("peer-listen", "", "overrides peer_listen")
+	return func() (settings.Settings, error) {
+		s := settings.Default()
+		if *file != "" {
+			var err error
+			if s, err = settings.Load(*file); err != nil {
+				return s, fault.New("settings", KindUsage, err)
+			}
+		}
+		if *name != "" {
+			s.Name = *name
+		}
+		if *domain != "" {
+			s.Domain = *domain
+		}
+		for _, o := range []struct {
+			flag, text string
+			into       *netip.AddrPort
+		}{{"caller-listen", *callerListen, &s.CallerListen}, {"peer-listen", *peerListen, &s.PeerListen}} {
+			if o.text == "" {
+				continue
+			}
+			a, err := netip.ParseAddrPort(o.text)
+			if err != nil {
+				return s, fault.Newf("settings", KindUsage, "flag %s, value %q: %w", o.flag, o.text, err)
+			}
+			*o.into = a
+		}
+		if err := s.Validate(); err != nil {
+			return s, fault.New("settings", KindUsage, err)
+		}
+		return s, nil
+	}
+}
+
+func runSettings(c *invocation) error {
+	load := settingsFlags(c)
+	if err := c.parse(); err != nil {
+		return err
+	}
+	s, err := load()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.stdout, s.Text())
+	return err
+}
+
+func runEntry(c *invocation) error {
+	load := settingsFlags(c)
+	if err := c.parse(); err != nil {
+		return err
+	}
+	s, err := load()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	e, err := startEntry(common.New(s, c.stderr))
+	if err != nil {
+		return fault.New("entry", KindFailed, err)
+	}
+	line, _ := json.Marshal(Started{Name: s.Name, Caller: e.address, Peer: e.node.PeerAddress()})
+	_, _ = fmt.Fprintln(c.stdout, string(line))
+	<-ctx.Done()
+	e.shutdown()
+	return nil
+}
+
+// entryVM is a running entry VM with its caller interface.
+type entryVM struct {
+	common  *common.Common
+	node    *daemon.Node
+	server  *http.Server
+	address netip.AddrPort
+}
+
+func startEntry(c *common.Common) (*entryVM, error) {
+	registry := metrics.New()
+	registry.Publish("groups")
+	node, err := daemon.New(c, registry)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", c.Settings.CallerListen.String())
+	if err != nil {
+		node.Close()
+		return nil, oops.In("app").With("address", c.Settings.CallerListen).Wrapf(err, "listen for callers")
+	}
+	gateway := caller.New(node, c.Settings.BodyLimitBytes, c.Log)
+	e := &entryVM{common: c, node: node, server: gateway.Server(nil), address: l.Addr().(*net.TCPAddr).AddrPort()}
+	go func() { _ = e.server.Serve(l) }()
+	return e, nil
+}
+
+// balancerGrace is how long the balancer needs to notice that a VM is not
+// ready any more.
+const balancerGrace = time.Second
+
+// shutdown stops without cutting a request: readiness goes off, workers are
+// handed over, open requests run to their end.
+func (e *entryVM) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.common.Settings.DrainTimeout))
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		e.node.Drain(ctx)
+	}()
+	time.Sleep(balancerGrace)
+	if err := e.server.Shutdown(ctx); err != nil {
+		e.common.Log.Error(err, "shutdown_cut_callers")
+	}
+	<-drained
+	e.node.Close()
+}
--- /dev/null
+++ b/pkg/app/lists.go
@@ -0,0 +1,128 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/almondpost/almondpost/pkg/configuration"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/settings"
+)
+
+// listFlags adds the flags that name the files of the two lists.
+func listFlags(c *invocation) func() (plan.Lists, error) {
+	customers := c.flags.String("customers", "", "JSON file with each customer's plans")
+	entitlements := c.flags.String("entitlements", "", "JSON file with what each plan may use")
+	return func() (plan.Lists, error) {
+		var l plan.Lists
+		if *customers == "" || *entitlements == "" {
+			return l, fault.Newf("lists", KindUsage, "flags customers and entitlements are both needed")
+		}
+		if err := readList(*customers, &l.Customers); err != nil {
+			return l, err
+		}
+		if err := readList(*entitlements, &l.Entitlements); err != nil {
+			return l, err
+		}
+		if err := l.Validate(); err != nil {
+			return l, fault.New("lists", KindUsage, fmt.Errorf("files %s and %s: %w", *customers, *entitlements, err))
+		}
+		return l, nil
+	}
+}
+
+func readList(file string, into any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fault.New("lists", KindUsage, err)
+	}
+	if err := plan.DecodeStrict(data, into); err != nil {
+		return fault.New("lists", KindUsage, fmt.Errorf("file %s: %w", file, err))
+	}
+	return nil
+}
+
+func runCheck(c *invocation) error {
+	file := c.flags.String("settings", "", "JSON file with the settings")
+	lists := listFlags(c)
+	if err := c.parse(); err != nil {
+		return err
+	}
+	checked := 0
+	if *file != "" {
+		s, err := settings.Load(*file)
+		if err == nil {
+			err = s.Validate()
+		}
+		if err != nil {
+			return fault.New("check", KindUsage, err)
+		}
+		checked++
+	}
+	if c.flags.Lookup("customers").Value.String() != "" || c.flags.Lookup("entitlements").Value.String() != "" {
+		if _, err := lists(); err != nil {
+			return err
+		}
+		checked++
+	}
+	if checked == 0 {
+		return fault.Newf("check", KindUsage, "nothing to check: give -settings, or -customers and -entitlements")
+	}
+	_, err := fmt.Fprintln(c.stdout, "ok")
+	return err
+}
+
+// publishTimeout bounds a publication.
+const publishTimeout = 30 * time.Second
+
+func runPublish(c *invocation) error {
+	lists := listFlags(c)
+	address := c.flags.String("log", "", "address of the log service")
+	basedOn := c.flags.Int64("based-on", -1, "offset of the configuration that was edited; -1 asks the log for the newest one")
+	operator := c.flags.String("operator", os.Getenv("USER"), "who publishes, shown to the loser of a conflict")
+	if err := c.parse(); err != nil {
+		return err
+	}
+	l, err := lists()
+	if err != nil {
+		return err
+	}
+	a, err := netip.ParseAddrPort(*address)
+	if err != nil {
+		return fault.Newf("publish", KindUsage, "flag log, value %q: %w", *address, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	log := logservice.New(a, http.DefaultClient)
+	base, err := baseOffset(ctx, log, *basedOn)
+	if err != nil {
+		return err
+	}
+	v, err := configuration.Publish(ctx, log, base, *operator, l)
+	if fault.KindOf[configuration.Kind](err) == configuration.KindConflict {
+		return fault.New("publish", KindFailed, errors.Join(err, errors.New("nothing was published; edit the newest lists and publish again")))
+	}
+	if err != nil {
+		return fault.New("publish", KindFailed, err)
+	}
+	_, err = fmt.Fprintf(c.stdout, "offset=%d\n", v.Offset)
+	return err
+}
+
+func baseOffset(ctx context.Context, log logservice.Log, basedOn int64) (uint64, error) {
+	if basedOn >= 0 {
+		return uint64(basedOn), nil
+	}
+	s, err := configuration.Load(ctx, log)
+	if err != nil {
+		return 0, fault.New("publish", KindFailed, err)
+	}
+	return s.Current().Offset, nil
+}
--- /dev/null
+++ b/pkg/app/quickstart.go
@@ -0,0 +1,3 @@
+package app
+
+func runQuickstart(*invocation) error { return nil }
--- /dev/null
+++ b/pkg/cluster/path_test.go
@@ -0,0 +1,148 @@
+package cluster_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/almondpost/almondpost/examples"
+	"github.com/almondpost/almondpost/pkg/cluster"
+	"github.com/almondpost/almondpost/pkg/deployment"
+	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/pkg/standin"
+)
+
+var programs cluster.Programs
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "almondpost")
+	if err == nil {
+		programs, err = cluster.Build(context.Background(), "../..", folder)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(status)
+}
+
+func start(t *testing.T) *cluster.Cluster {
+	t.Helper()
+	is := is.New(t)
+	d, err := deployment.Load(examples.Files, "small")
+	is.NoErr(err)
+	c, err := cluster.Start(context.Background(), programs, d, cluster.Options{Folder: t.TempDir()})
+	is.NoErr(err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func spec(name string, run time.Duration) request.Spec {
+	payload, _ := json.Marshal(standin.Work{RunMilliseconds: run.Milliseconds(), Nonce: name, AnswerBytes: 1000})
+	return request.Spec{
+		Plan: "snag-sorting", Class: plan.Urgent, Kind: "sort", Repeatable: true,
+		Size:                resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 4096, Slots: 1, Connections: 1},
+		RunTimeMilliseconds: run.Milliseconds(), Payload: payload,
+	}
+}
+
+func post(e *cluster.Entry, s request.Spec, query string) (request.Outcome, int, error) {
+	body, _ := json.Marshal(s)
+	return do(http.MethodPost, fmt.Sprintf("http://%s/v1/requests%s", e.Caller, query), body)
+}
+
+func do(method, url string, body []byte) (o request.Outcome, status int, err error) {
+	q, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return o, 0, err
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return o, 0, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	return o, r.StatusCode, json.NewDecoder(r.Body).Decode(&o)
+}
+
+func nonce(o request.Outcome) string {
+	var a standin.WorkAnswer
+	_ = json.Unmarshal(o.Answer, &a)
+	return a.Nonce
+}
+
+func TestEveryCallerGetsItsOwnWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	var group sync.WaitGroup
+	for i := range 60 {
+		group.Go(func() {
+			name := fmt.Sprintf("n%d", i)
+			o, status, err := post(c.Entries[i%len(c.Entries)], spec(name, time.Duration(10+i)*time.Millisecond), "")
+			if err != nil || status != http.StatusOK || o.State != request.Done || !o.Whole() || nonce(o) != name {
+				t.Errorf("%s: status %d, outcome %+v, error %v", name, status, o, err)
+			}
+		})
+	}
+	group.Wait()
+	histories, err := c.Histories(context.Background())
+	is.NoErr(err)
+	runs := 0
+	for _, h := range histories {
+		runs += len(h.Runs)
+		is.Equal(h.Overfilled, 0)
+	}
+	is.Equal(runs, 60)
+}
+
+func TestLateCallerFetchesFromAnyEntryVM(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	o, status, err := post(c.Entries[0], spec("late", 300*time.Millisecond), "?wait_milliseconds=0")
+	is.NoErr(err)
+	is.Equal(status, http.StatusAccepted)
+	is.Equal(o.State, request.Pending)
+	for _, e := range c.Entries {
+		got, status, err := do(http.MethodGet, fmt.Sprintf("http://%s/v1/requests/%s?wait_milliseconds=10000", e.Caller, o.ID), nil)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.True(got.Whole())
+		is.Equal(nonce(got), "late")
+	}
+}
+
+func TestKeyRunsOnceThroughAnyEntryVM(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	s := spec("letter", 200*time.Millisecond)
+	s.Repeatable, s.Key = false, ulid.Make().String()
+	var group sync.WaitGroup
+	for i := range 9 {
+		group.Go(func() {
+			o, _, err := post(c.Entries[i%len(c.Entries)], s, "")
+			if err != nil || o.State != request.Done || nonce(o) != "letter" {
+				t.Errorf("outcome %+v, error %v", o, err)
+			}
+		})
+	}
+	group.Wait()
+	histories, err := c.Histories(context.Background())
+	is.NoErr(err)
+	runs := 0
+	for _, h := range histories {
+		runs += len(h.Runs)
+	}
+	is.Equal(runs, 1)
+}
--- /dev/null
+++ b/pkg/configuration/store.go
@@ -0,0 +1,153 @@
+// Package configuration agrees on the two lists through the platform's log. An
+// operator publishes a change with the offset that it is based on; the first
+// in log order wins. Entry VMs follow the log, and pass the newest accepted
+// configuration on to peers that can not reach it.
+package configuration
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/invariant"
+	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/pkg/plan"
+)
+
+// Stream is the log stream of configurations.
+const Stream = "configuration"
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of Error.
+const (
+	KindConflict Kind = "conflict"
+	KindInvalid  Kind = "invalid"
+	KindUnknown  Kind = "unknown_outcome"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Record is one published change.
+type Record struct {
+	// ID is unique to one publication; a repeated append carries the same.
+	ID string `json:"id"`
+	// BasedOn is the offset of the configuration that the operator edited, 0
+	// for the first one.
+	BasedOn uint64 `json:"based_on"`
+	// Operator says who published, for the loser of a conflict.
+	Operator string     `json:"operator"`
+	Lists    plan.Lists `json:"lists"`
+}
+
+// Version is an accepted configuration.
+type Version struct {
+	// Offset is the place of the record in the log; it only rises.
+	Offset uint64
+	// ID is that of the record; it is empty when a peer passed the version on.
+	ID       string
+	Operator string
+	Lists    plan.Lists
+	Index    *plan.Index
+}
+
+// Verdict is what the rule makes of one record.
+type Verdict struct {
+	Accepted bool
+	// Repeated records were appended twice by the same publication.
+	Repeated bool
+	Reason   string
+}
+
+// Store holds the newest accepted configuration of one process.
+type Store struct {
+	mutex   sync.Mutex
+	version Version
+	// read is the offset up to which the log was taken in.
+	read    uint64
+	changed func(Version)
+}
+
+// New returns a store with empty lists. The function is called with each newly
+// accepted version, in order of their offsets.
+func New(changed func(Version)) *Store {
+	empty, _ := plan.NewIndex(plan.Lists{})
+	return &Store{version: Version{Index: empty}, changed: changed}
+}
+
+// Current returns the newest accepted version.
+func (s *Store) Current() Version {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.version
+}
+
+// Read returns the offset up to which the log was taken in.
+func (s *Store) Read() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.read
+}
+
+// Judge decides on a record after a version. It depends on nothing else, so
+// that every process decides alike.
+func Judge(after Version, data []byte) (Record, *plan.Index, Verdict) {
+	var r Record
+	if err := plan.DecodeStrict(data, &r); err != nil {
+		return r, nil, Verdict{Reason: err.Error()}
+	}
+	if r.ID != "" && r.ID == after.ID {
+		return r, nil, Verdict{Repeated: true, Reason: "already accepted"}
+	}
+	if r.BasedOn != after.Offset {
+		return r, nil, Verdict{Reason: "based on another version"}
+	}
+	x, err := plan.NewIndex(r.Lists)
+	if err != nil {
+		return r, nil, Verdict{Reason: err.Error()}
+	}
+	return r, x, Verdict{Accepted: true}
+}
+
+// Apply takes in the next record of the log.
+func (s *Store) Apply(r logservice.Record) Verdict {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if r.Offset <= s.read {
+		return Verdict{Repeated: true, Reason: "already read"}
+	}
+	s.read = r.Offset
+	if r.Offset <= s.version.Offset {
+		return Verdict{Repeated: true, Reason: "a peer passed it on"}
+	}
+	record, x, verdict := Judge(s.version, r.Data)
+	if verdict.Accepted {
+		s.set(Version{Offset: r.Offset, ID: record.ID, Operator: record.Operator, Lists: record.Lists, Index: x})
+	}
+	return verdict
+}
+
+// Learn takes over an accepted version from a peer if it is newer.
+func (s *Store) Learn(offset uint64, lists plan.Lists) error {
+	x, err := plan.NewIndex(lists)
+	if err != nil {
+		return fault.New("learn", KindInvalid, err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if offset > s.version.Offset {
+		s.set(Version{Offset: offset, Lists: lists, Index: x})
+	}
+	return nil
+}
+
+func (s *Store) set(v Version) {
+	invariant.Check(v.Offset > s.version.Offset, "configuration_reverted", "offset %d after %d", v.Offset, s.version.Offset)
+	s.version = v
+	s.changed(v)
+}
+
+// Encode returns the log record of a publication.
+func Encode(r Record) ([]byte, error) { return json.Marshal(r) }
--- /dev/null
+++ b/pkg/daemon/node.go
@@ -0,0 +1,224 @@
+// Package daemon joins the parts of an entry VM: membership, ownership of
+// workers, configuration, requests and the caller interface.
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/almondpost/almondpost/pkg/claim"
+	"github.com/almondpost/almondpost/pkg/common"
+	"github.com/almondpost/almondpost/pkg/configuration"
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/pkg/membership"
+	"github.com/almondpost/almondpost/pkg/metrics"
+	"github.com/almondpost/almondpost/pkg/owner"
+	"github.com/almondpost/almondpost/pkg/recorder"
+	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/pkg/retry"
+	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/pkg/worker"
+)
+
+const (
+	// retryRatio and retryBurst bound retries against first attempts.
+	retryRatio = 0.1
+	retryBurst = 50
+	// totalAppendsPerSecond is shared by all entry VMs.
+	totalAppendsPerSecond = 200
+	// forgetAfter is when a removed member is dropped from the view.
+	forgetAfter = 10 * time.Minute
+	// idleConnections bounds idle connections to one worker.
+	idleConnections = 16
+)
+
+// Node is one entry VM.
+type Node struct {
+	*common.Common
+	incarnation uint64
+	run         context.Context
+	stop        context.CancelFunc
+
+	log        logservice.Log
+	lister     vmlist.Lister
+	client     *entry.Client
+	server     *entry.Server
+	heartbeats *entry.Heartbeats
+	owner      *owner.Owner
+	store      *configuration.Store
+	recorder   *recorder.Recorder
+	claims     *claim.Book
+	runner     *request.Runner
+	requests   *Requests
+	metrics    *metrics.Registry
+
+	mutex    sync.Mutex
+	view     *membership.View
+	listed   vmlist.List
+	listRead time.Time
+	leaving  bool
+	traffic  traffic
+	gossip   *rand.Rand
+}
+
+// New starts an entry VM from its settings.
+func New(c *common.Common, registry *metrics.Registry) (*Node, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	workers := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	n := &Node{
+		Common: c, incarnation: uint64(time.Now().UnixMilli()), run: ctx, stop: cancel,
+		log:     logservice.New(c.Settings.Log, platform),
+		lister:  vmlist.New(c.Settings.VMList, platform),
+		client:  entry.New(),
+		metrics: registry,
+		gossip:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	if err := n.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	dial := func(v vmlist.VM) worker.Peer { return worker.New(v.Address, workers) }
+	n.owner = owner.New(ctx, c.Settings.Name, n.incarnation, owner.DefaultTiming, c.Settings.WaitingLimit, dial, observer{registry}, c.Log)
+	n.store = configuration.New(n.configurationChanged)
+	n.recorder = recorder.New(ctx, n.log, totalAppendsPerSecond)
+	n.claims = claim.New(n.recorder, n.log, time.Now)
+	n.runner = request.New(n, request.NewTwoChoices(c.Settings.Domain, rand.New(rand.NewPCG(rand.Uint64(), n.incarnation))), retry.New(retryRatio, retryBurst), request.DefaultTiming, c.Log)
+	n.requests = NewRequests(n)
+	n.publishVariables()
+	n.serve()
+	return n, nil
+}
+
+// listen opens the sockets for peers: TCP and UDP on one port.
+func (n *Node) listen() error {
+	l, err := net.Listen("tcp", n.Settings.PeerListen.String())
+	if err != nil {
+		return oops.In("daemon").With("address", n.Settings.PeerListen).Wrapf(err, "listen for peers")
+	}
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	if n.heartbeats, err = entry.ListenHeartbeats(address); err != nil {
+		return oops.In("daemon").With("address", address).Wrapf(err, "listen for heartbeats")
+	}
+	if !n.Settings.PeerAdvertise.IsValid() {
+		n.Settings.PeerAdvertise = address
+	}
+	n.view = membership.New(membership.Heartbeat{
+		Name: n.Settings.Name, Incarnation: n.incarnation, Domain: n.Settings.Domain, Address: n.Settings.PeerAdvertise,
+	}, membership.Timing{
+		SuspectAfter: time.Duration(n.Settings.SuspectAfter),
+		RemoveAfter:  time.Duration(n.Settings.RemoveAfter),
+		ForgetAfter:  forgetAfter,
+	})
+	n.server, err = entry.NewServer(l, handler{n})
+	return oops.In("daemon").Wrapf(err, "serve peers")
+}
+
+// serve starts the loops.
+func (n *Node) serve() {
+	go configuration.Follow(n.run, n.log, n.store)
+	go n.listLoop()
+	go n.receiveLoop()
+	go n.heartbeatLoop()
+	n.Log.Info("started", "domain", n.Settings.Domain, "peer_address", n.Settings.PeerAdvertise.String(), "incarnation", n.incarnation)
+}
+
+func (n *Node) configurationChanged(v configuration.Version) {
+	n.owner.SetPlans(v.Index)
+	n.Log.Info("configuration_accepted", "offset", v.Offset, "plans", len(v.Lists.Entitlements.Plans))
+}
+
+// PeerAddress returns the address that peers are told.
+func (n *Node) PeerAddress() netip.AddrPort { return n.Settings.PeerAdvertise }
+
+// Ready reports whether callers should be sent here: the lists are known, and
+// some entry VM offers workers.
+func (n *Node) Ready() bool {
+	n.mutex.Lock()
+	leaving := n.leaving
+	n.mutex.Unlock()
+	if leaving || n.store.Current().Offset == 0 {
+		return false
+	}
+	return slices.ContainsFunc(n.Targets(), func(t request.Target) bool { return t.Usable })
+}
+
+// drainPoll is the pause between checks during a graceful shutdown.
+const drainPoll = 50 * time.Millisecond
+
+// Drain begins a planned stop: no new work is admitted, the workers are taken
+// over by other entry VMs, and open requests run to their end. It returns when
+// that is done or ctx ends.
+func (n *Node) Drain(ctx context.Context) {
+	n.mutex.Lock()
+	n.leaving = true
+	n.mutex.Unlock()
+	n.Log.Info("drain_started", "open", n.requests.Open(), "workers", n.owner.Held())
+	n.owner.Drain()
+	n.sendHeartbeats()
+	for ctx.Err() == nil {
+		if n.requests.Open() == 0 && (n.owner.Held() == 0 || !n.hasSuccessor()) {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	n.Log.Info("drain_finished", "open", n.requests.Open(), "workers", n.owner.Held())
+}
+
+func (n *Node) hasSuccessor() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return len(n.view.Owners()) > 0
+}
+
+// Close stops every loop and connection at once.
+func (n *Node) Close() {
+	n.stop()
+	n.heartbeats.Close()
+	n.server.Close()
+	n.client.Close()
+	n.Log.Info("stopped")
+}
+
+// ownerVariables is the load of the owner as expvar shows it.
+type ownerVariables struct {
+	Workers           int     `json:"workers"`
+	FreeFraction      float64 `json:"free_fraction"`
+	Waiting           []int   `json:"waiting_by_class"`
+	Open              int     `json:"open_requests"`
+	HeartbeatSent     int64   `json:"heartbeat_bytes_sent"`
+	HeartbeatReceived int64   `json:"heartbeat_bytes_received"`
+}
+
+// publishVariables shows the state in expvar. Only the first node of a process
+// is shown.
+func (n *Node) publishVariables() {
+	if expvar.Get("owner") != nil {
+		return
+	}
+	expvar.Publish("owner", expvar.Func(func() any {
+		load := n.owner.Advertise()
+		return ownerVariables{
+			Workers: load.Workers, FreeFraction: load.FreeFraction, Waiting: load.Waiting[:], Open: n.requests.Open(),
+			HeartbeatSent: n.traffic.sent.Load(), HeartbeatReceived: n.traffic.received.Load(),
+		}
+	}))
+}
+
+// observer feeds starts into the metrics.
+type observer struct{ registry *metrics.Registry }
+
+// Started implements owner.Observer.
+func (o observer) Started(t entry.Task, waited time.Duration) {
+	o.registry.Waited(metrics.Key{Customer: t.Customer, Plan: t.Plan, Class: string(t.Class)}, waited)
+}
--- /dev/null
+++ b/pkg/daemon/peers.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/membership"
+	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/pkg/vmlist"
+)
+
+// Targets implements request.Peers.
+func (n *Node) Targets() []request.Target {
+	load := n.owner.Advertise()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	waiting := 0
+	for _, w := range load.Waiting {
+		waiting += w
+	}
+	out := []request.Target{{
+		Name: n.Settings.Name, Incarnation: n.incarnation, Domain: n.Settings.Domain,
+		Free: load.FreeFraction, Waiting: waiting,
+		Usable: !n.leaving && load.Workers > 0, Reachable: true,
+	}}
+	for _, m := range n.view.Members() {
+		out = append(out, request.Target{
+			Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain,
+			Free: m.Advert.Free, Waiting: m.Advert.Waiting,
+			Usable:    m.State == membership.Alive && m.Advert.Workers > 0,
+			Reachable: m.State != membership.Removed,
+		})
+	}
+	return out
+}
+
+// Workers implements request.Peers.
+func (n *Node) Workers(domain string) []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var out []string
+	for _, v := range n.listed.VMs {
+		if v.Role == vmlist.Worker && v.Domain == domain {
+			out = append(out, v.Name)
+		}
+	}
+	return out
+}
+
+func (n *Node) address(name string) (netip.AddrPort, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if m, ok := n.view.Member(name); ok {
+		return m.Address, true
+	}
+	for _, v := range n.listed.VMs {
+		if v.Role == vmlist.Entry && v.Name == name {
+			return v.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// callPeer calls another entry VM by name.
+func callPeer[R any](ctx context.Context, n *Node, name, method string, args any) (reply R, err error) {
+	a, ok := n.address(name)
+	if !ok {
+		return reply, fault.Newf(method, entry.KindNotSent, "no address of %s", name)
+	}
+	err = n.client.Call(ctx, a, method, args, &reply)
+	return reply, err
+}
+
+// localError gives an error of the own handler the kind that a remote one has.
+func localError(method string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fault.New(method, entry.Kind(err.Error()), err)
+}
+
+// Run implements request.Peers.
+func (n *Node) Run(ctx context.Context, t request.Target, a entry.RunArgs) (entry.Status, error) {
+	if t.Name == n.Settings.Name {
+		s, err := n.owner.Run(a)
+		return s, localError("Run", err)
+	}
+	return callPeer[entry.Status](ctx, n, t.Name, "Run", a)
+}
+
+// Await implements request.Peers.
+func (n *Node) Await(ctx context.Context, t request.Target, a entry.AwaitArgs) (entry.Status, error) {
+	if t.Name == n.Settings.Name {
+		s, err := n.owner.Await(a)
+		return s, localError("Await", err)
+	}
+	return callPeer[entry.Status](ctx, n, t.Name, "Await", a)
+}
+
+// Resolve implements request.Peers.
+func (n *Node) Resolve(ctx context.Context, t request.Target, a entry.ResolveArgs) (entry.ResolveReply, error) {
+	if t.Name == n.Settings.Name {
+		s, err := n.owner.Resolve(a)
+		return s, localError("Resolve", err)
+	}
+	return callPeer[entry.ResolveReply](ctx, n, t.Name, "Resolve", a)
+}
+
+// Cancel implements request.Peers.
+func (n *Node) Cancel(ctx context.Context, t request.Target, a entry.CancelArgs) error {
+	if t.Name == n.Settings.Name {
+		return localError("Cancel", n.owner.Cancel(a))
+	}
+	_, err := callPeer[entry.Nothing](ctx, n, t.Name, "Cancel", a)
+	return err
+}
+
+// handler serves the calls of other entry VMs.
+type handler struct{ *Node }
+
+// Run implements entry.Handler.
+func (h handler) Run(a entry.RunArgs) (entry.Status, error) { return h.owner.Run(a) }
+
+// Await implements entry.Handler.
+func (h handler) Await(a entry.AwaitArgs) (entry.Status, error) { return h.owner.Await(a) }
+
+// Cancel implements entry.Handler.
+func (h handler) Cancel(a entry.CancelArgs) error { return h.owner.Cancel(a) }
+
+// Resolve implements entry.Handler.
+func (h handler) Resolve(a entry.ResolveArgs) (entry.ResolveReply, error) { return h.owner.Resolve(a) }
+
+// Fetch implements entry.Handler.
+func (h handler) Fetch(a entry.FetchArgs) (entry.FetchReply, error) { return h.requests.Serve(a), nil }
+
+// Configuration implements entry.Handler.
+func (h handler) Configuration() (entry.ConfigurationReply, error) {
+	v := h.store.Current()
+	return entry.ConfigurationReply{Offset: v.Offset, Lists: v.Lists}, nil
+}
--- /dev/null
+++ b/pkg/entry/heartbeat.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+
+	"github.com/almondpost/almondpost/pkg/membership"
+)
+
+// maxHeartbeatBytes bounds one heartbeat datagram.
+const maxHeartbeatBytes = 1024
+
+// Heartbeats sends and receives heartbeats over UDP.
+type Heartbeats struct {
+	socket *net.UDPConn
+}
+
+// ListenHeartbeats opens the socket.
+func ListenHeartbeats(a netip.AddrPort) (*Heartbeats, error) {
+	s, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, err
+	}
+	return &Heartbeats{socket: s}, nil
+}
+
+// Send sends one heartbeat and returns its length in bytes.
+func (h *Heartbeats) Send(to netip.AddrPort, b membership.Heartbeat) (int, error) {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return 0, err
+	}
+	return h.socket.WriteToUDPAddrPort(data, to)
+}
+
+// Receive waits for the next heartbeat; malformed datagrams are skipped. It
+// fails once the socket is closed.
+func (h *Heartbeats) Receive() (membership.Heartbeat, int, error) {
+	buffer := make([]byte, maxHeartbeatBytes)
+	for {
+		n, _, err := h.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return membership.Heartbeat{}, 0, err
+		}
+		var b membership.Heartbeat
+		if json.Unmarshal(buffer[:n], &b) == nil && b.Address.IsValid() {
+			return b, n, nil
+		}
+	}
+}
+
+// Close closes the socket.
+func (h *Heartbeats) Close() { _ = h.socket.Close() }
--- /dev/null
+++ b/pkg/entry/protocol.go
@@ -0,0 +1,154 @@
+// Package entry is the protocol between entry VMs: net/rpc calls over TCP, and
+// heartbeats over UDP.
+package entry
+
+import (
+	"time"
+
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/resource"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of Error.
+const (
+	// KindNotSent means that the call never left this process.
+	KindNotSent Kind = "not_sent"
+	// KindUnknown means that the call may have taken effect.
+	KindUnknown Kind = "unknown_outcome"
+	// KindIncarnation means that the called process is not the one meant.
+	KindIncarnation Kind = "other_incarnation"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// State is what an owner says of an attempt.
+type State string
+
+// The states of an attempt.
+const (
+	Waiting  State = "waiting"
+	Running  State = "running"
+	Finished State = "finished"
+	// Failed means that the attempt ran and failed.
+	Failed State = "failed"
+	// Stopped means that the attempt ran and was stopped, or its lease lapsed.
+	Stopped State = "stopped"
+	// NotRun means that the attempt never ran and never will.
+	NotRun State = "not_run"
+	// Moved means that the worker of the attempt has another owner now; the
+	// attempt has to be resolved there.
+	Moved State = "moved"
+)
+
+// Ended reports whether the owner has nothing more to say of the attempt.
+func (s State) Ended() bool { return s != Waiting && s != Running }
+
+// Reasons that owners give beside those of the allocator and the workers.
+const (
+	ReasonFenced      = "fenced"
+	ReasonCancelled   = "cancelled"
+	ReasonPreempted   = "preempted"
+	ReasonLeaseLapsed = "lease_lapsed"
+)
+
+// Task is one attempt as it travels between entry VMs.
+type Task struct {
+	Attempt    string
+	Customer   string
+	Plan       string
+	Class      plan.Class
+	Size       resource.Vector
+	Kind       string
+	Spread     string
+	Repeatable bool
+	RunTime    time.Duration
+	// Remaining is the time to the deadline when the call was sent; zero means
+	// no deadline. A duration is used since clocks of VMs differ.
+	Remaining time.Duration
+	Payload   []byte
+}
+
+// Status is what an owner says of an attempt.
+type Status struct {
+	State  State
+	Reason string
+	Worker string
+	Answer []byte
+	// RetryAfter is a hint for attempts that were not run.
+	RetryAfter time.Duration
+	// Waited is how long the attempt was queued at the owner.
+	Waited time.Duration
+}
+
+// HolderLease is how long a waiting attempt is kept without being asked for.
+// Past it the attempt never starts, so that its holder may give up on an owner
+// that it can not reach.
+const HolderLease = 4 * time.Second
+
+// RunArgs asks an owner to run an attempt and to wait for its end.
+type RunArgs struct {
+	// Incarnation is the process that the caller means; another one refuses.
+	Incarnation uint64
+	Task        Task
+	Wait        time.Duration
+}
+
+// AwaitArgs asks for the end of an attempt that an owner was given before. An
+// attempt that the owner does not know is fenced: it never runs there later.
+type AwaitArgs struct {
+	Incarnation uint64
+	Attempt     string
+	Wait        time.Duration
+}
+
+// CancelArgs asks an owner to stop an attempt.
+type CancelArgs struct {
+	Attempt string
+}
+
+// ResolveArgs asks an owner what it knows of attempts whose former owner is
+// gone. Unknown attempts are fenced at the owner.
+type ResolveArgs struct {
+	Attempts []string
+	// Peek asks without fencing.
+	Peek bool
+}
+
+// ResolveReply tells what an owner knows.
+type ResolveReply struct {
+	// Found holds the attempts that run on or ended on the owner's workers.
+	Found map[string]Status
+	// Incarnation is that of the answering process.
+	Incarnation uint64
+	// Verified holds, for each worker that the owner holds the token of, how
+	// long ago the last answered call to it was sent.
+	Verified map[string]time.Duration
+}
+
+// FetchArgs asks for the outcome of a request.
+type FetchArgs struct {
+	ID string
+	// Cancel cancels the request instead.
+	Cancel bool
+	Wait   time.Duration
+}
+
+// FetchReply carries an outcome as the caller interface shows it.
+type FetchReply struct {
+	Known   bool
+	Outcome []byte
+}
+
+// ConfigurationReply carries the newest accepted configuration.
+type ConfigurationReply struct {
+	Offset uint64
+	Lists  plan.Lists
+}
+
+// Nothing is an empty argument or reply.
+type Nothing struct{}
--- /dev/null
+++ b/pkg/jsonhttp/jsonhttp.go
@@ -0,0 +1,99 @@
+// Package jsonhttp carries JSON values over HTTP for the clients and servers of
+// the platform's protocols.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// MaxBodyBytes bounds every body that is read.
+const MaxBodyBytes = 64 << 20
+
+// StatusError is a reply with a status other than 200.
+type StatusError struct {
+	// Code is the HTTP status.
+	Code int
+	// Message is the body, cut at maxMessageBytes.
+	Message string
+}
+
+const maxMessageBytes = 512
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Message) }
+
+// Post sends request as JSON and decodes the reply.
+func Post(ctx context.Context, client *http.Client, url string, request, reply any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	return do(ctx, client, http.MethodPost, url, bytes.NewReader(body), reply)
+}
+
+// Get decodes the reply to a GET.
+func Get(ctx context.Context, client *http.Client, url string, reply any) error {
+	return do(ctx, client, http.MethodGet, url, nil, reply)
+}
+
+func do(ctx context.Context, client *http.Client, method, url string, body io.Reader, reply any) error {
+	r, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	s, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(s.Body, MaxBodyBytes))
+	if err != nil {
+		return err
+	}
+	if s.StatusCode != http.StatusOK {
+		return &StatusError{Code: s.StatusCode, Message: string(data[:min(len(data), maxMessageBytes)])}
+	}
+	return json.Unmarshal(data, reply)
+}
+
+// Write sends a value as JSON with a status.
+func Write(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// Handler adapts a typed function to HTTP. A *StatusError chooses the status.
+func Handler[Q, A any](f func(ctx context.Context, request Q) (A, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request Q
+		if err := json.NewDecoder(io.LimitReader(r.Body, MaxBodyBytes)).Decode(&request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		reply, err := f(r.Context(), request)
+		if err != nil {
+			code := http.StatusInternalServerError
+			var status *StatusError
+			if errors.As(err, &status) {
+				code = status.Code
+			}
+			http.Error(w, err.Error(), code)
+			return
+		}
+		Write(w, http.StatusOK, reply)
+	}
+}
--- /dev/null
+++ b/pkg/metrics/metrics.go
@@ -0,0 +1,116 @@
+// Package metrics keeps counters and waiting-time histograms per customer, plan
+// and class, and shows them through expvar.
+package metrics
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Key names one group of work.
+type Key struct {
+	Customer string `json:"customer"`
+	Plan     string `json:"plan"`
+	Class    string `json:"class"`
+}
+
+// Waiting times from 1 ms to 1 h are kept with two significant digits.
+const (
+	lowestMilliseconds  = 1
+	highestMilliseconds = int64(time.Hour / time.Millisecond)
+	digits              = 2
+)
+
+// Summary is the state of one group.
+type Summary struct {
+	Key
+	Submitted int64 `json:"submitted"`
+	Answered  int64 `json:"answered"`
+	NotRun    int64 `json:"not_run"`
+	Other     int64 `json:"other"`
+	// Used is in milliprocessor seconds of ended tasks.
+	Used    int64   `json:"used_milliprocessor_seconds"`
+	P50     float64 `json:"waiting_p50_milliseconds"`
+	P95     float64 `json:"waiting_p95_milliseconds"`
+	P99     float64 `json:"waiting_p99_milliseconds"`
+	Started int64   `json:"started"`
+}
+
+type group struct {
+	mutex   sync.Mutex
+	summary Summary
+	waiting *hdrhistogram.Histogram
+}
+
+// Registry holds the groups of one entry VM.
+type Registry struct {
+	mutex  sync.RWMutex
+	groups map[Key]*group
+}
+
+// New returns an empty registry.
+func New() *Registry { return &Registry{groups: map[Key]*group{}} }
+
+// Publish shows the registry in expvar under a name, once per process.
+func (r *Registry) Publish(name string) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, expvar.Func(func() any { return r.Summaries() }))
+	}
+}
+
+func (r *Registry) group(k Key) *group {
+	r.mutex.RLock()
+	g := r.groups[k]
+	r.mutex.RUnlock()
+	if g != nil {
+		return g
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if g = r.groups[k]; g == nil {
+		g = &group{summary: Summary{Key: k}, waiting: hdrhistogram.New(lowestMilliseconds, highestMilliseconds, digits)}
+		r.groups[k] = g
+	}
+	return g
+}
+
+// Update changes the counters of a group under its lock.
+func (r *Registry) Update(k Key, change func(s *Summary)) {
+	g := r.group(k)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	change(&g.summary)
+}
+
+// Waited records how long a task waited for its start.
+func (r *Registry) Waited(k Key, d time.Duration) {
+	g := r.group(k)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.summary.Started++
+	_ = g.waiting.RecordValue(min(max(d.Milliseconds(), 0), highestMilliseconds))
+}
+
+// Summaries returns the state of every group.
+func (r *Registry) Summaries() []Summary {
+	r.mutex.RLock()
+	groups := make([]*group, 0, len(r.groups))
+	for _, g := range r.groups {
+		groups = append(groups, g)
+	}
+	r.mutex.RUnlock()
+	out := make([]Summary, 0, len(groups))
+	for _, g := range groups {
+		g.mutex.Lock()
+		s := g.summary
+		s.P50 = float64(g.waiting.ValueAtQuantile(50))
+		s.P95 = float64(g.waiting.ValueAtQuantile(95))
+		s.P99 = float64(g.waiting.ValueAtQuantile(99))
+		g.mutex.Unlock()
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/owner/owner.go
@@ -0,0 +1,314 @@
+// Package owner allocates tasks on the workers that this entry VM has adopted.
+// It drives the allocator with real workers: adoption with a fencing token,
+// starts, records of ended attempts, preemption and loss of a worker.
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/almondpost/almondpost/pkg/allocator"
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/placement"
+	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/pkg/worker"
+)
+
+// Timing is how an owner deals with its workers.
+type Timing struct {
+	// Lease is how long tasks go on without a call of the owner.
+	Lease time.Duration
+	// LeaseMargin covers drift between clocks.
+	LeaseMargin time.Duration
+	// SyncWait is how long one sync waits for news; it is well below Lease.
+	SyncWait time.Duration
+	// Retry is the pause after a failed call.
+	Retry time.Duration
+	// Contested is the pause after another owner has fenced this one.
+	Contested time.Duration
+	// Tick is the interval of expiry and reclaim.
+	Tick time.Duration
+	// Retention is how long ended attempts are remembered.
+	Retention time.Duration
+	// Unclaimed is how long a worker may be assigned elsewhere without being
+	// adopted there before this owner uses it again.
+	Unclaimed time.Duration
+}
+
+// DefaultTiming suits workers on the same site.
+var DefaultTiming = Timing{
+	Lease:       10 * time.Second,
+	LeaseMargin: time.Second,
+	SyncWait:    3 * time.Second,
+	Retry:       250 * time.Millisecond,
+	Contested:   2 * time.Second,
+	Tick:        20 * time.Millisecond,
+	Retention:   2 * time.Minute,
+	Unclaimed:   5 * time.Second,
+}
+
+// Dial returns the peer of a worker VM.
+type Dial func(v vmlist.VM) worker.Peer
+
+// Observer is told of outcomes, for metrics.
+type Observer interface {
+	// Started tells how long a task was queued before its start.
+	Started(t entry.Task, waited time.Duration)
+}
+
+// Owner is the allocator of the adopted workers of one entry VM.
+type Owner struct {
+	name        string
+	incarnation uint64
+	timing      Timing
+	dial        Dial
+	observer    Observer
+	log         logr.Logger
+	run         context.Context
+	wake        chan struct{}
+	gained      chan struct{}
+
+	mutex sync.Mutex
+	alloc *allocator.Allocator
+	// attempts holds every attempt that was given to this owner, runs on an
+	// adopted worker, or was fenced here, until Retention after its end.
+	attempts map[string]*attempt
+	sessions map[string]*session
+	draining bool
+}
+
+type attempt struct {
+	task    entry.Task
+	status  entry.Status
+	changed chan struct{}
+	ended   time.Time
+	// cancelled is set when the caller asked to stop the attempt.
+	cancelled bool
+	// asked is when the holder last asked for the attempt. A waiting attempt
+	// starts only within HolderLease of it.
+	asked time.Time
+}
+
+// New returns an owner without workers. It works until ctx ends.
+func New(ctx context.Context, name string, incarnation uint64, t Timing, waitingLimit int, dial Dial, o Observer, log logr.Logger) *Owner {
+	w := &Owner{
+		name: name, incarnation: incarnation, timing: t, dial: dial, observer: o, log: log, run: ctx,
+		wake:     make(chan struct{}, 1),
+		gained:   make(chan struct{}, 1),
+		alloc:    allocator.New(placement.Balanced{}, allocator.Limits{Waiting: waitingLimit}),
+		attempts: map[string]*attempt{}, sessions: map[string]*session{},
+	}
+	go w.loop()
+	return w
+}
+
+// SetPlans takes over a configuration.
+func (o *Owner) SetPlans(x *plan.Index) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.alloc.SetPlans(x)
+	o.kick()
+}
+
+// Advertise summarises the load.
+func (o *Owner) Advertise() allocator.Advertisement {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.alloc.Advertise()
+}
+
+// Gained signals that the first worker was adopted, so that peers should be
+// told of it at once.
+func (o *Owner) Gained() <-chan struct{} { return o.gained }
+
+func (o *Owner) kick() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Owner) loop() {
+	tick := time.NewTicker(o.timing.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-o.run.Done():
+			return
+		case <-o.wake:
+			o.dispatch()
+		case <-tick.C:
+			o.expire()
+			o.dispatch()
+			o.reclaim()
+		}
+	}
+}
+
+func (o *Owner) dispatch() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for {
+		d, ok := o.alloc.Next(time.Now())
+		if !ok {
+			return
+		}
+		a, s := o.attempts[d.Task.Attempt], o.sessions[d.Worker]
+		if a == nil || s == nil {
+			o.alloc.Release(d.Task.Attempt)
+			continue
+		}
+		if time.Since(a.asked) > entry.HolderLease {
+			o.end(d.Task.Attempt, entry.Status{State: entry.NotRun, Reason: reasonHolderGone})
+			continue
+		}
+		a.status.Worker, a.status.Waited = d.Worker, d.Waited
+		o.observer.Started(a.task, d.Waited)
+		go o.start(s.peer, s.token, a)
+	}
+}
+
+// set changes the status of an attempt and wakes who waits for it. The caller
+// holds the lock.
+func (o *Owner) set(a *attempt, s entry.Status) {
+	if a.status.State.Ended() {
+		return
+	}
+	s.Worker, s.Waited = a.status.Worker, a.status.Waited
+	a.status = s
+	if s.State.Ended() {
+		a.ended = time.Now()
+		a.task.Payload = nil
+	}
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (o *Owner) end(id string, s entry.Status) {
+	if o.alloc.Release(id) {
+		o.kick()
+	}
+	if a := o.attempts[id]; a != nil {
+		o.set(a, s)
+	}
+}
+
+// start starts an attempt on its worker. The call is repeated until its
+// outcome is known, since starts are idempotent per attempt. The token is that
+// of the moment of the decision: a later adoption by the same owner must not
+// revive a start that was given up in between.
+func (o *Owner) start(peer worker.Peer, token worker.Token, a *attempt) {
+	id := a.task.Attempt
+	for first := true; ; first = false {
+		record, err := peer.Start(o.run, worker.StartRequest{Token: token, Attempt: forWorker(a.task)})
+		o.mutex.Lock()
+		switch fault.KindOf[worker.Kind](err) {
+		case "":
+			o.started(a, record)
+			o.mutex.Unlock()
+			return
+		case worker.KindFenced, worker.KindRefused:
+			o.notStarted(a, err, first)
+			o.mutex.Unlock()
+			return
+		}
+		gone := o.alloc.Ledger().Reservation(id) == nil
+		o.mutex.Unlock()
+		if gone || !o.pause(o.timing.Retry) {
+			return
+		}
+	}
+}
+
+func (o *Owner) started(a *attempt, r worker.Record) {
+	if r.Phase.Ended() {
+		o.end(a.task.Attempt, statusOf(r))
+		return
+	}
+	o.set(a, entry.Status{State: entry.Running})
+	if a.cancelled {
+		go o.stop(a.task.Attempt, worker.Stop)
+	}
+}
+
+// notStarted handles a refusal. When an answer to an earlier try was lost, the
+// attempt may run all the same, so a fenced owner leaves it to the new one.
+func (o *Owner) notStarted(a *attempt, err error, first bool) {
+	o.log.Info("start_refused", "attempt", a.task.Attempt, "worker", a.status.Worker, "reason", err.Error())
+	if fault.KindOf[worker.Kind](err) == worker.KindFenced && !first {
+		o.end(a.task.Attempt, entry.Status{State: entry.Moved, Reason: entry.ReasonFenced})
+		return
+	}
+	o.end(a.task.Attempt, entry.Status{State: entry.NotRun, Reason: string(worker.KindRefused)})
+}
+
+// reasonHolderGone is given for waiting attempts that nobody asked for.
+const reasonHolderGone = "holder_gone"
+
+func (o *Owner) pause(d time.Duration) bool {
+	select {
+	case <-o.run.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (o *Owner) expire() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := time.Now()
+	for _, r := range o.alloc.Expire(now) {
+		o.refuse(r)
+	}
+	for id, a := range o.attempts {
+		if !a.ended.IsZero() && now.Sub(a.ended) > o.timing.Retention {
+			delete(o.attempts, id)
+		}
+	}
+}
+
+func (o *Owner) refuse(r allocator.Refusal) {
+	if a := o.attempts[r.Task.Attempt]; a != nil {
+		o.set(a, entry.Status{State: entry.NotRun, Reason: string(r.Reason)})
+	}
+}
+
+func (o *Owner) reclaim() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, p := range o.alloc.Reclaim() {
+		o.log.V(1).Info("preempt", "attempt", p.Attempt, "worker", p.Worker, "plan", p.For)
+		go o.preempt(p.Attempt)
+	}
+}
+
+func statusOf(r worker.Record) entry.Status {
+	switch r.Phase {
+	case worker.Running:
+		return entry.Status{State: entry.Running}
+	case worker.Finished:
+		return entry.Status{State: entry.Finished, Answer: r.Answer}
+	case worker.Failed:
+		return entry.Status{State: entry.Failed, Reason: r.Reason}
+	case worker.Fenced:
+		return entry.Status{State: entry.NotRun, Reason: r.Reason}
+	}
+	reason := r.Reason
+	if reason == string(worker.Checkpoint) {
+		reason = entry.ReasonPreempted
+	}
+	return entry.Status{State: entry.Stopped, Reason: reason}
+}
+
+func forWorker(t entry.Task) worker.Attempt {
+	return worker.Attempt{
+		ID: t.Attempt, Customer: t.Customer, Plan: t.Plan, Class: string(t.Class), Size: t.Size,
+		Kind: t.Kind, Repeatable: t.Repeatable, Payload: t.Payload, RunTime: t.RunTime,
+	}
+}
--- /dev/null
+++ b/pkg/placement/policy.go
@@ -0,0 +1,148 @@
+// Package placement holds the policies that choose among workers with room.
+package placement
+
+import (
+	"math/rand/v2"
+
+	"github.com/almondpost/almondpost/pkg/ledger"
+	"github.com/almondpost/almondpost/pkg/resource"
+)
+
+// Policy chooses a worker for a size, or nil when none has room. A policy
+// never chooses a worker on which the size does not fit.
+type Policy interface {
+	Choose(l *ledger.Ledger, size resource.Vector, spread string) *ledger.Worker
+	// ChooseGained is Choose among the workers that gained room since a value
+	// of Ledger.Gains; complete is false when a full search is needed.
+	ChooseGained(l *ledger.Ledger, since uint64, size resource.Vector, spread string) (w *ledger.Worker, complete bool)
+}
+
+const (
+	// spreadPenalty outweighs every difference in packing.
+	spreadPenalty = 4.0
+	// tightnessWeight weighs the room that is left against its imbalance.
+	tightnessWeight = 0.5
+)
+
+// Balanced prefers the worker whose remaining room is small and evenly spread
+// over the resources, so that no resource is stranded. Attempts of one spread
+// group go to different racks where there is room.
+type Balanced struct{}
+
+// Choose implements Policy.
+func (Balanced) Choose(l *ledger.Ledger, size resource.Vector, spread string) *ledger.Worker {
+	return l.Find(size, balancedScore(l, size, spread))
+}
+
+// ChooseGained implements Policy.
+func (Balanced) ChooseGained(l *ledger.Ledger, since uint64, size resource.Vector, spread string) (*ledger.Worker, bool) {
+	return l.FindGained(since, size, balancedScore(l, size, spread))
+}
+
+func balancedScore(l *ledger.Ledger, size resource.Vector, spread string) ledger.Score {
+	return func(w *ledger.Worker) float64 {
+		low, high, mean := remaining(w.Free().Sub(size), w.Capacity)
+		return high - low + tightnessWeight*mean + spreadPenalty*float64(l.SpreadCount(spread, w.Rack))
+	}
+}
+
+// remaining returns the smallest, largest and mean fraction of processors,
+// memory, slots and accelerators that is left.
+func remaining(left, capacity resource.Vector) (low, high, mean float64) {
+	low = 1
+	kinds := 0
+	add := func(left, capacity int64) {
+		if capacity <= 0 {
+			return
+		}
+		f := float64(left) / float64(capacity)
+		low, high = min(low, f), max(high, f)
+		mean += f
+		kinds++
+	}
+	add(left.Milliprocessors, capacity.Milliprocessors)
+	add(left.MemoryMebibytes, capacity.MemoryMebibytes)
+	add(left.Slots, capacity.Slots)
+	add(left.Accelerators, capacity.Accelerators)
+	if kinds > 0 {
+		mean /= float64(kinds)
+	}
+	return low, high, mean
+}
+
+// FirstFit chooses the first worker in name order that has room. It is a
+// baseline.
+type FirstFit struct {
+	// Order lists the worker names.
+	Order []string
+}
+
+// Choose implements Policy.
+func (f FirstFit) Choose(l *ledger.Ledger, size resource.Vector, _ string) *ledger.Worker {
+	for _, name := range f.Order {
+		if w := l.Worker(name); w != nil && w.Accepting && size.Fits(w.Free()) {
+			return w
+		}
+	}
+	return nil
+}
+
+// ChooseGained implements Policy.
+func (FirstFit) ChooseGained(*ledger.Ledger, uint64, resource.Vector, string) (*ledger.Worker, bool) {
+	return nil, false
+}
+
+// BestFit chooses the worker with the least room of the dominant resource left
+// among all workers. It is a baseline.
+type BestFit struct {
+	// Order lists the worker names.
+	Order []string
+}
+
+// Choose implements Policy.
+func (b BestFit) Choose(l *ledger.Ledger, size resource.Vector, _ string) *ledger.Worker {
+	var best *ledger.Worker
+	bestLeft := 0.0
+	for _, name := range b.Order {
+		w := l.Worker(name)
+		if w == nil || !w.Accepting || !size.Fits(w.Free()) {
+			continue
+		}
+		if left := w.Free().Sub(size).DominantFraction(w.Capacity); best == nil || left < bestLeft {
+			best, bestLeft = w, left
+		}
+	}
+	return best
+}
+
+// ChooseGained implements Policy.
+func (BestFit) ChooseGained(*ledger.Ledger, uint64, resource.Vector, string) (*ledger.Worker, bool) {
+	return nil, false
+}
+
+// RandomTwo draws two workers at random and chooses the emptier one with room.
+// It is a baseline.
+type RandomTwo struct {
+	Order  []string
+	Random *rand.Rand
+}
+
+// Choose implements Policy.
+func (r RandomTwo) Choose(l *ledger.Ledger, size resource.Vector, _ string) *ledger.Worker {
+	var best *ledger.Worker
+	for range 2 {
+		w := l.Worker(r.Order[r.Random.IntN(len(r.Order))])
+		if w == nil || !w.Accepting || !size.Fits(w.Free()) {
+			continue
+		}
+		if best == nil || w.Used.DominantFraction(w.Capacity) < best.Used.DominantFraction(best.Capacity) {
+			best = w
+		}
+	}
+	return best
+}
+
+// ChooseGained implements Policy.
+func (RandomTwo) ChooseGained(*ledger.Ledger, uint64, resource.Vector, string) (*ledger.Worker, bool) {
+	return nil, false
+}
--- /dev/null
+++ b/pkg/request/resolve.go
@@ -0,0 +1,132 @@
+package request
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/almondpost/almondpost/pkg/entry"
+)
+
+// resolve finds out what became of an attempt whose owner gave no answer or
+// has lost its worker. It ends in one of three ways: an owner knows the
+// attempt; the original owner fences it; or every worker of the failure domain
+// is proved to be held by another owner since the moment from which the
+// original owner can not start it any more, and none lists it.
+func (r *Runner) resolve(ctx context.Context, t Target, attempt string, asked time.Time) (Target, entry.Status) {
+	// Past barrier the original owner drops the attempt if it still waits.
+	barrier := asked.Add(entry.HolderLease + r.timing.Margin)
+	for {
+		if target, status, ok := r.askOriginal(t, attempt); ok {
+			return target, status
+		}
+		answers := r.askAll(t.Domain, attempt)
+		if target, status, ok := known(answers, attempt); ok {
+			return target, status
+		}
+		if r.covered(t, answers, barrier) {
+			return t, entry.Status{State: entry.NotRun, Reason: entry.ReasonFenced, RetryAfter: time.Second}
+		}
+		if ctx.Err() != nil && time.Since(asked) > maxResolveAfterCancel {
+			return t, entry.Status{State: entry.Stopped, Reason: reasonUnresolved}
+		}
+		time.Sleep(r.timing.Retry)
+	}
+}
+
+// maxResolveAfterCancel bounds how long a cancelled attempt is looked for.
+const maxResolveAfterCancel = time.Minute
+
+// reasonUnresolved is given when the outcome could not be found out.
+const reasonUnresolved = "unresolved"
+
+// askOriginal asks the process that was given the attempt, if it still lives.
+func (r *Runner) askOriginal(t Target, attempt string) (Target, entry.Status, bool) {
+	for _, o := range r.peers.Targets() {
+		if o.Name != t.Name || o.Incarnation != t.Incarnation || !o.Reachable {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), entry.CallTimeout)
+		defer cancel()
+		s, err := r.peers.Await(ctx, o, entry.AwaitArgs{Incarnation: o.Incarnation, Attempt: attempt})
+		if err == nil && s.State != entry.Moved {
+			return o, s, true
+		}
+	}
+	return t, entry.Status{}, false
+}
+
+// answer is the reply of one owner and when it was asked.
+type answer struct {
+	target Target
+	reply  entry.ResolveReply
+	asked  time.Time
+}
+
+func (r *Runner) askAll(domain, attempt string) []answer {
+	var (
+		group   sync.WaitGroup
+		mutex   sync.Mutex
+		answers []answer
+	)
+	for _, o := range r.peers.Targets() {
+		if o.Domain != domain || !o.Reachable {
+			continue
+		}
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), entry.CallTimeout)
+			defer cancel()
+			asked := time.Now()
+			reply, err := r.peers.Resolve(ctx, o, entry.ResolveArgs{Attempts: []string{attempt}})
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers = append(answers, answer{target: o, reply: reply, asked: asked})
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+// known returns the owner that knows the attempt, one that saw its end first.
+func known(answers []answer, attempt string) (target Target, status entry.Status, ok bool) {
+	for _, a := range answers {
+		s, found := a.reply.Found[attempt]
+		if !found {
+			continue
+		}
+		if !ok || s.State.Ended() && !status.State.Ended() {
+			target, status, ok = a.target, s, true
+			target.Incarnation = a.reply.Incarnation
+		}
+	}
+	return target, status, ok
+}
+
+// covered reports whether every listed worker of the domain was proved, after
+// the barrier, to be held by an owner other than the original one.
+func (r *Runner) covered(t Target, answers []answer, barrier time.Time) bool {
+	if time.Now().Before(barrier) {
+		return false
+	}
+	held := map[string]bool{}
+	for _, a := range answers {
+		if a.target.Name == t.Name && a.reply.Incarnation == t.Incarnation {
+			continue
+		}
+		for w, age := range a.reply.Verified {
+			if a.asked.Add(-age).After(barrier) {
+				held[w] = true
+			}
+		}
+	}
+	workers := r.peers.Workers(t.Domain)
+	for _, w := range workers {
+		if !held[w] {
+			return false
+		}
+	}
+	return len(workers) > 0
+}
--- /dev/null
+++ b/pkg/request/runner.go
@@ -0,0 +1,277 @@
+package request
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/retry"
+)
+
+// Target is an entry VM that owns workers.
+type Target struct {
+	Name        string
+	Incarnation uint64
+	Domain      string
+	// Free is the scarcest free fraction of its workers, 0 to 1.
+	Free    float64
+	Waiting int
+	// Usable targets are alive and neither suspect nor leaving.
+	Usable bool
+	// Reachable targets are alive, also while they leave.
+	Reachable bool
+}
+
+// Peers is the runner's access to the owners.
+type Peers interface {
+	// Targets returns every known entry VM that may own workers, the own one
+	// included.
+	Targets() []Target
+	// Workers returns the names of the workers of a failure domain that the
+	// platform lists.
+	Workers(domain string) []string
+	// Run, Await and Resolve return errors of package entry.
+	Run(ctx context.Context, t Target, a entry.RunArgs) (entry.Status, error)
+	Await(ctx context.Context, t Target, a entry.AwaitArgs) (entry.Status, error)
+	Resolve(ctx context.Context, t Target, a entry.ResolveArgs) (entry.ResolveReply, error)
+	Cancel(ctx context.Context, t Target, a entry.CancelArgs) error
+}
+
+// Router orders the targets to try for a task.
+type Router interface {
+	Route(targets []Target, class plan.Class, tried map[string]bool) (Target, bool)
+}
+
+// Timing of the runner.
+type Timing struct {
+	// Poll is how long one call waits for the end of an attempt.
+	Poll time.Duration
+	// Retry is the pause between tries to resolve an unknown outcome.
+	Retry time.Duration
+	// Margin covers drift between clocks.
+	Margin time.Duration
+}
+
+// DefaultTiming suits entry VMs on the same site.
+var DefaultTiming = Timing{Poll: 10 * time.Second, Retry: 200 * time.Millisecond, Margin: 500 * time.Millisecond}
+
+// maxHops bounds how many owners are asked for one attempt.
+const maxHops = 4
+
+// Runner runs tasks on behalf of callers.
+type Runner struct {
+	peers  Peers
+	router Router
+	budget *retry.Budget
+	timing Timing
+	log    logr.Logger
+}
+
+// New returns a runner.
+func New(p Peers, r Router, b *retry.Budget, t Timing, log logr.Logger) *Runner {
+	return &Runner{peers: p, router: r, budget: b, timing: t, log: log}
+}
+
+// Work is one task of a request or job.
+type Work struct {
+	// ID is unique over all tasks; attempts append their number.
+	ID       string
+	Customer string
+	Spec     Spec
+	// Submitted is when the caller submitted the work.
+	Submitted time.Time
+	// FirstAttempt numbers the first attempt, at least 1.
+	FirstAttempt int
+}
+
+// maxAttempts bounds the attempts of one piece of work that fails.
+const maxAttempts = 4
+
+// AttemptID names the n-th attempt of a task.
+func AttemptID(task string, n int) string { return fmt.Sprintf("%s/%d", task, n) }
+
+// Run runs a task to its outcome. When ctx ends before, the work is cancelled.
+// At most one attempt exists at a time: the next one starts only when the last
+// one is known to have ended or never to have started.
+func (r *Runner) Run(ctx context.Context, w Work) Outcome {
+	r.budget.First()
+	out := Outcome{ID: w.ID}
+	failures := 0
+	n := max(1, w.FirstAttempt)
+	for {
+		status := r.attempt(ctx, w, &n)
+		if status.State != entry.NotRun {
+			out.Attempts++
+		}
+		if r.isRetried(ctx, w, status, &failures) {
+			continue
+		}
+		fill(ctx, &out, status)
+		return out
+	}
+}
+
+// isRetried decides whether another attempt follows an ended one.
+func (r *Runner) isRetried(ctx context.Context, w Work, s entry.Status, failures *int) bool {
+	if ctx.Err() != nil || !w.Spec.Repeatable {
+		return false
+	}
+	switch s.State {
+	case entry.Stopped:
+		return s.Reason == entry.ReasonPreempted || s.Reason != entry.ReasonCancelled && r.budget.Take()
+	case entry.Failed:
+		*failures++
+		return *failures < maxAttempts && r.budget.Take()
+	}
+	return false
+}
+
+func fill(ctx context.Context, out *Outcome, s entry.Status) {
+	out.Reason = s.Reason
+	out.RetryAfterMilliseconds = s.RetryAfter.Milliseconds()
+	switch s.State {
+	case entry.Finished:
+		out.State = Done
+		out.SetAnswer(s.Answer)
+	case entry.Failed:
+		out.State = Failed
+	case entry.NotRun:
+		out.State = NotRun
+		if ctx.Err() != nil || s.Reason == entry.ReasonCancelled {
+			out.State = Cancelled
+		}
+	case entry.Stopped:
+		out.State = MayHaveRun
+		if s.Reason == entry.ReasonCancelled {
+			out.State = Cancelled
+		}
+	default:
+		out.State = MayHaveRun
+	}
+	out.WaitedMilliseconds = s.Waited.Milliseconds()
+}
+
+// attempt offers the work to owners in turn until one takes it, and follows it
+// to its end. Each offer is an attempt with a number of its own.
+func (r *Runner) attempt(ctx context.Context, w Work, n *int) entry.Status {
+	tried := map[string]bool{}
+	last := entry.Status{State: entry.NotRun, Reason: reasonNoOwner, RetryAfter: time.Second}
+	for hop := 0; hop < maxHops && ctx.Err() == nil; hop++ {
+		target, ok := r.router.Route(r.peers.Targets(), w.Spec.Class, tried)
+		if !ok {
+			return last
+		}
+		tried[target.Name] = true
+		attempt := AttemptID(w.ID, *n)
+		*n++
+		remaining, ok := w.remaining(time.Now())
+		if !ok {
+			return entry.Status{State: entry.NotRun, Reason: reasonDeadline}
+		}
+		status := r.offer(ctx, target, w.task(attempt, remaining))
+		if status.State != entry.NotRun || isFinalRefusal(status.Reason) {
+			return status
+		}
+		last = status
+	}
+	return last
+}
+
+const (
+	reasonNoOwner  = "no_owner"
+	reasonDeadline = "deadline_over"
+)
+
+// isFinalRefusal reports whether no other owner would decide otherwise.
+func isFinalRefusal(reason string) bool {
+	switch reason {
+	case entry.ReasonCancelled, "unknown_plan", "class_not_allowed", "above_plan_limit", "deadline_hopeless", "deadline_over", "shed":
+		return true
+	}
+	return false
+}
+
+func (w Work) remaining(now time.Time) (time.Duration, bool) {
+	if w.Spec.DeadlineMilliseconds == 0 {
+		return 0, true
+	}
+	left := w.Submitted.Add(time.Duration(w.Spec.DeadlineMilliseconds) * time.Millisecond).Sub(now)
+	return left, left > 0
+}
+
+func (w Work) task(attempt string, remaining time.Duration) entry.Task {
+	return entry.Task{
+		Attempt: attempt, Customer: w.Customer, Plan: w.Spec.Plan, Class: w.Spec.Class, Size: w.Spec.Size,
+		Kind: w.Spec.Kind, Spread: w.Spec.Spread, Repeatable: w.Spec.Repeatable,
+		RunTime:   time.Duration(w.Spec.RunTimeMilliseconds) * time.Millisecond,
+		Remaining: remaining, Payload: w.Spec.Payload,
+	}
+}
+
+// offer gives an attempt to one owner and follows it to its end.
+func (r *Runner) offer(ctx context.Context, t Target, task entry.Task) entry.Status {
+	asked := time.Now()
+	callContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.timing.Poll+entry.CallTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { r.cancel(t, task.Attempt) })
+	defer stop()
+	status, err := r.peers.Run(callContext, t, entry.RunArgs{Incarnation: t.Incarnation, Task: task, Wait: r.timing.Poll})
+	switch fault.KindOf[entry.Kind](err) {
+	case "":
+	case entry.KindNotSent, entry.KindIncarnation:
+		return entry.Status{State: entry.NotRun, Reason: string(fault.KindOf[entry.Kind](err)), RetryAfter: time.Second}
+	default:
+		status = entry.Status{State: entry.Moved}
+	}
+	return r.follow(ctx, t, task.Attempt, status, asked)
+}
+
+func (r *Runner) cancel(t Target, attempt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), entry.CallTimeout)
+	defer cancel()
+	if err := r.peers.Cancel(ctx, t, entry.CancelArgs{Attempt: attempt}); err != nil {
+		r.log.Info("cancel_failed", "attempt", attempt, "vm", t.Name, "reason", err.Error())
+	}
+}
+
+// Follow follows an attempt whose owner is not known to its end.
+func (r *Runner) Follow(ctx context.Context, domain, attempt string) entry.Status {
+	return r.follow(ctx, Target{Domain: domain}, attempt, entry.Status{State: entry.Moved}, time.Now())
+}
+
+// follow asks the owner of an attempt until it has ended. When the owner is
+// gone or has lost the worker, the other owners are asked.
+func (r *Runner) follow(ctx context.Context, t Target, attempt string, status entry.Status, asked time.Time) entry.Status {
+	for {
+		switch {
+		case status.State == entry.Moved:
+			t, status = r.resolve(ctx, t, attempt, asked)
+			asked = time.Now()
+			continue
+		case status.State.Ended():
+			return status
+		}
+		if ctx.Err() != nil {
+			r.cancel(t, attempt)
+		}
+		sent := time.Now()
+		next, err := r.await(t, attempt)
+		if err != nil {
+			next = entry.Status{State: entry.Moved}
+		} else {
+			asked = sent
+		}
+		status = next
+	}
+}
+
+func (r *Runner) await(t Target, attempt string) (entry.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.timing.Poll+entry.CallTimeout)
+	defer cancel()
+	return r.peers.Await(ctx, t, entry.AwaitArgs{Incarnation: t.Incarnation, Attempt: attempt, Wait: r.timing.Poll})
+}
--- /dev/null
+++ b/pkg/standin/serve.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/almondpost/almondpost/pkg/jsonhttp"
+	"github.com/almondpost/almondpost/pkg/resource"
+)
+
+// WorkerSettings describes one stand-in worker.
+type WorkerSettings struct {
+	Name     string          `json:"name"`
+	Domain   string          `json:"domain"`
+	Rack     string          `json:"rack"`
+	Capacity resource.Vector `json:"capacity"`
+	Listen   netip.AddrPort  `json:"listen"`
+}
+
+// Server serves handlers until it is closed.
+type Server struct {
+	servers []*http.Server
+}
+
+const readHeaderTimeout = 5 * time.Second
+
+// Serve starts serving a handler and returns its address.
+func (s *Server) Serve(listen netip.AddrPort, handler http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", listen.String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	s.servers = append(s.servers, h)
+	go func() { _ = h.Serve(l) }()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// Close ends every server at once.
+func (s *Server) Close() {
+	for _, h := range s.servers {
+		_ = h.Close()
+	}
+}
+
+// Fleet is a set of stand-in workers of one process.
+type Fleet struct {
+	Workers map[string]*Worker
+}
+
+// NewFleet starts a worker for each row and returns the addresses by name.
+func NewFleet(s *Server, rows []WorkerSettings) (*Fleet, map[string]netip.AddrPort, error) {
+	f := &Fleet{Workers: map[string]*Worker{}}
+	addresses := map[string]netip.AddrPort{}
+	for _, r := range rows {
+		w := NewWorker(r.Name, r.Rack, r.Capacity)
+		a, err := s.Serve(r.Listen, w.Handler())
+		if err != nil {
+			return nil, nil, err
+		}
+		f.Workers[r.Name], addresses[r.Name] = w, a
+	}
+	return f, addresses, nil
+}
+
+// FleetFault applies a fault to one worker.
+type FleetFault struct {
+	Worker string      `json:"worker"`
+	Fault  WorkerFault `json:"fault"`
+}
+
+// Histories returns every worker's own account.
+func (f *Fleet) Histories() []History {
+	var all []History
+	for _, w := range f.Workers {
+		all = append(all, w.History())
+	}
+	return all
+}
+
+// Handler serves the control interface of the fleet.
+func (f *Fleet) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/control/history", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, http.StatusOK, f.Histories())
+	})
+	r.Post("/control/fault", jsonhttp.Handler(func(_ context.Context, q FleetFault) (FleetFault, error) {
+		w, ok := f.Workers[q.Worker]
+		if !ok {
+			return q, &jsonhttp.StatusError{Code: http.StatusNotFound, Message: "no such worker"}
+		}
+		w.SetFault(q.Fault)
+		return q, nil
+	}))
+	return r
+}
--- /dev/null
+++ b/pkg/standin/vms.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/almondpost/almondpost/pkg/jsonhttp"
+	"github.com/almondpost/almondpost/pkg/vmlist"
+)
+
+// VMs is an in-memory VM list.
+type VMs struct {
+	mutex  sync.Mutex
+	rows   map[string]vmlist.VM
+	order  []string
+	outage bool
+}
+
+// NewVMs returns a list with the given rows.
+func NewVMs(rows []vmlist.VM) *VMs {
+	v := &VMs{rows: map[string]vmlist.VM{}}
+	for _, r := range rows {
+		v.Set(r)
+	}
+	return v
+}
+
+// Set adds or replaces a row.
+func (v *VMs) Set(r vmlist.VM) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if _, ok := v.rows[r.Name]; !ok {
+		v.order = append(v.order, r.Name)
+	}
+	v.rows[r.Name] = r
+}
+
+// List implements vmlist.Lister.
+func (v *VMs) List(_ context.Context, domain string) (vmlist.List, error) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.outage {
+		return vmlist.List{}, errOutage
+	}
+	var l vmlist.List
+	for _, name := range v.order {
+		if r := v.rows[name]; domain == "" || r.Domain == domain {
+			l.VMs = append(l.VMs, r)
+		}
+	}
+	return l, nil
+}
+
+// VMsFault switches an outage of the list on and off.
+type VMsFault struct {
+	Outage bool `json:"outage"`
+}
+
+// LeavingRequest marks a VM as leaving, or as staying.
+type LeavingRequest struct {
+	Name    string `json:"name"`
+	Leaving bool   `json:"leaving"`
+}
+
+// MarkLeaving applies a LeavingRequest.
+func (v *VMs) MarkLeaving(q LeavingRequest) error {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	r, ok := v.rows[q.Name]
+	if !ok {
+		return &jsonhttp.StatusError{Code: http.StatusNotFound, Message: "no such VM"}
+	}
+	r.Leaving = q.Leaving
+	v.rows[q.Name] = r
+	return nil
+}
+
+// LeavingReply tells when the list began to show the VM as leaving.
+type LeavingReply struct {
+	Shown time.Time `json:"shown"`
+}
+
+// Handler serves the list and its control interface.
+func (v *VMs) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/vms", func(w http.ResponseWriter, q *http.Request) {
+		l, err := v.List(q.Context(), q.URL.Query().Get("domain"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		jsonhttp.Write(w, http.StatusOK, l)
+	})
+	r.Post("/control/fault", jsonhttp.Handler(func(_ context.Context, f VMsFault) (VMsFault, error) {
+		v.mutex.Lock()
+		defer v.mutex.Unlock()
+		v.outage = f.Outage
+		return f, nil
+	}))
+	r.Post("/control/set", jsonhttp.Handler(func(_ context.Context, q vmlist.VM) (vmlist.VM, error) {
+		v.Set(q)
+		return q, nil
+	}))
+	r.Post("/control/leaving", jsonhttp.Handler(func(_ context.Context, q LeavingRequest) (LeavingReply, error) {
+		err := v.MarkLeaving(q)
+		return LeavingReply{Shown: time.Now()}, err
+	}))
+	return r
+}
