Add the load program with twelve scenarios and fault injection

Drives real entry processes over loopback and judges callers' outcomes against the workers' own records. Entry VMs can be cut off by failure domain when the settings allow it; bytes to every kind of peer are counted.

--- /dev/null
+++ b/cmd/load/main.go
@@ -0,0 +1,11 @@
+// Command load drives entry processes over loopback through a scenario and
+// prints what callers and workers saw.
+package main
+
+import (
+	"os"
+
+	"github.com/almondpost/almondpost/pkg/load"
+)
+
+func main() { os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/pkg/app/entry.go
+++ b/pkg/app/entry.go
@@ -12,12 +12,14 @@
 	"syscall"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/samber/oops"
 
 	"github.com/almondpost/almondpost/pkg/caller"
 	"github.com/almondpost/almondpost/pkg/common"
 	"github.com/almondpost/almondpost/pkg/daemon"
 	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/jsonhttp"
 	"github.com/almondpost/almondpost/pkg/metrics"
 	"github.com/almondpost/almondpost/pkg/settings"
 )
@@ -126,11 +128,27 @@
 		return nil, oops.In("app").With("address", c.Settings.CallerListen).Wrapf(err, "listen for callers")
 	}
 	gateway := caller.New(node, c.Settings.BodyLimitBytes, c.Log)
-	e := &entryVM{common: c, node: node, server: gateway.Server(nil), address: l.Addr().(*net.TCPAddr).AddrPort()}
+	e := &entryVM{common: c, node: node}
+	e.server, e.address = gateway.Server(e.debug), l.Addr().(*net.TCPAddr).AddrPort()
 	go func() { _ = e.server.Serve(l) }()
 	return e, nil
 }
 
+// cutRequest names what a test cuts off.
+type cutRequest struct {
+	Names []string `json:"names"`
+}
+
+// debug adds the routes of fault injection.
+func (e *entryVM) debug(r chi.Router) {
+	r.Post("/debug/cut", jsonhttp.Handler(func(_ context.Context, q cutRequest) (cutRequest, error) {
+		if err := e.node.SetCut(q.Names); err != nil {
+			return q, &jsonhttp.StatusError{Code: http.StatusForbidden, Message: err.Error()}
+		}
+		return q, nil
+	}))
+}
+
 // balancerGrace is how long the balancer needs to notice that a VM is not
 // ready any more.
 const balancerGrace = time.Second
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -24,6 +24,7 @@
 	"github.com/almondpost/almondpost/pkg/logservice"
 	"github.com/almondpost/almondpost/pkg/settings"
 	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/pkg/traffic"
 	"github.com/almondpost/almondpost/pkg/vmlist"
 )
 
@@ -331,9 +332,11 @@
 // variables is the part of expvar that readiness and checks look at.
 type variables struct {
 	Owner struct {
-		Workers int `json:"workers"`
+		Workers             int    `json:"workers"`
+		ConfigurationOffset uint64 `json:"configuration_offset"`
 	} `json:"owner"`
 	Violations map[string]int64 `json:"invariant_violations"`
+	Traffic    traffic.Sums     `json:"traffic_bytes"`
 }
 
 func (c *Cluster) variables(ctx context.Context, e *Entry) (v variables, err error) {
@@ -351,6 +354,40 @@
 	return total, err
 }
 
+// Traffic returns the bytes that an entry VM has exchanged with its peers, the
+// workers and the platform.
+func (c *Cluster) Traffic(ctx context.Context, e *Entry) (int64, error) {
+	v, err := c.variables(ctx, e)
+	return v.Traffic.Heartbeats + v.Traffic.Peers + v.Traffic.Workers + v.Traffic.Platform, err
+}
+
+// ConfigurationOffset returns the offset of the lists in force on an entry VM.
+func (c *Cluster) ConfigurationOffset(ctx context.Context, e *Entry) (uint64, error) {
+	v, err := c.variables(ctx, e)
+	return v.Owner.ConfigurationOffset, err
+}
+
+// SetCut cuts failure domains or the platform off from an entry VM.
+func (c *Cluster) SetCut(ctx context.Context, e *Entry, names []string) error {
+	var ignored json.RawMessage
+	request := map[string][]string{"names": names}
+	return jsonhttp.Post(ctx, c.client, "http://"+e.Caller.String()+"/debug/cut", request, &ignored)
+}
+
+// IsReady reports whether an entry VM is ready.
+func (c *Cluster) IsReady(ctx context.Context, e *Entry) bool {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Caller.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	r, err := c.client.Do(q)
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
 // WaitReady waits until every entry VM is ready and every worker adopted.
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(startTimeout)
@@ -371,13 +408,8 @@
 			continue
 		default:
 		}
-		r, err := c.client.Get("http://" + e.Caller.String() + "/readyz")
-		if err != nil {
-			return false
-		}
-		_ = r.Body.Close()
 		v, err := c.variables(ctx, e)
-		if err != nil || r.StatusCode != http.StatusOK {
+		if err != nil || !c.IsReady(ctx, e) {
 			return false
 		}
 		adopted += v.Owner.Workers
--- a/pkg/daemon/members.go
+++ b/pkg/daemon/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/almondpost/almondpost/pkg/entry"
@@ -14,11 +13,6 @@
 // outsideSample is how many members of other domains get each heartbeat.
 const outsideSample = 2
 
-// traffic counts what heartbeats cost.
-type traffic struct {
-	sent, received atomic.Int64
-}
-
 func (n *Node) heartbeatLoop() {
 	tick := time.NewTicker(time.Duration(n.Settings.HeartbeatInterval))
 	defer tick.Stop()
@@ -55,7 +49,7 @@
 	n.mutex.Unlock()
 	for _, a := range targets {
 		if sent, err := n.heartbeats.Send(a, self); err == nil {
-			n.traffic.sent.Add(int64(sent))
+			n.traffic.Heartbeats.Add(sent)
 		}
 	}
 }
@@ -100,7 +94,10 @@
 		if err != nil {
 			return
 		}
-		n.traffic.received.Add(int64(length))
+		if n.cut.Blocks(h.Domain) {
+			continue
+		}
+		n.traffic.Heartbeats.Add(length)
 		n.mutex.Lock()
 		_, known := n.view.Member(h.Name)
 		changed := n.view.Observe(time.Now(), h)
--- a/pkg/daemon/node.go
+++ b/pkg/daemon/node.go
@@ -7,9 +7,9 @@
 	"expvar"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +19,8 @@
 	"github.com/almondpost/almondpost/pkg/common"
 	"github.com/almondpost/almondpost/pkg/configuration"
 	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/isolation"
 	"github.com/almondpost/almondpost/pkg/logservice"
 	"github.com/almondpost/almondpost/pkg/membership"
 	"github.com/almondpost/almondpost/pkg/metrics"
@@ -26,10 +28,20 @@
 	"github.com/almondpost/almondpost/pkg/recorder"
 	"github.com/almondpost/almondpost/pkg/request"
 	"github.com/almondpost/almondpost/pkg/retry"
+	"github.com/almondpost/almondpost/pkg/traffic"
 	"github.com/almondpost/almondpost/pkg/vmlist"
 	"github.com/almondpost/almondpost/pkg/worker"
 )
 
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindForbidden means that the settings do not allow the call.
+const KindForbidden Kind = "forbidden"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
 const (
 	// retryRatio and retryBurst bound retries against first attempts.
 	retryRatio = 0.1
@@ -38,8 +50,6 @@
 	totalAppendsPerSecond = 200
 	// forgetAfter is when a removed member is dropped from the view.
 	forgetAfter = 10 * time.Minute
-	// idleConnections bounds idle connections to one worker.
-	idleConnections = 16
 )
 
 // Node is one entry VM.
@@ -61,29 +71,35 @@
 	runner     *request.Runner
 	requests   *Requests
 	metrics    *metrics.Registry
+	traffic    *traffic.Counters
+	cut        *isolation.Cut
 
 	mutex    sync.Mutex
 	view     *membership.View
 	listed   vmlist.List
 	listRead time.Time
 	leaving  bool
-	traffic  traffic
 	gossip   *rand.Rand
 }
 
 // New starts an entry VM from its settings.
 func New(c *common.Common, registry *metrics.Registry) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
-	workers := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	counters := &traffic.Counters{}
+	counters.Publish("traffic_bytes")
+	cut := isolation.New()
+	platform := cut.Client(isolation.Platform, traffic.Client(&counters.Platform))
+	workers := traffic.Client(&counters.Workers)
 	n := &Node{
 		Common: c, incarnation: uint64(time.Now().UnixMilli()), run: ctx, stop: cancel,
 		log:     logservice.New(c.Settings.Log, platform),
 		lister:  vmlist.New(c.Settings.VMList, platform),
-		client:  entry.New(),
 		metrics: registry,
+		traffic: counters,
+		cut:     cut,
 		gossip:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	n.client = entry.New(&counters.Peers, n.isBlocked)
 	if err := n.listen(); err != nil {
 		cancel()
 		return nil, err
@@ -120,7 +136,7 @@
 		RemoveAfter:  time.Duration(n.Settings.RemoveAfter),
 		ForgetAfter:  forgetAfter,
 	})
-	n.server, err = entry.NewServer(l, handler{n})
+	n.server, err = entry.NewServer(l, handler{n}, &n.traffic.Peers)
 	return oops.In("daemon").Wrapf(err, "serve peers")
 }
 
@@ -138,6 +154,32 @@
 	n.Log.Info("configuration_accepted", "offset", v.Offset, "plans", len(v.Lists.Entitlements.Plans))
 }
 
+// isBlocked reports whether fault injection cuts a peer off.
+func (n *Node) isBlocked(a netip.AddrPort) bool {
+	if !n.Settings.FaultInjection {
+		return false
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, m := range n.view.Members() {
+		if m.Address == a {
+			return n.cut.Blocks(m.Domain)
+		}
+	}
+	return false
+}
+
+// SetCut cuts failure domains or the platform off, for tests. It fails unless
+// the settings allow fault injection.
+func (n *Node) SetCut(names []string) error {
+	if !n.Settings.FaultInjection {
+		return fault.Newf("set_cut", KindForbidden, "field fault_injection is false")
+	}
+	n.cut.Set(names)
+	n.Log.Info("cut_set", "names", strings.Join(names, ","))
+	return nil
+}
+
 // PeerAddress returns the address that peers are told.
 func (n *Node) PeerAddress() netip.AddrPort { return n.Settings.PeerAdvertise }
 
@@ -192,12 +234,11 @@
 
 // ownerVariables is the load of the owner as expvar shows it.
 type ownerVariables struct {
-	Workers           int     `json:"workers"`
-	FreeFraction      float64 `json:"free_fraction"`
-	Waiting           []int   `json:"waiting_by_class"`
-	Open              int     `json:"open_requests"`
-	HeartbeatSent     int64   `json:"heartbeat_bytes_sent"`
-	HeartbeatReceived int64   `json:"heartbeat_bytes_received"`
+	Workers      int     `json:"workers"`
+	FreeFraction float64 `json:"free_fraction"`
+	Waiting      []int   `json:"waiting_by_class"`
+	Open         int     `json:"open_requests"`
+	Offset       uint64  `json:"configuration_offset"`
 }
 
 // publishVariables shows the state in expvar. Only the first node of a process
@@ -209,8 +250,7 @@
 	expvar.Publish("owner", expvar.Func(func() any {
 		load := n.owner.Advertise()
 		return ownerVariables{
-			Workers: load.Workers, FreeFraction: load.FreeFraction, Waiting: load.Waiting[:], Open: n.requests.Open(),
-			HeartbeatSent: n.traffic.sent.Load(), HeartbeatReceived: n.traffic.received.Load(),
+			Workers: load.Workers, FreeFraction: load.FreeFraction, Waiting: load.Waiting[:], Open: n.requests.Open(), Offset: n.store.Current().Offset,
 		}
 	}))
 }
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/traffic"
 )
 
 // ServiceName is the net/rpc name of the service of an entry VM.
@@ -27,8 +28,11 @@
 // Client keeps one connection to each peer. While calls are outstanding the
 // connection is probed; one that has gone silent is closed and replaced.
 type Client struct {
-	mutex sync.Mutex
-	peers map[netip.AddrPort]*connection
+	counter *traffic.Counter
+	// blocked reports peers that can not be reached, for fault injection.
+	blocked func(a netip.AddrPort) bool
+	mutex   sync.Mutex
+	peers   map[netip.AddrPort]*connection
 }
 
 type connection struct {
@@ -40,7 +44,9 @@
 }
 
 // New returns a client without connections.
-func New() *Client { return &Client{peers: map[netip.AddrPort]*connection{}} }
+func New(counter *traffic.Counter, blocked func(a netip.AddrPort) bool) *Client {
+	return &Client{counter: counter, blocked: blocked, peers: map[netip.AddrPort]*connection{}}
+}
 
 func (c *Client) acquire(a netip.AddrPort) (*connection, error) {
 	c.mutex.Lock()
@@ -62,7 +68,7 @@
 		p.calls++
 		return p, nil
 	}
-	p := &connection{rpc: rpc.NewClient(n), calls: 1, broken: make(chan struct{})}
+	p := &connection{rpc: rpc.NewClient(traffic.Wrap(n, c.counter)), calls: 1, broken: make(chan struct{})}
 	c.peers[a] = p
 	c.probe(a, p)
 	return p, nil
@@ -88,7 +94,7 @@
 			call := p.rpc.Go(ServiceName+".Ping", Nothing{}, &Nothing{}, make(chan *rpc.Call, 1))
 			select {
 			case <-call.Done:
-				if call.Error == nil {
+				if call.Error == nil && !c.blocked(a) {
 					continue
 				}
 			case <-time.After(PingTimeout):
@@ -117,6 +123,9 @@
 
 // Call makes one call. KindNotSent is returned only when nothing was sent.
 func (c *Client) Call(ctx context.Context, a netip.AddrPort, method string, args, reply any) error {
+	if c.blocked(a) {
+		return fault.Newf(method, KindNotSent, "peer is cut off")
+	}
 	p, err := c.acquire(a)
 	if err != nil {
 		return fault.New(method, KindNotSent, err)
@@ -125,6 +134,9 @@
 	call := p.rpc.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if c.blocked(a) {
+			return fault.Newf(method, KindUnknown, "the answer was cut off")
+		}
 		return c.callError(a, p, method, call.Error)
 	case <-p.broken:
 		return fault.Newf(method, KindUnknown, "connection is silent")
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/rpc"
 	"sync"
+
+	"github.com/almondpost/almondpost/pkg/traffic"
 )
 
 // Handler is what an entry VM offers to the others.
@@ -61,6 +63,7 @@
 
 // Server accepts calls of other entry VMs.
 type Server struct {
+	counter  *traffic.Counter
 	listener net.Listener
 	rpc      *rpc.Server
 	mutex    sync.Mutex
@@ -68,8 +71,8 @@
 }
 
 // NewServer serves a handler on a listener until Close.
-func NewServer(l net.Listener, h Handler) (*Server, error) {
-	s := &Server{listener: l, rpc: rpc.NewServer(), open: map[net.Conn]bool{}}
+func NewServer(l net.Listener, h Handler, counter *traffic.Counter) (*Server, error) {
+	s := &Server{counter: counter, listener: l, rpc: rpc.NewServer(), open: map[net.Conn]bool{}}
 	if err := s.rpc.RegisterName(ServiceName, &service{h}); err != nil {
 		return nil, err
 	}
@@ -87,7 +90,7 @@
 		s.open[c] = true
 		s.mutex.Unlock()
 		go func() {
-			s.rpc.ServeConn(c)
+			s.rpc.ServeConn(traffic.Wrap(c, s.counter))
 			s.mutex.Lock()
 			delete(s.open, c)
 			s.mutex.Unlock()
--- a/pkg/jsonhttp/jsonhttp.go
+++ b/pkg/jsonhttp/jsonhttp.go
@@ -42,6 +42,26 @@
 	return do(ctx, client, http.MethodGet, url, nil, reply)
 }
 
+// GetTagged decodes the reply to a GET unless it still has the entity tag that
+// the caller knows; reply is left alone then. It returns the current tag.
+func GetTagged(ctx context.Context, client *http.Client, url, tag string, reply any) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	if tag != "" {
+		r.Header.Set("If-None-Match", tag)
+	}
+	s, err := client.Do(r)
+	if err != nil {
+		return "", err
+	}
+	if s.StatusCode == http.StatusNotModified {
+		return tag, s.Body.Close()
+	}
+	return s.Header.Get("ETag"), decode(s, reply)
+}
+
 func do(ctx context.Context, client *http.Client, method, url string, body io.Reader, reply any) error {
 	r, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
@@ -52,6 +72,10 @@
 	if err != nil {
 		return err
 	}
+	return decode(s, reply)
+}
+
+func decode(s *http.Response, reply any) error {
 	defer func() { _ = s.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(s.Body, MaxBodyBytes))
 	if err != nil {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -73,6 +73,9 @@
 	BodyLimitBytes int64 `json:"body_limit_bytes"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout Duration `json:"drain_timeout"`
+	// FaultInjection lets tests cut failure domains off through
+	// POST /debug/cut. It is off outside of tests.
+	FaultInjection bool `json:"fault_injection"`
 	// LogVerbosity is 0 for events and 1 for details.
 	LogVerbosity int `json:"log_verbosity"`
 }
--- a/pkg/standin/vms.go
+++ b/pkg/standin/vms.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	rows   map[string]vmlist.VM
 	order  []string
 	outage bool
+	// version rises with each change.
+	version uint64
 }
 
 // NewVMs returns a list with the given rows.
@@ -37,6 +40,14 @@
 		v.order = append(v.order, r.Name)
 	}
 	v.rows[r.Name] = r
+	v.version++
+}
+
+// Version returns a number that rises with each change.
+func (v *VMs) Version() uint64 {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.version
 }
 
 // List implements vmlist.Lister.
@@ -76,6 +87,7 @@
 	}
 	r.Leaving = q.Leaving
 	v.rows[q.Name] = r
+	v.version++
 	return nil
 }
 
@@ -93,6 +105,12 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
+		tag := fmt.Sprintf("%q", fmt.Sprint(v.Version()))
+		if q.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("ETag", tag)
 		jsonhttp.Write(w, http.StatusOK, l)
 	})
 	r.Post("/control/fault", jsonhttp.Handler(func(_ context.Context, f VMsFault) (VMsFault, error) {
--- a/pkg/vmlist/vmlist.go
+++ b/pkg/vmlist/vmlist.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/almondpost/almondpost/pkg/fault"
@@ -58,20 +59,40 @@
 type Client struct {
 	base   string
 	client *http.Client
+
+	mutex sync.Mutex
+	// last holds the newest reply for each domain, so that an unchanged list
+	// is not sent again.
+	last map[string]tagged
+}
+
+type tagged struct {
+	tag  string
+	list List
 }
 
 // New returns a client for the VM list at an address.
 func New(address netip.AddrPort, client *http.Client) *Client {
-	return &Client{base: "http://" + address.String(), client: client}
+	return &Client{base: "http://" + address.String(), client: client, last: map[string]tagged{}}
 }
 
 // List implements Lister.
 func (c *Client) List(ctx context.Context, domain string) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	var reply List
-	if err := jsonhttp.Get(ctx, c.client, c.base+"/v1/vms?domain="+domain, &reply); err != nil {
-		return reply, fault.New("list", KindUnreachable, err)
+	c.mutex.Lock()
+	last := c.last[domain]
+	c.mutex.Unlock()
+	var fresh List
+	tag, err := jsonhttp.GetTagged(ctx, c.client, c.base+"/v1/vms?domain="+domain, last.tag, &fresh)
+	if err != nil {
+		return List{}, fault.New("list", KindUnreachable, err)
+	}
+	if tag != "" && tag == last.tag {
+		return last.list, nil
 	}
-	return reply, nil
+	c.mutex.Lock()
+	c.last[domain] = tagged{tag, fresh}
+	c.mutex.Unlock()
+	return fresh, nil
 }
