Keep jobs through the log; bounce tasks whose last worker is gone

Jobs are accepted once they are in the log stream of their failure domain. Each entry VM of the domain follows the stream; when a holder is gone its successor takes over through the log, fences the former generation at every owner, finds what runs or ended on the workers, and goes on from there. A planned stop hands over first.

A plan held back by its limit also missed its turn when its own work ended on a worker too full for the next task; both have tests.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -114,6 +114,9 @@
 	// the ledger's gain counter at that time.
 	blocked [len(plan.Classes)]*admission.Item[*Task]
 	since   [len(plan.Classes)]uint64
+	// limited[c] is set while the head of class c is held back by the plan's
+	// limit.
+	limited [len(plan.Classes)]bool
 	active  bool
 }
 
@@ -196,6 +199,21 @@
 	return attempts
 }
 
+// Unplaceable drops the waiting tasks that no worker could hold even when
+// empty, as happens when the workers that they were admitted for are gone.
+func (a *Allocator) Unplaceable() []Refusal {
+	var out []Refusal
+	for _, i := range a.waiting {
+		if !a.ledger.FitsSome(i.Value.Size) {
+			out = append(out, Refusal{Task: i.Value, Reason: KindTooLarge})
+		}
+	}
+	for _, r := range out {
+		a.dropWaiting(r.Task.Attempt)
+	}
+	return out
+}
+
 // SetAccepting says whether a worker may get new work.
 func (a *Allocator) SetAccepting(worker string, accepting bool) {
 	a.ledger.SetAccepting(worker, accepting)
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -293,3 +293,41 @@
 	}
 	return smallest, true
 }
+
+func TestTasksAreRefusedWhenTheirLastWorkerGoes(t *testing.T) {
+	is := is.New(t)
+	a := pool(t, 1, entitlement("p", 1))
+	accelerated := capacity
+	accelerated.Accelerators = 1
+	is.NoErr(a.AddWorker("gpu", "r", accelerated, nil))
+	for i := range 3 {
+		k := task(fmt.Sprint(i), "p", plan.Normal)
+		k.Size.Accelerators = 1
+		enqueue(t, a, begin, k)
+	}
+	is.Equal(len(startAll(a, begin)), 1)
+	is.Equal(len(a.RemoveWorker("gpu")), 1)
+	is.Equal(len(a.Unplaceable()), 2)
+	is.Equal(a.Waiting(), 0)
+}
+
+func TestPlanAtItsLimitGoesOnWhenItsOwnWorkEnds(t *testing.T) {
+	is := is.New(t)
+	limited := entitlement("limited", 0.25)
+	limited.LimitShare = 0.25
+	a := pool(t, 2, limited, entitlement("other", 0.5))
+	small := task("small", "limited", plan.Normal)
+	small.Size = resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 1, Slots: 1}
+	filler := task("filler", "other", plan.Normal)
+	filler.Size = resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 8190, Slots: 7}
+	enqueue(t, a, begin, small)
+	first := startAll(a, begin)
+	enqueue(t, a, begin, filler)
+	is.Equal(startAll(a, begin)[0].Worker, first[0].Worker)
+	large := task("large", "limited", plan.Normal)
+	large.Size = resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 100, Slots: 1}
+	enqueue(t, a, begin, large)
+	is.Equal(len(startAll(a, begin)), 0)
+	a.Release("small")
+	is.Equal(len(startAll(a, begin)), 1)
+}
--- a/pkg/allocator/next.go
+++ b/pkg/allocator/next.go
@@ -116,7 +116,7 @@
 		if head == nil {
 			continue
 		}
-		if q.blocked[c] != head {
+		if q.blocked[c] != head || q.limited[c] && q.account.Permits(head.Value.Size) {
 			return c
 		}
 		if q.since[c] == a.ledger.Gains() {
@@ -154,10 +154,11 @@
 
 func (a *Allocator) choose(q *planQueues, rank int, head *admission.Item[*Task]) *ledger.Worker {
 	t := head.Value
-	if !q.account.Permits(t.Size) {
+	wasLimited := q.limited[rank]
+	if q.limited[rank] = !q.account.Permits(t.Size); q.limited[rank] {
 		return nil
 	}
-	if q.blocked[rank] == head {
+	if q.blocked[rank] == head && !wasLimited {
 		w, complete := a.policy.ChooseGained(a.ledger, q.since[rank], t.Size, t.Spread)
 		if complete {
 			return w
--- a/pkg/caller/gateway.go
+++ b/pkg/caller/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
+	"github.com/almondpost/almondpost/pkg/job"
 	"github.com/almondpost/almondpost/pkg/jsonhttp"
 	"github.com/almondpost/almondpost/pkg/request"
 )
@@ -30,6 +31,13 @@
 	Fetch(ctx context.Context, id string, wait time.Duration) (request.Outcome, bool)
 	// CancelRequest cancels a request wherever it was submitted.
 	CancelRequest(ctx context.Context, id string) bool
+	// SubmitJob accepts a job once it is in the log.
+	SubmitJob(ctx context.Context, spec job.Spec) job.Status
+	// FetchJob returns the state of a job and waits for its end. It reports
+	// false for an unknown job.
+	FetchJob(ctx context.Context, id string, wait time.Duration) (job.Status, bool)
+	// CancelJob asks for the end of a job.
+	CancelJob(ctx context.Context, id string) error
 	// Ready reports whether callers should be sent here.
 	Ready() bool
 }
@@ -47,6 +55,8 @@
 	ReasonInvalid   = "invalid"
 	ReasonTooLarge  = "body_too_large"
 	ReasonUnknown   = "unknown_request"
+	// ReasonUnavailable means that the log gave no answer.
+	ReasonUnavailable = "log_unavailable"
 )
 
 const (
@@ -87,6 +97,9 @@
 	r.Post("/v1/requests", g.submit)
 	r.Get("/v1/requests/{id}", g.fetch)
 	r.Delete("/v1/requests/{id}", g.cancel)
+	r.Post("/v1/jobs", g.submitJob)
+	r.Get("/v1/jobs/{id}", g.fetchJob)
+	r.Delete("/v1/jobs/{id}", g.cancelJob)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", g.ready)
 	r.Method(http.MethodGet, "/debug/vars", expvar.Handler())
@@ -206,14 +219,16 @@
 	jsonhttp.Write(w, statusOf(o), o)
 }
 
-func statusOf(o request.Outcome) int {
-	switch o.State {
+func statusOf(o request.Outcome) int { return statusOfState(o.State, o.RetryAfterMilliseconds) }
+
+func statusOfState(s request.State, retryAfterMilliseconds int64) int {
+	switch s {
 	case request.Done:
 		return http.StatusOK
 	case request.Pending:
 		return http.StatusAccepted
 	case request.NotRun:
-		if o.RetryAfterMilliseconds > 0 {
+		if retryAfterMilliseconds > 0 {
 			return http.StatusServiceUnavailable
 		}
 		return http.StatusUnprocessableEntity
--- a/pkg/daemon/node.go
+++ b/pkg/daemon/node.go
@@ -70,6 +70,7 @@
 	claims     *claim.Book
 	runner     *request.Runner
 	requests   *Requests
+	jobs       *Jobs
 	metrics    *metrics.Registry
 	traffic    *traffic.Counters
 	cut        *isolation.Cut
@@ -111,6 +112,7 @@
 	n.claims = claim.New(n.recorder, n.log, time.Now)
 	n.runner = request.New(n, request.NewTwoChoices(c.Settings.Domain, rand.New(rand.NewPCG(rand.Uint64(), n.incarnation))), retry.New(retryRatio, retryBurst), request.DefaultTiming, c.Log)
 	n.requests = NewRequests(n)
+	n.jobs = NewJobs(n)
 	n.publishVariables()
 	n.serve()
 	return n, nil
@@ -209,7 +211,7 @@
 	n.owner.Drain()
 	n.sendHeartbeats()
 	for ctx.Err() == nil {
-		if n.requests.Open() == 0 && (n.owner.Held() == 0 || !n.hasSuccessor()) {
+		if n.jobs.handOver(ctx) && n.requests.Open() == 0 && (n.owner.Held() == 0 || !n.hasSuccessor()) {
 			break
 		}
 		time.Sleep(drainPoll)
--- a/pkg/daemon/requests.go
+++ b/pkg/daemon/requests.go
@@ -284,6 +284,11 @@
 
 // Serve answers a fetch of another entry VM.
 func (r *Requests) Serve(a entry.FetchArgs) entry.FetchReply {
+	if a.Job {
+		status, ok := r.node.jobs.wait(context.Background(), a.ID, a.Wait)
+		data, err := json.Marshal(status)
+		return entry.FetchReply{Known: ok && err == nil, Outcome: data}
+	}
 	if a.Cancel {
 		return entry.FetchReply{Known: r.Cancel(a.ID)}
 	}
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -67,6 +67,10 @@
 	Spread     string
 	Repeatable bool
 	RunTime    time.Duration
+	// Name is the task that the attempt belongs to.
+	Name string
+	// Generation is that of the holder, for tasks of jobs; 0 for requests.
+	Generation int
 	// Remaining is the time to the deadline when the call was sent; zero means
 	// no deadline. A duration is used since clocks of VMs differ.
 	Remaining time.Duration
@@ -117,10 +121,15 @@
 	Attempts []string
 	// Peek asks without fencing.
 	Peek bool
+	// Tasks asks for all attempts of tasks. Attempts of a generation below the
+	// given one are fenced: those that have not started here never will.
+	Tasks map[string]int
 }
 
 // ResolveReply tells what an owner knows.
 type ResolveReply struct {
+	// FoundTasks holds, by task, the attempt that runs or ended.
+	FoundTasks map[string]FoundAttempt
 	// Found holds the attempts that run on or ended on the owner's workers.
 	Found map[string]Status
 	// Incarnation is that of the answering process.
@@ -130,9 +139,17 @@
 	Verified map[string]time.Duration
 }
 
+// FoundAttempt is an attempt of a task that was asked for.
+type FoundAttempt struct {
+	Attempt string
+	Status  Status
+}
+
 // FetchArgs asks for the outcome of a request.
 type FetchArgs struct {
 	ID string
+	// Job asks for a job instead of a request.
+	Job bool
 	// Cancel cancels the request instead.
 	Cancel bool
 	Wait   time.Duration
--- a/pkg/load/main.go
+++ b/pkg/load/main.go
@@ -51,7 +51,7 @@
 		}
 		return 1
 	}
-	print(stdout, report, *asJSON)
+	write(stdout, report, *asJSON)
 	return 0
 }
 
@@ -64,7 +64,7 @@
 	return out
 }
 
-func print(w io.Writer, r Report, asJSON bool) {
+func write(w io.Writer, r Report, asJSON bool) {
 	if asJSON {
 		data, _ := json.Marshal(r)
 		_, _ = fmt.Fprintln(w, string(data))
--- a/pkg/load/scenario.go
+++ b/pkg/load/scenario.go
@@ -60,8 +60,7 @@
 	r.markGone(e.Name, true)
 	r.remove(e)
 	time.Sleep(4 * time.Second)
-	_, err := r.addEntry(ctx, e.Name+"-new", e.Domain)
-	return err
+	return r.addEntry(ctx, e.Name+"-new", e.Domain)
 }
 
 func (r *run) remove(gone *cluster.Entry) {
@@ -76,20 +75,20 @@
 	r.cluster.Entries = left
 }
 
-func (r *run) addEntry(ctx context.Context, name, domain string) (*cluster.Entry, error) {
+func (r *run) addEntry(ctx context.Context, name, domain string) error {
 	r.markGone(name, true)
 	e, err := r.cluster.StartEntry(ctx, name, domain)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for !r.cluster.IsReady(ctx, e) {
 		if ctx.Err() != nil {
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 		time.Sleep(notReadyAfter)
 	}
 	r.markGone(name, false)
-	return e, nil
+	return nil
 }
 
 // freeze pauses an entry VM for longer than it takes to lose its workers.
@@ -159,8 +158,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	_, err := r.addEntry(ctx, e.Name+"-new", e.Domain)
-	return err
+	return r.addEntry(ctx, e.Name+"-new", e.Domain)
 }
 
 // operatorRace lets two operators publish on the same base at once, several
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strings"
 	"time"
 
 	"github.com/almondpost/almondpost/pkg/allocator"
@@ -22,6 +23,10 @@
 		return entry.Status{}, entry.ErrIncarnation
 	}
 	o.mutex.Lock()
+	if o.generations[r.Task.Name].generation > r.Task.Generation {
+		o.mutex.Unlock()
+		return entry.Status{State: entry.NotRun, Reason: entry.ReasonFenced}, nil
+	}
 	a := o.attempts[r.Task.Attempt]
 	if a == nil {
 		var err error
@@ -145,6 +150,7 @@
 			reply.Found[id] = a.status
 		}
 	}
+	o.resolveTasks(r.Tasks, &reply)
 	for name, s := range o.sessions {
 		if !s.adopted {
 			continue
@@ -159,6 +165,40 @@
 	return reply, nil
 }
 
+// resolveTasks fences older generations of tasks and finds their attempts.
+// One that has ended well goes before one that runs, and that before others.
+func (o *Owner) resolveTasks(tasks map[string]int, reply *entry.ResolveReply) {
+	if len(tasks) == 0 {
+		return
+	}
+	reply.FoundTasks = map[string]entry.FoundAttempt{}
+	for name, generation := range tasks {
+		if o.generations[name].generation < generation {
+			o.generations[name] = fencedTask{generation, time.Now()}
+		}
+	}
+	for id, a := range o.attempts {
+		name, _, _ := strings.Cut(id, "/")
+		if _, asked := tasks[name]; !asked || a.status.State == entry.Moved || a.status.State == entry.NotRun {
+			continue
+		}
+		before, found := reply.FoundTasks[name]
+		if !found || rankOf(a.status.State) > rankOf(before.Status.State) {
+			reply.FoundTasks[name] = entry.FoundAttempt{Attempt: id, Status: a.status}
+		}
+	}
+}
+
+func rankOf(s entry.State) int {
+	switch s {
+	case entry.Finished:
+		return 3
+	case entry.Running, entry.Waiting:
+		return 2
+	}
+	return 1
+}
+
 // Cancel stops an attempt, whether it waits or runs.
 func (o *Owner) Cancel(r entry.CancelArgs) error {
 	o.mutex.Lock()
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -84,7 +84,16 @@
 	attempts map[string]*attempt
 	sessions map[string]*session
 	ejected  *ejection.Tracker
-	draining bool
+	// generations holds the lowest generation that may start, by task of a job
+	// that was taken over.
+	generations map[string]fencedTask
+	draining    bool
+}
+
+// fencedTask is a task of a job that has another holder now.
+type fencedTask struct {
+	generation int
+	at         time.Time
 }
 
 type attempt struct {
@@ -106,7 +115,7 @@
 		wake:     make(chan struct{}, 1),
 		gained:   make(chan struct{}, 1),
 		alloc:    allocator.New(placement.Balanced{}, allocator.Limits{Waiting: waitingLimit, UrgentWait: t.UrgentWait}),
-		attempts: map[string]*attempt{}, sessions: map[string]*session{}, ejected: ejection.New(),
+		attempts: map[string]*attempt{}, sessions: map[string]*session{}, ejected: ejection.New(), generations: map[string]fencedTask{},
 	}
 	go w.loop()
 	return w
@@ -303,8 +312,17 @@
 			delete(o.attempts, id)
 		}
 	}
+	for name, f := range o.generations {
+		if now.Sub(f.at) > fencedTaskRetention {
+			delete(o.generations, name)
+		}
+	}
 }
 
+// fencedTaskRetention is how long a former holder of a job is refused. It is
+// longer than any pause after which a process still believes to hold a job.
+const fencedTaskRetention = time.Hour
+
 func (o *Owner) refuse(r allocator.Refusal) {
 	if a := o.attempts[r.Task.Attempt]; a != nil {
 		o.set(a, entry.Status{State: entry.NotRun, Reason: string(r.Reason)})
--- a/pkg/owner/session.go
+++ b/pkg/owner/session.go
@@ -254,6 +254,9 @@
 	for _, id := range held {
 		o.end(id, status)
 	}
+	for _, r := range o.alloc.Unplaceable() {
+		o.refuse(r)
+	}
 }
 
 // Drain stops placing work: what waits is refused, what runs stays with the
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -98,6 +98,8 @@
 	// WaitedMilliseconds is the time from submission to the last start.
 	WaitedMilliseconds int64 `json:"waited_milliseconds"`
 	Attempts           int   `json:"attempts"`
+	// NextAttempt is the first attempt number that was not used.
+	NextAttempt int `json:"-"`
 	// Answer is whole exactly if AnswerBytes and AnswerDigest match it.
 	Answer       []byte `json:"answer,omitempty"`
 	AnswerBytes  int    `json:"answer_bytes"`
--- a/pkg/request/resolve.go
+++ b/pkg/request/resolve.go
@@ -20,7 +20,7 @@
 		if target, status, ok := r.askOriginal(t, attempt); ok {
 			return target, status
 		}
-		answers := r.askAll(t.Domain, attempt)
+		answers := r.askAll(t.Domain, entry.ResolveArgs{Attempts: []string{attempt}})
 		if target, status, ok := known(answers, attempt); ok {
 			return target, status
 		}
@@ -63,7 +63,7 @@
 	asked  time.Time
 }
 
-func (r *Runner) askAll(domain, attempt string) []answer {
+func (r *Runner) askAll(domain string, args entry.ResolveArgs) []answer {
 	var (
 		group   sync.WaitGroup
 		mutex   sync.Mutex
@@ -77,7 +77,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), entry.CallTimeout)
 			defer cancel()
 			asked := time.Now()
-			reply, err := r.peers.Resolve(ctx, o, entry.ResolveArgs{Attempts: []string{attempt}})
+			reply, err := r.peers.Resolve(ctx, o, args)
 			if err != nil {
 				return
 			}
@@ -130,3 +130,37 @@
 	}
 	return len(workers) > 0
 }
+
+// Found is what became of a task under its former holder.
+type Found struct {
+	Attempt entry.FoundAttempt
+	Owner   Target
+}
+
+// TakeOver fences the former generations of tasks in a failure domain and
+// finds their attempts. It returns once every task was found or is proved never
+// to run again under a former generation, or when ctx ends.
+func (r *Runner) TakeOver(ctx context.Context, domain string, tasks map[string]int, barrier time.Time) (map[string]Found, error) {
+	for {
+		found := map[string]Found{}
+		answers := r.askAll(domain, entry.ResolveArgs{Tasks: tasks})
+		for _, a := range answers {
+			for name, f := range a.reply.FoundTasks {
+				before, ok := found[name]
+				if ok && (before.Attempt.Status.State.Ended() || !f.Status.State.Ended()) {
+					continue
+				}
+				a.target.Incarnation = a.reply.Incarnation
+				found[name] = Found{f, a.target}
+			}
+		}
+		if len(found) == len(tasks) || r.covered(Target{Domain: domain}, answers, barrier) {
+			return found, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(r.timing.Retry):
+		}
+	}
+}
--- a/pkg/request/runner.go
+++ b/pkg/request/runner.go
@@ -85,8 +85,40 @@
 	Spec     Spec
 	// Submitted is when the caller submitted the work.
 	Submitted time.Time
-	// FirstAttempt numbers the first attempt, at least 1.
+	// FirstAttempt numbers the first attempt; 0 means 1.
 	FirstAttempt int
+	// Generation is that of the holder of a job; 0 for requests.
+	Generation int
+	// Permit reports whether the holder may start the work now; nil means
+	// always. It is asked before every offer and while an attempt waits.
+	Permit func() bool
+	// Abandoned is closed when another holder has taken the work over. What
+	// runs then goes on.
+	Abandoned <-chan struct{}
+	// Known is an attempt that a former holder left running; it is followed
+	// before a new one is made.
+	Known entry.FoundAttempt
+	// KnownAt is the owner of Known.
+	KnownAt Target
+}
+
+func (w Work) isAbandoned() bool {
+	select {
+	case <-w.Abandoned:
+		return true
+	default:
+		return false
+	}
+}
+
+func (w Work) isPermitted() bool { return w.Permit == nil || w.Permit() }
+
+// attemptID names the n-th attempt.
+func (w Work) attemptID(n int) string {
+	if w.Generation == 0 {
+		return AttemptID(w.ID, n)
+	}
+	return fmt.Sprintf("%s/%d.%d", w.ID, w.Generation, n)
 }
 
 // maxAttempts bounds the attempts of one piece of work that fails.
@@ -104,7 +136,13 @@
 	failures := 0
 	n := max(1, w.FirstAttempt)
 	for {
-		status := r.attempt(ctx, w, &n)
+		var status entry.Status
+		if w.Known.Attempt != "" {
+			status = r.follow(ctx, w, w.KnownAt, w.Known.Attempt, w.Known.Status, time.Now())
+			w.Known = entry.FoundAttempt{}
+		} else {
+			status = r.attempt(ctx, w, &n)
+		}
 		if status.State != entry.NotRun {
 			out.Attempts++
 		}
@@ -112,13 +150,14 @@
 			continue
 		}
 		fill(ctx, &out, status)
+		out.NextAttempt = n
 		return out
 	}
 }
 
 // isRetried decides whether another attempt follows an ended one.
 func (r *Runner) isRetried(ctx context.Context, w Work, s entry.Status, failures *int) bool {
-	if ctx.Err() != nil || !w.Spec.Repeatable {
+	if ctx.Err() != nil || w.isAbandoned() || !w.Spec.Repeatable {
 		return false
 	}
 	switch s.State {
@@ -161,19 +200,22 @@
 func (r *Runner) attempt(ctx context.Context, w Work, n *int) entry.Status {
 	tried := map[string]bool{}
 	last := entry.Status{State: entry.NotRun, Reason: reasonNoOwner, RetryAfter: time.Second}
-	for hop := 0; hop < maxHops && ctx.Err() == nil; hop++ {
+	for hop := 0; hop < maxHops && ctx.Err() == nil && !w.isAbandoned(); hop++ {
+		if !w.isPermitted() {
+			return entry.Status{State: entry.NotRun, Reason: reasonNotPermitted, RetryAfter: time.Second}
+		}
 		target, ok := r.router.Route(r.peers.Targets(), w.Spec.Class, tried)
 		if !ok {
 			return last
 		}
 		tried[target.Name] = true
-		attempt := AttemptID(w.ID, *n)
+		attempt := w.attemptID(*n)
 		*n++
 		remaining, ok := w.remaining(time.Now())
 		if !ok {
 			return entry.Status{State: entry.NotRun, Reason: reasonDeadline}
 		}
-		status := r.offer(ctx, target, w.task(attempt, remaining))
+		status := r.offer(ctx, w, target, w.task(attempt, remaining))
 		if status.State != entry.NotRun || isFinalRefusal(status.Reason) {
 			return status
 		}
@@ -183,8 +225,10 @@
 }
 
 const (
-	reasonNoOwner  = "no_owner"
-	reasonDeadline = "deadline_over"
+	reasonNoOwner      = "no_owner"
+	reasonDeadline     = "deadline_over"
+	reasonNotPermitted = "holder_not_confirmed"
+	reasonAbandoned    = "abandoned"
 )
 
 // isFinalRefusal reports whether no other owner would decide otherwise.
@@ -207,6 +251,7 @@
 func (w Work) task(attempt string, remaining time.Duration) entry.Task {
 	return entry.Task{
 		Attempt: attempt, Customer: w.Customer, Plan: w.Spec.Plan, Class: w.Spec.Class, Size: w.Spec.Size,
+		Name: w.ID, Generation: w.Generation,
 		Kind: w.Spec.Kind, Spread: w.Spec.Spread, Repeatable: w.Spec.Repeatable,
 		RunTime:   time.Duration(w.Spec.RunTimeMilliseconds) * time.Millisecond,
 		Remaining: remaining, Payload: w.Spec.Payload,
@@ -214,7 +259,7 @@
 }
 
 // offer gives an attempt to one owner and follows it to its end.
-func (r *Runner) offer(ctx context.Context, t Target, task entry.Task) entry.Status {
+func (r *Runner) offer(ctx context.Context, w Work, t Target, task entry.Task) entry.Status {
 	asked := time.Now()
 	callContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.timing.Poll+entry.CallTimeout)
 	defer cancel()
@@ -228,7 +273,7 @@
 	default:
 		status = entry.Status{State: entry.Moved}
 	}
-	return r.follow(ctx, t, task.Attempt, status, asked)
+	return r.follow(ctx, w, t, task.Attempt, status, asked)
 }
 
 func (r *Runner) cancel(t Target, attempt string) {
@@ -239,16 +284,13 @@
 	}
 }
 
-// Follow follows an attempt whose owner is not known to its end.
-func (r *Runner) Follow(ctx context.Context, domain, attempt string) entry.Status {
-	return r.follow(ctx, Target{Domain: domain}, attempt, entry.Status{State: entry.Moved}, time.Now())
-}
-
 // follow asks the owner of an attempt until it has ended. When the owner is
 // gone or has lost the worker, the other owners are asked.
-func (r *Runner) follow(ctx context.Context, t Target, attempt string, status entry.Status, asked time.Time) entry.Status {
+func (r *Runner) follow(ctx context.Context, w Work, t Target, attempt string, status entry.Status, asked time.Time) entry.Status {
 	for {
 		switch {
+		case w.isAbandoned():
+			return entry.Status{State: entry.Moved, Reason: reasonAbandoned}
 		case status.State == entry.Moved:
 			t, status = r.resolve(ctx, t, attempt, asked)
 			asked = time.Now()
@@ -256,7 +298,7 @@
 		case status.State.Ended():
 			return status
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || status.State == entry.Waiting && !w.isPermitted() {
 			r.cancel(t, attempt)
 		}
 		sent := time.Now()
