--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -243,7 +243,7 @@
 					running[d.Task.Attempt] = d.Worker
 				}
 			case 4:
-				if id, ok := anyKey(rt, running); ok {
+				if id, ok := anyKey(running); ok {
 					if !a.Release(id) {
 						rt.Fatalf("attempt %s held nothing", id)
 					}
@@ -281,7 +281,7 @@
 	})
 }
 
-func anyKey(rt *rapid.T, m map[string]string) (string, bool) {
+func anyKey(m map[string]string) (string, bool) {
 	if len(m) == 0 {
 		return "", false
 	}
--- a/pkg/allocator/next.go
+++ b/pkg/allocator/next.go
@@ -189,3 +189,24 @@
 	}
 	return out
 }
+
+// Hold reserves room for a task at once, without queueing it, as gangs need.
+// It reports false when nothing fits or the plan is at its limit.
+func (a *Allocator) Hold(t *Task) (worker string, ok bool) {
+	account := a.shares.Account(t.Plan)
+	if a.drained || !account.Permits(t.Size) || a.ledger.Reservation(t.Attempt) != nil {
+		return "", false
+	}
+	w := a.policy.Choose(a.ledger, t.Size, t.Spread)
+	if w == nil {
+		return "", false
+	}
+	err := a.ledger.Reserve(w.Name, ledger.Reservation{
+		Attempt: t.Attempt, Size: t.Size, Plan: t.Plan, Class: t.Class.Rank(), Spread: t.Spread,
+	})
+	if err != nil {
+		return "", false
+	}
+	a.shares.Charge(t.Plan, t.Size)
+	return w.Name, true
+}
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -50,6 +50,8 @@
 		"check":      {"check settings and the two lists", runCheck},
 		"settings":   {"print the settings that are in force", runSettings},
 		"publish":    {"publish the two lists", runPublish},
+		"report":     {"print the evidence that sharing pays", runReport},
+		"jobs":       {"show or cancel a job", runJobs},
 		"quickstart": {"run the whole path with embedded stand-ins", runQuickstart},
 	}
 }
--- a/pkg/caller/gateway.go
+++ b/pkg/caller/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/almondpost/almondpost/pkg/job"
 	"github.com/almondpost/almondpost/pkg/jsonhttp"
+	"github.com/almondpost/almondpost/pkg/report"
 	"github.com/almondpost/almondpost/pkg/request"
 )
 
@@ -38,6 +39,8 @@
 	FetchJob(ctx context.Context, id string, wait time.Duration) (job.Status, bool)
 	// CancelJob asks for the end of a job.
 	CancelJob(ctx context.Context, id string) error
+	// Report gathers the evidence that sharing pays.
+	Report(ctx context.Context) report.Report
 	// Ready reports whether callers should be sent here.
 	Ready() bool
 }
@@ -100,6 +103,9 @@
 	r.Post("/v1/jobs", g.submitJob)
 	r.Get("/v1/jobs/{id}", g.fetchJob)
 	r.Delete("/v1/jobs/{id}", g.cancelJob)
+	r.Get("/v1/report", func(w http.ResponseWriter, q *http.Request) {
+		jsonhttp.Write(w, http.StatusOK, g.service.Report(q.Context()))
+	})
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", g.ready)
 	r.Method(http.MethodGet, "/debug/vars", expvar.Handler())
--- a/pkg/cluster/jobs_test.go
+++ b/pkg/cluster/jobs_test.go
@@ -124,3 +124,43 @@
 		})
 	}
 }
+
+// TestGangsRunWhole lets several gangs compete, each too large to run beside
+// another, and checks by the workers' own records that the tasks of each gang
+// ran at the same time.
+func TestGangsRunWhole(t *testing.T) {
+	is := is.New(t)
+	c := start(t)
+	const gangs, tasks = 3, 10
+	ids := make([]string, gangs)
+	for i := range gangs {
+		s := jobSpec(tasks, time.Second)
+		s.Gang = true
+		ids[i] = submitJob(is, c.Entries[0], s).ID
+	}
+	for _, id := range ids {
+		checkJob(is, c, awaitJob(is, c.Entries[2], id), tasks)
+	}
+	histories, err := c.Histories(context.Background())
+	is.NoErr(err)
+	for _, id := range ids {
+		var lastStart, firstEnd time.Time
+		n := 0
+		for _, h := range histories {
+			for _, r := range h.Runs {
+				if !strings.HasPrefix(r.Attempt, id+":") {
+					continue
+				}
+				n++
+				if r.Started.After(lastStart) {
+					lastStart = r.Started
+				}
+				if firstEnd.IsZero() || r.Ended.Before(firstEnd) {
+					firstEnd = r.Ended
+				}
+			}
+		}
+		is.Equal(n, tasks)
+		is.True(lastStart.Before(firstEnd))
+	}
+}
--- a/pkg/daemon/jobs.go
+++ b/pkg/daemon/jobs.go
@@ -305,7 +305,7 @@
 			tasks[k.TaskID(i)] = k.Generation
 		}
 	}
-	spec := job.Spec{Tasks: append([]request.Spec(nil), k.Spec.Tasks...)}
+	spec := job.Spec{Gang: k.Spec.Gang, Tasks: append([]request.Spec(nil), k.Spec.Tasks...)}
 	j.mutex.Unlock()
 	found := map[string]request.Found{}
 	if r.generation > 1 {
@@ -314,6 +314,9 @@
 			j.node.Log.Error(err, "takeover_unresolved", "job", id)
 		}
 	}
+	if spec.Gang && len(found) == 0 {
+		found = j.placeGang(ctx, r, id, left, spec)
+	}
 	slots := make(chan struct{}, maxTasksInFlight)
 	for _, i := range left {
 		slots <- struct{}{}
@@ -324,13 +327,37 @@
 	}
 }
 
+// placeGang holds room for all tasks at once and starts them. After a takeover
+// that found some of them running, the others are run one by one instead.
+func (j *Jobs) placeGang(ctx context.Context, r *jobRun, id string, left []int, spec job.Spec) map[string]request.Found {
+	works := make([]request.Work, 0, len(left))
+	for _, i := range left {
+		works = append(works, j.workOf(r, id, i, spec.Tasks[i]))
+	}
+	placed, err := j.node.runner.Gang(ctx, j.node.Settings.Domain, works)
+	if err != nil {
+		return nil
+	}
+	found := map[string]request.Found{}
+	for i, p := range placed {
+		attempt, target := j.node.runner.Commit(p)
+		found[job.TaskID(id, left[i])] = request.Found{Attempt: attempt, Owner: target}
+	}
+	j.node.Log.Info("gang_started", "job", id, "tasks", len(placed))
+	return found
+}
+
+func (j *Jobs) workOf(r *jobRun, id string, i int, spec request.Spec) request.Work {
+	return request.Work{
+		ID: job.TaskID(id, i), Customer: j.node.store.Current().Index.Customer(spec.Plan), Spec: spec, Submitted: time.Now(),
+		Generation: r.generation, Permit: j.permitted, Abandoned: r.abandon,
+	}
+}
+
 // runTask runs one task until it has an outcome that is final, and records it.
 func (j *Jobs) runTask(ctx context.Context, r *jobRun, id string, i int, spec request.Spec, found request.Found) {
-	version := j.node.store.Current()
-	w := request.Work{
-		ID: job.TaskID(id, i), Customer: version.Index.Customer(spec.Plan), Spec: spec, Submitted: time.Now(),
-		Generation: r.generation, Permit: j.permitted, Abandoned: r.abandon, Known: found.Attempt, KnownAt: found.Owner,
-	}
+	w := j.workOf(r, id, i, spec)
+	w.Known, w.KnownAt = found.Attempt, found.Owner
 	for {
 		out := j.node.runner.Run(ctx, w)
 		select {
--- a/pkg/daemon/node.go
+++ b/pkg/daemon/node.go
@@ -29,6 +29,7 @@
 	"github.com/almondpost/almondpost/pkg/request"
 	"github.com/almondpost/almondpost/pkg/retry"
 	"github.com/almondpost/almondpost/pkg/traffic"
+	"github.com/almondpost/almondpost/pkg/usage"
 	"github.com/almondpost/almondpost/pkg/vmlist"
 	"github.com/almondpost/almondpost/pkg/worker"
 )
@@ -75,6 +76,10 @@
 	traffic    *traffic.Counters
 	cut        *isolation.Cut
 
+	pendingMutex sync.Mutex
+	// pendingUsage holds sums that the log has not taken yet, oldest first.
+	pendingUsage []usage.Period
+
 	mutex    sync.Mutex
 	view     *membership.View
 	listed   vmlist.List
@@ -148,6 +153,7 @@
 	go n.listLoop()
 	go n.receiveLoop()
 	go n.heartbeatLoop()
+	go n.usageLoop()
 	n.Log.Info("started", "domain", n.Settings.Domain, "peer_address", n.Settings.PeerAdvertise.String(), "incarnation", n.incarnation)
 }
 
@@ -216,6 +222,7 @@
 		}
 		time.Sleep(drainPoll)
 	}
+	n.recordUsage(ctx)
 	n.Log.Info("drain_finished", "open", n.requests.Open(), "workers", n.owner.Held())
 }
 
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -108,6 +108,15 @@
 	return callPeer[entry.ResolveReply](ctx, n, t.Name, "Resolve", a)
 }
 
+// Reserve implements request.Peers.
+func (n *Node) Reserve(ctx context.Context, t request.Target, a entry.ReserveArgs) (entry.ReserveReply, error) {
+	if t.Name == n.Settings.Name {
+		r, err := n.owner.Reserve(a)
+		return r, localError("Reserve", err)
+	}
+	return callPeer[entry.ReserveReply](ctx, n, t.Name, "Reserve", a)
+}
+
 // Cancel implements request.Peers.
 func (n *Node) Cancel(ctx context.Context, t request.Target, a entry.CancelArgs) error {
 	if t.Name == n.Settings.Name {
@@ -140,3 +149,11 @@
 	v := h.store.Current()
 	return entry.ConfigurationReply{Offset: v.Offset, Lists: v.Lists}, nil
 }
+
+// Usage implements entry.Handler.
+func (h handler) Usage() (entry.UsageReply, error) {
+	return entry.UsageReply{Periods: h.currentUsage()}, nil
+}
+
+// Reserve implements entry.Handler.
+func (h handler) Reserve(a entry.ReserveArgs) (entry.ReserveReply, error) { return h.owner.Reserve(a) }
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -8,6 +8,7 @@
 	"github.com/almondpost/almondpost/pkg/fault"
 	"github.com/almondpost/almondpost/pkg/plan"
 	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/pkg/usage"
 )
 
 // Kind classifies the errors of this package.
@@ -167,5 +168,29 @@
 	Lists  plan.Lists
 }
 
+// ReserveArgs asks an owner to hold room for tasks of a gang.
+type ReserveArgs struct {
+	Incarnation uint64
+	// Gang names the gang; only one may collect at an owner at a time.
+	Gang  string
+	Tasks []Task
+	// Lease is how long room is held without a renewal.
+	Lease time.Duration
+	// Collect asks for room that comes free later, too.
+	Collect bool
+}
+
+// ReserveReply names the attempts whose room is held.
+type ReserveReply struct {
+	Held []string
+	// Busy means that another gang collects.
+	Busy bool
+}
+
+// UsageReply carries the sums of an entry VM that are not in the log yet.
+type UsageReply struct {
+	Periods []usage.Period
+}
+
 // Nothing is an empty argument or reply.
 type Nothing struct{}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -17,6 +17,8 @@
 	Resolve(a ResolveArgs) (ResolveReply, error)
 	Fetch(a FetchArgs) (FetchReply, error)
 	Configuration() (ConfigurationReply, error)
+	Usage() (UsageReply, error)
+	Reserve(a ReserveArgs) (ReserveReply, error)
 }
 
 // ErrIncarnation refuses a call that was meant for another process.
@@ -61,6 +63,18 @@
 	return err
 }
 
+// Usage serves Handler.Usage.
+func (s *service) Usage(_ Nothing, r *UsageReply) (err error) {
+	*r, err = s.h.Usage()
+	return err
+}
+
+// Reserve serves Handler.Reserve.
+func (s *service) Reserve(a ReserveArgs, r *ReserveReply) (err error) {
+	*r, err = s.h.Reserve(a)
+	return err
+}
+
 // Server accepts calls of other entry VMs.
 type Server struct {
 	counter  *traffic.Counter
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -37,6 +37,9 @@
 		}
 	}
 	a.asked = time.Now()
+	if !a.heldUntil.IsZero() && a.status.State == entry.Waiting {
+		o.commit(a)
+	}
 	o.mutex.Unlock()
 	return o.await(a, r.Wait), nil
 }
@@ -209,6 +212,10 @@
 		return nil
 	}
 	a.cancelled = true
+	if !a.heldUntil.IsZero() && a.status.State == entry.Waiting {
+		o.end(r.Attempt, entry.Status{State: entry.NotRun, Reason: entry.ReasonCancelled})
+		return nil
+	}
 	if o.alloc.Cancel(r.Attempt) != nil {
 		o.set(a, entry.Status{State: entry.NotRun, Reason: entry.ReasonCancelled})
 		return nil
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/almondpost/almondpost/pkg/fault"
 	"github.com/almondpost/almondpost/pkg/placement"
 	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/usage"
 	"github.com/almondpost/almondpost/pkg/vmlist"
 	"github.com/almondpost/almondpost/pkg/worker"
 )
@@ -84,9 +85,11 @@
 	attempts map[string]*attempt
 	sessions map[string]*session
 	ejected  *ejection.Tracker
+	meter    *usage.Meter
 	// generations holds the lowest generation that may start, by task of a job
 	// that was taken over.
 	generations map[string]fencedTask
+	collecting  gang
 	draining    bool
 }
 
@@ -106,6 +109,8 @@
 	// asked is when the holder last asked for the attempt. A waiting attempt
 	// starts only within HolderLease of it.
 	asked time.Time
+	// heldUntil is set while room is held for a gang that has not started.
+	heldUntil time.Time
 }
 
 // New returns an owner without workers. It works until ctx ends.
@@ -115,7 +120,7 @@
 		wake:     make(chan struct{}, 1),
 		gained:   make(chan struct{}, 1),
 		alloc:    allocator.New(placement.Balanced{}, allocator.Limits{Waiting: waitingLimit, UrgentWait: t.UrgentWait}),
-		attempts: map[string]*attempt{}, sessions: map[string]*session{}, ejected: ejection.New(), generations: map[string]fencedTask{},
+		attempts: map[string]*attempt{}, sessions: map[string]*session{}, ejected: ejection.New(), meter: usage.New(name, time.Now()), generations: map[string]fencedTask{},
 	}
 	go w.loop()
 	return w
@@ -167,8 +172,11 @@
 func (o *Owner) dispatch() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	o.collect(time.Now())
 	for {
-		d, ok := o.alloc.Next(time.Now())
+		now := time.Now()
+		o.measure(now)
+		d, ok := o.alloc.Next(now)
 		if !ok {
 			return
 		}
@@ -183,6 +191,7 @@
 		}
 		a.status.Worker, a.status.Waited = d.Worker, d.Waited
 		o.observer.Started(a.task, d.Waited)
+		o.meter.Started(a.task.Customer, a.task.Plan, string(a.task.Class), d.Waited)
 		o.ejected.Started(d.Worker)
 		o.updateAccepting(s)
 		go o.start(s.peer, s.token, a)
@@ -205,7 +214,29 @@
 	a.changed = make(chan struct{})
 }
 
+// measure integrates the use up to now; it is called before the use changes.
+func (o *Owner) measure(now time.Time) {
+	o.meter.Advance(now, o.alloc.Shares(), o.alloc.Ledger().Len())
+}
+
+// CurrentUsage returns the sums since the last CutUsage.
+func (o *Owner) CurrentUsage() usage.Period {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.measure(time.Now())
+	return o.meter.Current()
+}
+
+// CutUsage returns the sums since the last CutUsage and begins anew.
+func (o *Owner) CutUsage() usage.Period {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.measure(time.Now())
+	return o.meter.Cut(time.Now())
+}
+
 func (o *Owner) end(id string, s entry.Status) {
+	o.measure(time.Now())
 	if o.alloc.Release(id) {
 		o.kick()
 	}
@@ -304,6 +335,7 @@
 	for _, r := range o.alloc.Expire(now) {
 		o.refuse(r)
 	}
+	o.lapseHolds(now)
 	for _, s := range o.sessions {
 		o.updateAccepting(s)
 	}
--- a/pkg/request/runner.go
+++ b/pkg/request/runner.go
@@ -39,6 +39,7 @@
 	Run(ctx context.Context, t Target, a entry.RunArgs) (entry.Status, error)
 	Await(ctx context.Context, t Target, a entry.AwaitArgs) (entry.Status, error)
 	Resolve(ctx context.Context, t Target, a entry.ResolveArgs) (entry.ResolveReply, error)
+	Reserve(ctx context.Context, t Target, a entry.ReserveArgs) (entry.ReserveReply, error)
 	Cancel(ctx context.Context, t Target, a entry.CancelArgs) error
 }
 
