--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -52,6 +52,9 @@
 	RunTime    time.Duration
 	// Deadline is when the answer is of no more use; zero means never.
 	Deadline time.Time
+	// Resumed tasks ran before and were stopped; they wait without the bound on
+	// urgent waiting, since "not run" would no longer be true.
+	Resumed bool
 	// Payload is opaque to the allocator.
 	Payload any
 }
@@ -248,7 +251,7 @@
 	if !t.Deadline.IsZero() {
 		i.Deadline = t.Deadline.Add(-t.RunTime)
 	}
-	if limit := now.Add(a.limits.UrgentWait); a.limits.UrgentWait > 0 && t.Class == plan.Urgent && (i.Deadline.IsZero() || limit.Before(i.Deadline)) {
+	if limit := now.Add(a.limits.UrgentWait); a.limits.UrgentWait > 0 && t.Class == plan.Urgent && !t.Resumed && (i.Deadline.IsZero() || limit.Before(i.Deadline)) {
 		i.Deadline = limit
 	}
 	a.waiting[t.Attempt] = i
--- a/pkg/app/entry.go
+++ b/pkg/app/entry.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -24,6 +26,15 @@
 	"github.com/almondpost/almondpost/pkg/settings"
 )
 
+const (
+	// collectPercent trades memory, of which an entry VM uses little, for
+	// processor time.
+	collectPercent = 400
+	// memoryLimit makes the collector work harder before an entry VM reaches
+	// what it may use, in bytes.
+	memoryLimit = 200 << 20
+)
+
 // Started is the line that an entry VM prints once it serves.
 type Started struct {
 	Name   string         `json:"name"`
@@ -94,6 +105,8 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	e, err := startEntry(common.New(s, c.stderr))
@@ -141,6 +154,7 @@
 
 // debug adds the routes of fault injection.
 func (e *entryVM) debug(r chi.Router) {
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.Post("/debug/cut", jsonhttp.Handler(func(_ context.Context, q cutRequest) (cutRequest, error) {
 		if err := e.node.SetCut(q.Names); err != nil {
 			return q, &jsonhttp.StatusError{Code: http.StatusForbidden, Message: err.Error()}
--- a/pkg/daemon/jobs.go
+++ b/pkg/daemon/jobs.go
@@ -366,7 +366,8 @@
 		default:
 		}
 		// A task that may pass later is offered again; the job was accepted.
-		if out.State == request.NotRun && out.RetryAfterMilliseconds > 0 && ctx.Err() == nil {
+		again := out.State == request.NotRun && out.RetryAfterMilliseconds > 0 || out.Reason == entry.ReasonInterrupted
+		if again && ctx.Err() == nil {
 			w.Known = entry.FoundAttempt{}
 			w.FirstAttempt = out.NextAttempt
 			time.Sleep(taskRetryPause)
--- a/pkg/daemon/members.go
+++ b/pkg/daemon/members.go
@@ -10,8 +10,12 @@
 	"github.com/almondpost/almondpost/pkg/vmlist"
 )
 
-// outsideSample is how many members of other domains get each heartbeat.
-const outsideSample = 2
+const (
+	// outsideSample is how many members of other domains get each heartbeat.
+	outsideSample = 1
+	// fullHeartbeatEvery is how often a heartbeat carries what peers know.
+	fullHeartbeatEvery = 10
+)
 
 func (n *Node) heartbeatLoop() {
 	tick := time.NewTicker(time.Duration(n.Settings.HeartbeatInterval))
@@ -37,24 +41,32 @@
 // sendHeartbeats greets every member of the own domain, a sample of the others,
 // and every address that has not answered yet.
 func (n *Node) sendHeartbeats() {
-	load := n.owner.Advertise()
+	load, epoch := n.owner.Advertise(), n.owner.Epoch()
 	waiting := 0
 	for _, w := range load.Waiting {
 		waiting += w
 	}
 	n.mutex.Lock()
-	n.view.SetSelf(membership.Advert{Free: load.FreeFraction, Waiting: waiting, Workers: load.Workers}, n.store.Current().Offset, n.leaving)
+	n.view.SetSelf(membership.Advert{Free: load.FreeFraction, Waiting: waiting, Workers: load.Workers}, epoch, n.store.Current().Offset, n.leaving)
 	self := n.view.Self()
 	targets := n.heartbeatTargets()
+	n.beats++
+	full := n.beats%fullHeartbeatEvery == 1
 	n.mutex.Unlock()
-	for _, a := range targets {
-		if sent, err := n.heartbeats.Send(a, self); err == nil {
+	for a, known := range targets {
+		h := self
+		if known && !full {
+			h = self.Brief()
+		}
+		if sent, err := n.heartbeats.Send(a, h); err == nil {
 			n.traffic.Heartbeats.Add(sent)
 		}
 	}
 }
 
-func (n *Node) heartbeatTargets() []netip.AddrPort {
+// heartbeatTargets returns the addresses to send to, and for each whether the
+// member there has been heard.
+func (n *Node) heartbeatTargets() map[netip.AddrPort]bool {
 	targets := map[netip.AddrPort]bool{}
 	known := map[netip.AddrPort]bool{n.Settings.PeerAdvertise: true}
 	var outside []netip.AddrPort
@@ -73,38 +85,41 @@
 	}
 	for _, a := range n.Settings.Seeds {
 		if !known[a] {
-			targets[a] = true
+			targets[a] = false
 		}
 	}
 	for _, v := range n.listed.VMs {
 		if v.Role == vmlist.Entry && !known[v.Address] {
-			targets[v.Address] = true
+			targets[v.Address] = false
 		}
 	}
-	out := make([]netip.AddrPort, 0, len(targets))
-	for a := range targets {
-		out = append(out, a)
-	}
-	return out
+	return targets
 }
 
 func (n *Node) receiveLoop() {
 	for {
-		h, length, err := n.heartbeats.Receive()
+		received, err := n.heartbeats.Receive()
 		if err != nil {
 			return
 		}
-		if n.cut.Blocks(h.Domain) {
+		h := received.Heartbeat
+		n.mutex.Lock()
+		m, _ := n.view.Member(h.Name)
+		n.mutex.Unlock()
+		if n.cut.Blocks(h.Domain) || n.cut.Blocks(m.Domain) {
 			continue
 		}
-		n.traffic.Heartbeats.Add(length)
+		n.traffic.Heartbeats.Add(received.Length)
+		if h.IsBrief() {
+			h.Address = m.Address
+		}
 		n.mutex.Lock()
-		_, known := n.view.Member(h.Name)
-		changed := n.view.Observe(time.Now(), h)
+		known := m.Incarnation >= h.Incarnation
+		changed := n.view.Observe(time.Now(), received.Heartbeat)
 		self := n.view.Self()
 		n.mutex.Unlock()
 		if !known {
-			_, _ = n.heartbeats.Send(h.Address, self)
+			_, _ = n.heartbeats.Send(received.From, self)
 		}
 		if changed {
 			n.membersChanged()
--- a/pkg/daemon/node.go
+++ b/pkg/daemon/node.go
@@ -86,6 +86,8 @@
 	listRead time.Time
 	leaving  bool
 	gossip   *rand.Rand
+	// beats counts rounds of heartbeats.
+	beats uint64
 }
 
 // New starts an entry VM from its settings.
@@ -115,7 +117,7 @@
 	n.store = configuration.New(n.configurationChanged)
 	n.recorder = recorder.New(ctx, n.log, totalAppendsPerSecond)
 	n.claims = claim.New(n.recorder, n.log, time.Now)
-	n.runner = request.New(n, request.NewTwoChoices(c.Settings.Domain, rand.New(rand.NewPCG(rand.Uint64(), n.incarnation))), retry.New(retryRatio, retryBurst), request.DefaultTiming, c.Log)
+	n.runner = request.New(n, request.NewTwoChoices(c.Settings.Name, c.Settings.Domain, rand.New(rand.NewPCG(rand.Uint64(), n.incarnation))), retry.New(retryRatio, retryBurst), request.DefaultTiming, c.Log)
 	n.requests = NewRequests(n)
 	n.jobs = NewJobs(n)
 	n.publishVariables()
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -13,7 +13,7 @@
 
 // Targets implements request.Peers.
 func (n *Node) Targets() []request.Target {
-	load := n.owner.Advertise()
+	load, epoch := n.owner.Advertise(), n.owner.Epoch()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	waiting := 0
@@ -21,13 +21,13 @@
 		waiting += w
 	}
 	out := []request.Target{{
-		Name: n.Settings.Name, Incarnation: n.incarnation, Domain: n.Settings.Domain,
+		Name: n.Settings.Name, Epoch: epoch, Domain: n.Settings.Domain,
 		Free: load.FreeFraction, Waiting: waiting,
 		Usable: !n.leaving && load.Workers > 0, Reachable: true,
 	}}
 	for _, m := range n.view.Members() {
 		out = append(out, request.Target{
-			Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain,
+			Name: m.Name, Epoch: m.Epoch, Domain: m.Domain,
 			Free: m.Advert.Free, Waiting: m.Advert.Waiting,
 			Usable:    m.State == membership.Alive && m.Advert.Workers > 0,
 			Reachable: m.State != membership.Removed,
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -151,8 +151,8 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &server):
-		if string(server) == string(KindIncarnation) {
-			return fault.New(method, KindIncarnation, err)
+		if string(server) == string(KindEpoch) {
+			return fault.New(method, KindEpoch, err)
 		}
 		return fault.New(method, KindUnknown, err)
 	}
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -34,18 +34,26 @@
 	return h.socket.WriteToUDPAddrPort(data, to)
 }
 
+// Received is a heartbeat as it came.
+type Received struct {
+	membership.Heartbeat
+	From netip.AddrPort
+	// Length is in bytes.
+	Length int
+}
+
 // Receive waits for the next heartbeat; malformed datagrams are skipped. It
 // fails once the socket is closed.
-func (h *Heartbeats) Receive() (membership.Heartbeat, int, error) {
+func (h *Heartbeats) Receive() (Received, error) {
 	buffer := make([]byte, maxHeartbeatBytes)
 	for {
-		n, _, err := h.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := h.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
-			return membership.Heartbeat{}, 0, err
+			return Received{}, err
 		}
 		var b membership.Heartbeat
-		if json.Unmarshal(buffer[:n], &b) == nil && b.Address.IsValid() {
-			return b, n, nil
+		if json.Unmarshal(buffer[:n], &b) == nil && b.Name != "" && (b.IsBrief() || b.Address.IsValid()) {
+			return Received{Heartbeat: b, From: from, Length: n}, nil
 		}
 	}
 }
--- a/pkg/entry/protocol.go
+++ b/pkg/entry/protocol.go
@@ -20,8 +20,8 @@
 	KindNotSent Kind = "not_sent"
 	// KindUnknown means that the call may have taken effect.
 	KindUnknown Kind = "unknown_outcome"
-	// KindIncarnation means that the called process is not the one meant.
-	KindIncarnation Kind = "other_incarnation"
+	// KindEpoch means that the called owner is not the one meant, or was paused.
+	KindEpoch Kind = "other_epoch"
 )
 
 // Error is the error type of this package.
@@ -55,6 +55,9 @@
 	ReasonCancelled   = "cancelled"
 	ReasonPreempted   = "preempted"
 	ReasonLeaseLapsed = "lease_lapsed"
+	// ReasonInterrupted is given for work that ran, was stopped before its end,
+	// and could not be started again.
+	ReasonInterrupted = "interrupted"
 )
 
 // Task is one attempt as it travels between entry VMs.
@@ -70,6 +73,8 @@
 	RunTime    time.Duration
 	// Name is the task that the attempt belongs to.
 	Name string
+	// Resumed attempts follow one that ran and was stopped.
+	Resumed bool
 	// Generation is that of the holder, for tasks of jobs; 0 for requests.
 	Generation int
 	// Remaining is the time to the deadline when the call was sent; zero means
@@ -97,18 +102,18 @@
 
 // RunArgs asks an owner to run an attempt and to wait for its end.
 type RunArgs struct {
-	// Incarnation is the process that the caller means; another one refuses.
-	Incarnation uint64
-	Task        Task
-	Wait        time.Duration
+	// Epoch is that of the owner that the caller means; another one refuses.
+	Epoch uint64
+	Task  Task
+	Wait  time.Duration
 }
 
 // AwaitArgs asks for the end of an attempt that an owner was given before. An
 // attempt that the owner does not know is fenced: it never runs there later.
 type AwaitArgs struct {
-	Incarnation uint64
-	Attempt     string
-	Wait        time.Duration
+	Epoch   uint64
+	Attempt string
+	Wait    time.Duration
 }
 
 // CancelArgs asks an owner to stop an attempt.
@@ -133,8 +138,8 @@
 	FoundTasks map[string]FoundAttempt
 	// Found holds the attempts that run on or ended on the owner's workers.
 	Found map[string]Status
-	// Incarnation is that of the answering process.
-	Incarnation uint64
+	// Epoch is that of the answering owner.
+	Epoch uint64
 	// Verified holds, for each worker that the owner holds the token of, how
 	// long ago the last answered call to it was sent.
 	Verified map[string]time.Duration
@@ -170,7 +175,7 @@
 
 // ReserveArgs asks an owner to hold room for tasks of a gang.
 type ReserveArgs struct {
-	Incarnation uint64
+	Epoch uint64
 	// Gang names the gang; only one may collect at an owner at a time.
 	Gang  string
 	Tasks []Task
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -21,8 +21,8 @@
 	Reserve(a ReserveArgs) (ReserveReply, error)
 }
 
-// ErrIncarnation refuses a call that was meant for another process.
-var ErrIncarnation = errors.New(string(KindIncarnation))
+// ErrEpoch refuses a call that was meant for another process.
+var ErrEpoch = errors.New(string(KindEpoch))
 
 // service adapts a Handler to the form of net/rpc.
 type service struct{ h Handler }
--- a/pkg/load/main.go
+++ b/pkg/load/main.go
@@ -43,6 +43,9 @@
 	if err := f.Parse(args); err != nil {
 		return 2
 	}
+	if o.Scenario == slopeName {
+		return runSlope(o, stdout, stderr)
+	}
 	report, err := Run(context.Background(), o)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "load:", err)
@@ -55,8 +58,22 @@
 	return 0
 }
 
+// slopeName is the scenario that measures the cost of control at several sizes.
+const slopeName = "slope"
+
+func runSlope(o Options, stdout, stderr io.Writer) int {
+	report, err := Slope(context.Background(), o)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "load:", err)
+		return 1
+	}
+	data, _ := json.MarshalIndent(report, "", "  ")
+	_, _ = fmt.Fprintln(stdout, string(data))
+	return 0
+}
+
 func names() []string {
-	var out []string
+	out := []string{slopeName}
 	for name := range Scenarios() {
 		out = append(out, name)
 	}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -29,11 +29,11 @@
 // Advert is the load that a member tells others.
 type Advert struct {
 	// Free is the scarcest free fraction of the member's workers, 0 to 1.
-	Free float64 `json:"f"`
+	Free float64 `json:"f,omitempty"`
 	// Waiting is the number of waiting tasks.
-	Waiting int `json:"q"`
+	Waiting int `json:"q,omitempty"`
 	// Workers is the number of adopted workers.
-	Workers int `json:"w"`
+	Workers int `json:"w,omitempty"`
 }
 
 // Heartbeat is what members send each other. Field names are short since every
@@ -41,15 +41,28 @@
 type Heartbeat struct {
 	Name string `json:"n"`
 	// Incarnation rises with each start of a member; it is the start time.
-	Incarnation uint64         `json:"i"`
-	Domain      string         `json:"d"`
-	Address     netip.AddrPort `json:"a"`
-	Advert      Advert         `json:"l"`
-	Leaving     bool           `json:"x,omitempty"`
+	Incarnation uint64 `json:"i"`
+	// Epoch is that of the member's owner of workers.
+	Epoch uint64 `json:"e"`
+	// Domain and Address are left out of most heartbeats to members that know
+	// them.
+	Domain  string         `json:"d,omitempty"`
+	Address netip.AddrPort `json:"a,omitzero"`
+	Advert  Advert         `json:"l"`
+	Leaving bool           `json:"x,omitempty"`
 	// Offset is the newest configuration offset that the member knows.
 	Offset uint64 `json:"o"`
 }
 
+// IsBrief reports whether the heartbeat leaves out what peers know already.
+func (h Heartbeat) IsBrief() bool { return h.Domain == "" }
+
+// Brief returns the heartbeat without what peers know already.
+func (h Heartbeat) Brief() Heartbeat {
+	h.Domain, h.Address = "", netip.AddrPort{}
+	return h
+}
+
 // Member is what the view knows of a peer.
 type Member struct {
 	Heartbeat
@@ -82,8 +95,8 @@
 func (v *View) Self() Heartbeat { return v.self }
 
 // SetSelf replaces the changing parts of the own heartbeat.
-func (v *View) SetSelf(a Advert, offset uint64, leaving bool) {
-	v.self.Advert, v.self.Offset, v.self.Leaving = a, offset, leaving
+func (v *View) SetSelf(a Advert, epoch, offset uint64, leaving bool) {
+	v.self.Advert, v.self.Epoch, v.self.Offset, v.self.Leaving = a, epoch, offset, leaving
 }
 
 // Observe takes in a heartbeat and reports whether the set of usable members
@@ -96,6 +109,12 @@
 	if m != nil && h.Incarnation < m.Incarnation {
 		return false
 	}
+	if h.IsBrief() {
+		if m == nil || m.Incarnation != h.Incarnation {
+			return false
+		}
+		h.Domain, h.Address = m.Domain, m.Address
+	}
 	state := Alive
 	if h.Leaving {
 		state = Leaving
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -19,10 +19,12 @@
 // Run admits an attempt and waits for its end. An attempt that is already
 // known is joined.
 func (o *Owner) Run(r entry.RunArgs) (entry.Status, error) {
-	if r.Incarnation != o.incarnation {
-		return entry.Status{}, entry.ErrIncarnation
-	}
 	o.mutex.Lock()
+	o.noticePause(time.Now())
+	if r.Epoch != o.epoch {
+		o.mutex.Unlock()
+		return entry.Status{}, entry.ErrEpoch
+	}
 	if o.generations[r.Task.Name].generation > r.Task.Generation {
 		o.mutex.Unlock()
 		return entry.Status{State: entry.NotRun, Reason: entry.ReasonFenced}, nil
@@ -56,7 +58,7 @@
 	now := time.Now()
 	waiting := &allocator.Task{
 		Attempt: t.Attempt, Plan: t.Plan, Class: t.Class, Size: t.Size, Spread: t.Spread,
-		Repeatable: t.Repeatable, RunTime: t.RunTime,
+		Repeatable: t.Repeatable, RunTime: t.RunTime, Resumed: t.Resumed,
 	}
 	if t.Remaining > 0 {
 		waiting.Deadline = now.Add(t.Remaining)
@@ -107,10 +109,12 @@
 
 // Await waits for the end of a known attempt; an unknown one is fenced.
 func (o *Owner) Await(r entry.AwaitArgs) (entry.Status, error) {
-	if r.Incarnation != o.incarnation {
-		return entry.Status{}, entry.ErrIncarnation
-	}
 	o.mutex.Lock()
+	o.noticePause(time.Now())
+	if r.Epoch != o.epoch {
+		o.mutex.Unlock()
+		return entry.Status{}, entry.ErrEpoch
+	}
 	a := o.attempts[r.Attempt]
 	if a == nil {
 		a = o.fence(r.Attempt)
@@ -140,7 +144,8 @@
 func (o *Owner) Resolve(r entry.ResolveArgs) (entry.ResolveReply, error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	reply := entry.ResolveReply{Found: map[string]entry.Status{}, Verified: map[string]time.Duration{}, Incarnation: o.incarnation}
+	o.noticePause(time.Now())
+	reply := entry.ResolveReply{Found: map[string]entry.Status{}, Verified: map[string]time.Duration{}, Epoch: o.epoch}
 	for _, id := range r.Attempts {
 		a := o.attempts[id]
 		if a == nil && r.Peek {
--- a/pkg/owner/gang.go
+++ b/pkg/owner/gang.go
@@ -23,12 +23,13 @@
 // that comes free goes to the gang before any queue, and the reply tells what
 // is held so far; only one gang may collect at a time.
 func (o *Owner) Reserve(r entry.ReserveArgs) (entry.ReserveReply, error) {
-	if r.Incarnation != o.incarnation {
-		return entry.ReserveReply{}, entry.ErrIncarnation
-	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := time.Now()
+	o.noticePause(now)
+	if r.Epoch != o.epoch {
+		return entry.ReserveReply{}, entry.ErrEpoch
+	}
 	until := now.Add(min(r.Lease, maxGangLease))
 	if r.Collect {
 		if o.collecting.id != r.Gang && now.Before(o.collecting.until) {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -46,12 +46,12 @@
 
 // DefaultTiming suits workers on the same site.
 var DefaultTiming = Timing{
-	Lease:       10 * time.Second,
+	Lease:       20 * time.Second,
 	LeaseMargin: time.Second,
-	SyncWait:    3 * time.Second,
+	SyncWait:    8 * time.Second,
 	Retry:       250 * time.Millisecond,
 	Contested:   2 * time.Second,
-	Tick:        20 * time.Millisecond,
+	Tick:        100 * time.Millisecond,
 	Retention:   2 * time.Minute,
 	Unclaimed:   5 * time.Second,
 	UrgentWait:  1800 * time.Millisecond,
@@ -68,18 +68,22 @@
 
 // Owner is the allocator of the adopted workers of one entry VM.
 type Owner struct {
-	name        string
-	incarnation uint64
-	timing      Timing
-	dial        Dial
-	observer    Observer
-	log         logr.Logger
-	run         context.Context
-	wake        chan struct{}
-	gained      chan struct{}
+	name     string
+	timing   Timing
+	dial     Dial
+	observer Observer
+	log      logr.Logger
+	run      context.Context
+	wake     chan struct{}
+	gained   chan struct{}
 
 	mutex sync.Mutex
-	alloc *allocator.Allocator
+	// epoch rises when the process was paused, so that calls which were sent
+	// before are refused.
+	epoch uint64
+	// ticked is when the loop last ran.
+	ticked time.Time
+	alloc  *allocator.Allocator
 	// attempts holds every attempt that was given to this owner, runs on an
 	// adopted worker, or was fenced here, until Retention after its end.
 	attempts map[string]*attempt
@@ -116,7 +120,7 @@
 // New returns an owner without workers. It works until ctx ends.
 func New(ctx context.Context, name string, incarnation uint64, t Timing, waitingLimit int, dial Dial, o Observer, log logr.Logger) *Owner {
 	w := &Owner{
-		name: name, incarnation: incarnation, timing: t, dial: dial, observer: o, log: log, run: ctx,
+		name: name, epoch: incarnation, ticked: time.Now(), timing: t, dial: dial, observer: o, log: log, run: ctx,
 		wake:     make(chan struct{}, 1),
 		gained:   make(chan struct{}, 1),
 		alloc:    allocator.New(placement.Balanced{}, allocator.Limits{Waiting: waitingLimit, UrgentWait: t.UrgentWait}),
@@ -286,6 +290,7 @@
 			o.mutex.Unlock()
 			return
 		}
+		o.suspect(a.status.Worker)
 		gone := o.alloc.Ledger().Reservation(id) == nil
 		o.mutex.Unlock()
 		if gone || !o.pause(o.timing.Retry) {
@@ -294,6 +299,19 @@
 	}
 }
 
+// suspect stops placing work on a worker that gave no answer until it does.
+func (o *Owner) suspect(worker string) {
+	s := o.sessions[worker]
+	if s == nil || s.silent {
+		return
+	}
+	s.silent, s.verify = true, true
+	o.updateAccepting(s)
+	if s.interrupt != nil {
+		s.interrupt()
+	}
+}
+
 func (o *Owner) started(a *attempt, r worker.Record) {
 	if r.Phase.Ended() {
 		o.end(a.task.Attempt, statusOf(r))
@@ -328,10 +346,41 @@
 	}
 }
 
+// noticePause begins a new epoch when the loop did not run for too long: what
+// holders concluded in the meantime must not be undone by a call of theirs that
+// was held back with the process. Waiting attempts are given up.
+func (o *Owner) noticePause(now time.Time) {
+	if now.Sub(o.ticked) <= maxPause {
+		return
+	}
+	o.log.Info("paused", "gap", now.Sub(o.ticked).String())
+	o.ticked = now
+	o.epoch = max(o.epoch+1, uint64(now.UnixMilli()))
+	for id, a := range o.attempts {
+		if o.alloc.Cancel(id) != nil {
+			o.set(a, entry.Status{State: entry.NotRun, Reason: reasonHolderGone})
+		}
+	}
+}
+
+// maxPause is the pause past which a holder may have given up on this owner. It
+// is well below entry.HolderLease.
+const maxPause = entry.HolderLease / 2
+
+// Epoch names what holders have to give with their calls.
+func (o *Owner) Epoch() uint64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.noticePause(time.Now())
+	return o.epoch
+}
+
 func (o *Owner) expire() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := time.Now()
+	o.noticePause(now)
+	o.ticked = now
 	for _, r := range o.alloc.Expire(now) {
 		o.refuse(r)
 	}
--- a/pkg/request/gang.go
+++ b/pkg/request/gang.go
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(ctx, entry.CallTimeout)
 	defer cancel()
 	return r.peers.Reserve(ctx, o, entry.ReserveArgs{
-		Incarnation: o.Incarnation, Gang: w.ID, Tasks: tasks, Lease: gangLease, Collect: collect,
+		Epoch: o.Epoch, Gang: w.ID, Tasks: tasks, Lease: gangLease, Collect: collect,
 	})
 }
 
@@ -160,7 +160,7 @@
 func (r *Runner) Commit(p Placed) (entry.FoundAttempt, Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), entry.CallTimeout)
 	defer cancel()
-	status, err := r.peers.Run(ctx, p.Owner, entry.RunArgs{Incarnation: p.Owner.Incarnation, Task: p.Task})
+	status, err := r.peers.Run(ctx, p.Owner, entry.RunArgs{Epoch: p.Owner.Epoch, Task: p.Task})
 	if err != nil {
 		status = entry.Status{State: entry.Moved}
 	}
--- a/pkg/request/resolve.go
+++ b/pkg/request/resolve.go
@@ -17,9 +17,16 @@
 	// Past barrier the original owner drops the attempt if it still waits.
 	barrier := asked.Add(entry.HolderLease + r.timing.Margin)
 	for {
-		if target, status, ok := r.askOriginal(t, attempt); ok {
+		// A call to the original owner may renew its interest in the attempt
+		// even when the answer is lost.
+		sent := time.Now()
+		target, status, called, ok := r.askOriginal(t, attempt)
+		if ok {
 			return target, status
 		}
+		if called {
+			barrier = sent.Add(entry.HolderLease + entry.CallTimeout + r.timing.Margin)
+		}
 		answers := r.askAll(t.Domain, entry.ResolveArgs{Attempts: []string{attempt}})
 		if target, status, ok := known(answers, attempt); ok {
 			return target, status
@@ -40,20 +47,22 @@
 // reasonUnresolved is given when the outcome could not be found out.
 const reasonUnresolved = "unresolved"
 
-// askOriginal asks the process that was given the attempt, if it still lives.
-func (r *Runner) askOriginal(t Target, attempt string) (Target, entry.Status, bool) {
+// askOriginal asks the owner that was given the attempt, if it still lives. It
+// reports whether a call was made, and whether it was answered.
+func (r *Runner) askOriginal(t Target, attempt string) (target Target, status entry.Status, called, ok bool) {
 	for _, o := range r.peers.Targets() {
-		if o.Name != t.Name || o.Incarnation != t.Incarnation || !o.Reachable {
+		if o.Name != t.Name || o.Epoch != t.Epoch || !o.Reachable {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), entry.CallTimeout)
 		defer cancel()
-		s, err := r.peers.Await(ctx, o, entry.AwaitArgs{Incarnation: o.Incarnation, Attempt: attempt})
+		s, err := r.peers.Await(ctx, o, entry.AwaitArgs{Epoch: o.Epoch, Attempt: attempt})
 		if err == nil && s.State != entry.Moved {
-			return o, s, true
+			return o, s, true, true
 		}
+		called = called || err != nil
 	}
-	return t, entry.Status{}, false
+	return t, entry.Status{}, called, false
 }
 
 // answer is the reply of one owner and when it was asked.
@@ -99,7 +108,7 @@
 		}
 		if !ok || s.State.Ended() && !status.State.Ended() {
 			target, status, ok = a.target, s, true
-			target.Incarnation = a.reply.Incarnation
+			target.Epoch = a.reply.Epoch
 		}
 	}
 	return target, status, ok
@@ -113,7 +122,7 @@
 	}
 	held := map[string]bool{}
 	for _, a := range answers {
-		if a.target.Name == t.Name && a.reply.Incarnation == t.Incarnation {
+		if a.target.Name == t.Name && a.reply.Epoch == t.Epoch {
 			continue
 		}
 		for w, age := range a.reply.Verified {
@@ -150,7 +159,7 @@
 				if ok && (before.Attempt.Status.State.Ended() || !f.Status.State.Ended()) {
 					continue
 				}
-				a.target.Incarnation = a.reply.Incarnation
+				a.target.Epoch = a.reply.Epoch
 				found[name] = Found{f, a.target}
 			}
 		}
--- a/pkg/request/route.go
+++ b/pkg/request/route.go
@@ -7,20 +7,26 @@
 	"github.com/almondpost/almondpost/pkg/plan"
 )
 
-// TwoChoices routes to the better of two random owners of the own failure
-// domain by advertised load, and to other domains when the own one has none
-// left to try, or when it queues while another has room.
+// TwoChoices keeps work on the own entry VM while its workers have room, since
+// the balancer spreads callers already and every hop costs control. Else it
+// routes to the better of two random owners of the own failure domain by
+// advertised load, and to other domains when the own one has none left to try,
+// or when it queues while another has room.
 type TwoChoices struct {
 	mutex  sync.Mutex
 	random *rand.Rand
+	name   string
 	domain string
 }
 
 // NewTwoChoices returns a router for an entry VM of a failure domain.
-func NewTwoChoices(domain string, random *rand.Rand) *TwoChoices {
-	return &TwoChoices{random: random, domain: domain}
+func NewTwoChoices(name, domain string, random *rand.Rand) *TwoChoices {
+	return &TwoChoices{random: random, name: name, domain: domain}
 }
 
+// keepFree is the free fraction of the own workers above which work stays.
+const keepFree = 0.25
+
 // spillFree is the free fraction that another failure domain must advertise to
 // get work while the own domain queues.
 const spillFree = 0.2
@@ -31,6 +37,8 @@
 	for _, t := range targets {
 		switch {
 		case !t.Usable || tried[t.Name]:
+		case t.Name == c.name && t.Free > keepFree && t.Waiting == 0:
+			return t, true
 		case t.Domain == c.domain:
 			own = append(own, t)
 		default:
--- a/pkg/request/runner.go
+++ b/pkg/request/runner.go
@@ -15,9 +15,9 @@
 
 // Target is an entry VM that owns workers.
 type Target struct {
-	Name        string
-	Incarnation uint64
-	Domain      string
+	Name   string
+	Epoch  uint64
+	Domain string
 	// Free is the scarcest free fraction of its workers, 0 to 1.
 	Free    float64
 	Waiting int
@@ -96,6 +96,8 @@
 	// Abandoned is closed when another holder has taken the work over. What
 	// runs then goes on.
 	Abandoned <-chan struct{}
+	// resumed is set once an attempt ran and was stopped or failed.
+	resumed bool
 	// Known is an attempt that a former holder left running; it is followed
 	// before a new one is made.
 	Known entry.FoundAttempt
@@ -148,9 +150,13 @@
 			out.Attempts++
 		}
 		if r.isRetried(ctx, w, status, &failures) {
+			w.resumed = true
 			continue
 		}
 		fill(ctx, &out, status)
+		if out.Attempts > 0 && out.State == NotRun {
+			out.State, out.Reason = MayHaveRun, entry.ReasonInterrupted
+		}
 		out.NextAttempt = n
 		return out
 	}
@@ -252,7 +258,7 @@
 func (w Work) task(attempt string, remaining time.Duration) entry.Task {
 	return entry.Task{
 		Attempt: attempt, Customer: w.Customer, Plan: w.Spec.Plan, Class: w.Spec.Class, Size: w.Spec.Size,
-		Name: w.ID, Generation: w.Generation,
+		Name: w.ID, Generation: w.Generation, Resumed: w.resumed,
 		Kind: w.Spec.Kind, Spread: w.Spec.Spread, Repeatable: w.Spec.Repeatable,
 		RunTime:   time.Duration(w.Spec.RunTimeMilliseconds) * time.Millisecond,
 		Remaining: remaining, Payload: w.Spec.Payload,
@@ -266,13 +272,13 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { r.cancel(t, task.Attempt) })
 	defer stop()
-	status, err := r.peers.Run(callContext, t, entry.RunArgs{Incarnation: t.Incarnation, Task: task, Wait: r.timing.Poll})
+	status, err := r.peers.Run(callContext, t, entry.RunArgs{Epoch: t.Epoch, Task: task, Wait: r.timing.Poll})
 	switch fault.KindOf[entry.Kind](err) {
 	case "":
-	case entry.KindNotSent, entry.KindIncarnation:
+	case entry.KindNotSent, entry.KindEpoch:
 		return entry.Status{State: entry.NotRun, Reason: string(fault.KindOf[entry.Kind](err)), RetryAfter: time.Second}
 	default:
-		status = entry.Status{State: entry.Moved}
+		status, asked = entry.Status{State: entry.Moved}, time.Now()
 	}
 	return r.follow(ctx, w, t, task.Attempt, status, asked)
 }
@@ -305,10 +311,9 @@
 		sent := time.Now()
 		next, err := r.await(t, attempt)
 		if err != nil {
-			next = entry.Status{State: entry.Moved}
-		} else {
-			asked = sent
+			next, sent = entry.Status{State: entry.Moved}, time.Now()
 		}
+		asked = sent
 		status = next
 	}
 }
@@ -316,5 +321,5 @@
 func (r *Runner) await(t Target, attempt string) (entry.Status, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.timing.Poll+entry.CallTimeout)
 	defer cancel()
-	return r.peers.Await(ctx, t, entry.AwaitArgs{Incarnation: t.Incarnation, Attempt: attempt, Wait: r.timing.Poll})
+	return r.peers.Await(ctx, t, entry.AwaitArgs{Epoch: t.Epoch, Attempt: attempt, Wait: r.timing.Poll})
 }
--- /dev/null
+++ b/pkg/request/runner_test.go
@@ -0,0 +1,595 @@
+package request_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondpost/almondpost/pkg/allocator"
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/invariant"
+	"github.com/almondpost/almondpost/pkg/owner"
+	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/pkg/retry"
+	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/pkg/worker"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	invariant.SetFatal(true)
+	os.Exit(m.Run())
+}
+
+var (
+	capacity = resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 4096, Slots: 4, Connections: 64}
+	unit     = resource.Vector{Milliprocessors: 1000, MemoryMebibytes: 1024, Slots: 1, Connections: 1}
+)
+
+var errLost = errors.New("lost")
+
+// fakeWorker is a worker that keeps the numbered assumptions of
+// docs/design/worker_protocol.md, behind a network that loses, delays and
+// repeats calls.
+type fakeWorker struct {
+	network *network
+	name    string
+
+	mutex    sync.Mutex
+	token    worker.Token
+	lease    time.Time
+	records  map[string]*worker.Record
+	sequence uint64
+	used     resource.Vector
+	changed  chan struct{}
+}
+
+// history is what the workers saw, as an outside checker records it.
+type history struct {
+	mutex   sync.Mutex
+	running map[string]int
+	runs    map[string]int
+	faults  []string
+}
+
+func (h *history) fault(format string, args ...any) {
+	h.faults = append(h.faults, fmt.Sprintf(format, args...))
+}
+
+// network decides the fate of each call from a seeded source.
+type network struct {
+	mutex   sync.Mutex
+	random  *rand.Rand
+	loss    float64
+	history *history
+	quiet   bool
+}
+
+func (n *network) draw() (lostBefore, lostAfter bool, delay time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delay = time.Duration(n.random.IntN(20)) * time.Millisecond
+	if n.quiet {
+		return false, false, delay
+	}
+	if n.random.IntN(20) == 0 {
+		delay += time.Duration(n.random.IntN(6000)) * time.Millisecond
+	}
+	return n.random.Float64() < n.loss, n.random.Float64() < n.loss, delay
+}
+
+// link carries the calls of one owner to one worker.
+type link struct {
+	worker *fakeWorker
+	owner  string
+}
+
+func through[Q, A any](ctx context.Context, l link, q Q, f func(context.Context, Q) (A, error)) (A, error) {
+	var none A
+	before, after, delay := l.worker.network.draw()
+	deadline := 3 * time.Second
+	done := make(chan struct{})
+	var reply A
+	var err error
+	go func() {
+		defer close(done)
+		time.Sleep(delay)
+		if before {
+			err = fault.New("call", worker.KindUnreachable, errLost)
+			return
+		}
+		// A call that was given up by its sender may still arrive.
+		reply, err = f(context.WithoutCancel(ctx), q)
+	}()
+	if s, ok := any(q).(worker.SyncRequest); ok {
+		deadline += s.Wait
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return none, fault.New("call", worker.KindUnreachable, ctx.Err())
+	case <-time.After(deadline):
+		return none, fault.New("call", worker.KindUnreachable, errLost)
+	}
+	if after && err == nil {
+		return none, fault.New("call", worker.KindUnreachable, errLost)
+	}
+	return reply, err
+}
+
+func (l link) Adopt(ctx context.Context, q worker.AdoptRequest) (worker.AdoptReply, error) {
+	return through(ctx, l, q, l.worker.adopt)
+}
+
+func (l link) Start(ctx context.Context, q worker.StartRequest) (worker.Record, error) {
+	return through(ctx, l, q, l.worker.start)
+}
+
+func (l link) Sync(ctx context.Context, q worker.SyncRequest) (worker.SyncReply, error) {
+	return through(ctx, l, q, l.worker.sync)
+}
+
+func (l link) Stop(ctx context.Context, q worker.StopRequest) (worker.StopReply, error) {
+	return through(ctx, l, q, l.worker.stop)
+}
+
+func (w *fakeWorker) set(r *worker.Record, p worker.Phase, reason string) {
+	task := taskOf(r.Attempt.ID)
+	h := w.network.history
+	h.mutex.Lock()
+	if p == worker.Running {
+		h.running[task]++
+		h.runs[task]++
+		if h.running[task] > 1 {
+			h.fault("task %s runs in two places", task)
+		}
+		if !r.Attempt.Repeatable && h.runs[task] > 1 {
+			h.fault("task %s, which may not repeat, ran twice", task)
+		}
+	} else if r.Phase == worker.Running {
+		h.running[task]--
+		w.used = w.used.Sub(r.Attempt.Size)
+	}
+	h.mutex.Unlock()
+	w.sequence++
+	r.Phase, r.Reason, r.Sequence = p, reason, w.sequence
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func taskOf(attempt string) string {
+	for i := range attempt {
+		if attempt[i] == '/' {
+			return attempt[:i]
+		}
+	}
+	return attempt
+}
+
+func (w *fakeWorker) lapse() {
+	if time.Now().Before(w.lease) {
+		return
+	}
+	for _, r := range w.records {
+		if r.Phase == worker.Running {
+			w.set(r, worker.Stopped, "lease_lapsed")
+		}
+	}
+}
+
+func (w *fakeWorker) renew(lease time.Duration) {
+	if lease <= 0 {
+		return
+	}
+	until := time.Now().Add(lease)
+	w.lease = until
+	time.AfterFunc(lease, func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.lapse()
+	})
+}
+
+func (w *fakeWorker) check(t worker.Token) error {
+	w.lapse()
+	if t != w.token {
+		return fault.Newf("call", worker.KindFenced, "adopted by %v", w.token)
+	}
+	return nil
+}
+
+func (w *fakeWorker) adopt(_ context.Context, q worker.AdoptRequest) (worker.AdoptReply, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.lapse()
+	if !w.token.Less(q.Token) {
+		return worker.AdoptReply{Current: w.token}, nil
+	}
+	w.token = q.Token
+	w.renew(q.Lease)
+	reply := worker.AdoptReply{Accepted: true, Current: w.token, Capacity: capacity, Rack: "r", Sequence: w.sequence}
+	for _, r := range w.records {
+		reply.Records = append(reply.Records, *r)
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+	return reply, nil
+}
+
+func (w *fakeWorker) start(_ context.Context, q worker.StartRequest) (worker.Record, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if err := w.check(q.Token); err != nil {
+		return worker.Record{}, err
+	}
+	if r := w.records[q.Attempt.ID]; r != nil {
+		return *r, nil
+	}
+	if !time.Now().Before(w.lease) {
+		return worker.Record{}, fault.Newf("start", worker.KindRefused, "lease lapsed")
+	}
+	r := &worker.Record{Attempt: q.Attempt}
+	w.records[q.Attempt.ID] = r
+	w.used = w.used.Add(q.Attempt.Size)
+	if !w.used.Fits(capacity) {
+		w.network.history.mutex.Lock()
+		w.network.history.fault("worker %s holds more than it can: %v", w.name, w.used)
+		w.network.history.mutex.Unlock()
+	}
+	w.set(r, worker.Running, "")
+	time.AfterFunc(q.Attempt.RunTime, func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.lapse()
+		if r.Phase == worker.Running {
+			r.Answer = []byte(taskOf(r.Attempt.ID))
+			w.set(r, worker.Finished, "")
+		}
+	})
+	return *r, nil
+}
+
+func (w *fakeWorker) sync(ctx context.Context, q worker.SyncRequest) (worker.SyncReply, error) {
+	timer := time.NewTimer(q.Wait)
+	defer timer.Stop()
+	for first := true; ; first = false {
+		w.mutex.Lock()
+		if err := w.check(q.Token); err != nil {
+			w.mutex.Unlock()
+			return worker.SyncReply{}, err
+		}
+		if first {
+			w.renew(q.Lease)
+		}
+		reply := worker.SyncReply{Sequence: w.sequence}
+		for _, r := range w.records {
+			if r.Sequence > q.After && r.Phase.Ended() {
+				reply.Records = append(reply.Records, *r)
+			}
+		}
+		changed := w.changed
+		w.mutex.Unlock()
+		if len(reply.Records) > 0 {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return reply, nil
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		}
+	}
+}
+
+func (w *fakeWorker) stop(_ context.Context, q worker.StopRequest) (worker.StopReply, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if err := w.check(q.Token); err != nil {
+		return worker.StopReply{}, err
+	}
+	r := w.records[q.Attempt]
+	switch {
+	case r == nil:
+		r = &worker.Record{Attempt: worker.Attempt{ID: q.Attempt}}
+		w.records[q.Attempt] = r
+		w.set(r, worker.Fenced, "")
+	case r.Phase == worker.Running:
+		w.set(r, worker.Stopped, string(q.Mode))
+	}
+	return worker.StopReply{Record: *r}, nil
+}
+
+// domain is one failure domain: owners over fake workers, and a runner.
+type domain struct {
+	network *network
+	workers []*fakeWorker
+	mutex   sync.Mutex
+	owners  map[string]*owner.Owner
+	alive   map[string]uint64
+	stops   map[string]context.CancelFunc
+	serial  uint64
+}
+
+type silentObserver struct{}
+
+func (silentObserver) Started(entry.Task, time.Duration) {}
+
+func (d *domain) vms() []vmlist.VM {
+	var out []vmlist.VM
+	for _, w := range d.workers {
+		out = append(out, vmlist.VM{Name: w.name, Role: vmlist.Worker, Domain: "d"})
+	}
+	return out
+}
+
+func (d *domain) startOwner(ctx context.Context, name string, x *plan.Index) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.serial++
+	ctx, cancel := context.WithCancel(ctx)
+	dial := func(v vmlist.VM) worker.Peer {
+		for _, w := range d.workers {
+			if w.name == v.Name {
+				return link{w, name}
+			}
+		}
+		return nil
+	}
+	o := owner.New(ctx, name, d.serial, owner.DefaultTiming, 1000, dial, silentObserver{}, logr.Discard())
+	o.SetPlans(x)
+	d.owners[name], d.alive[name], d.stops[name] = o, d.serial, cancel
+}
+
+// kill ends an owner; nothing of it goes on.
+func (d *domain) kill(name string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.stops[name]()
+	delete(d.owners, name)
+	delete(d.alive, name)
+}
+
+// assign gives every worker to one owner that lives, or to two at once, as when
+// their views of the membership differ.
+func (d *domain) assign(random *rand.Rand, both bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	names := make([]string, 0, len(d.owners))
+	for name := range d.owners {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	mine := map[string][]vmlist.VM{}
+	for _, v := range d.vms() {
+		i := random.IntN(len(names))
+		mine[names[i]] = append(mine[names[i]], v)
+		if other := random.IntN(len(names)); both && other != i {
+			mine[names[other]] = append(mine[names[other]], v)
+		}
+	}
+	for name, o := range d.owners {
+		o.Assign(mine[name])
+	}
+}
+
+func (d *domain) Targets() []request.Target {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var out []request.Target
+	for name, o := range d.owners {
+		load := o.Advertise()
+		out = append(out, request.Target{
+			Name: name, Epoch: o.Epoch(), Domain: "d", Free: load.FreeFraction, Usable: load.Workers > 0, Reachable: true,
+		})
+	}
+	slices.SortFunc(out, func(a, b request.Target) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (d *domain) Workers(string) []string {
+	var out []string
+	for _, v := range d.vms() {
+		out = append(out, v.Name)
+	}
+	return out
+}
+
+// call carries a call to an owner over the faulty network.
+func call[A any](ctx context.Context, d *domain, t request.Target, method string, f func(o *owner.Owner) (A, error)) (A, error) {
+	var none A
+	before, after, delay := d.network.draw()
+	time.Sleep(min(delay, time.Second))
+	d.mutex.Lock()
+	o := d.owners[t.Name]
+	d.mutex.Unlock()
+	if o == nil || before {
+		return none, fault.New(method, entry.KindNotSent, errLost)
+	}
+	reply, err := f(o)
+	d.mutex.Lock()
+	gone := d.owners[t.Name] != o
+	d.mutex.Unlock()
+	if after || gone || ctx.Err() != nil {
+		return none, fault.New(method, entry.KindUnknown, errLost)
+	}
+	if errors.Is(err, entry.ErrEpoch) {
+		return none, fault.New(method, entry.KindEpoch, err)
+	}
+	return reply, err
+}
+
+func (d *domain) Run(ctx context.Context, t request.Target, a entry.RunArgs) (entry.Status, error) {
+	return call(ctx, d, t, "Run", func(o *owner.Owner) (entry.Status, error) { return o.Run(a) })
+}
+
+func (d *domain) Await(ctx context.Context, t request.Target, a entry.AwaitArgs) (entry.Status, error) {
+	return call(ctx, d, t, "Await", func(o *owner.Owner) (entry.Status, error) { return o.Await(a) })
+}
+
+func (d *domain) Resolve(ctx context.Context, t request.Target, a entry.ResolveArgs) (entry.ResolveReply, error) {
+	return call(ctx, d, t, "Resolve", func(o *owner.Owner) (entry.ResolveReply, error) { return o.Resolve(a) })
+}
+
+func (d *domain) Reserve(ctx context.Context, t request.Target, a entry.ReserveArgs) (entry.ReserveReply, error) {
+	return call(ctx, d, t, "Reserve", func(o *owner.Owner) (entry.ReserveReply, error) { return o.Reserve(a) })
+}
+
+func (d *domain) Cancel(ctx context.Context, t request.Target, a entry.CancelArgs) error {
+	_, err := call(ctx, d, t, "Cancel", func(o *owner.Owner) (struct{}, error) { return struct{}{}, o.Cancel(a) })
+	return err
+}
+
+// schedule is one random run, drawn before the bubble.
+type schedule struct {
+	seed    uint64
+	loss    float64
+	tasks   int
+	kills   int
+	contest bool
+}
+
+// TestAttemptsUnderFaults runs tasks over a network that loses and delays calls,
+// with owners that are killed and workers that two owners claim at once. By the
+// workers' own records no task is in two places, none that may not repeat runs
+// twice, no worker is over-filled; and "not run" is true.
+func TestAttemptsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := schedule{
+			seed:    rapid.Uint64().Draw(rt, "seed"),
+			loss:    rapid.Float64Range(0, 0.2).Draw(rt, "loss"),
+			tasks:   rapid.IntRange(1, 30).Draw(rt, "tasks"),
+			kills:   rapid.IntRange(0, 3).Draw(rt, "kills"),
+			contest: rapid.Bool().Draw(rt, "contest"),
+		}
+		var faults []string
+		synctest.Test(t, func(t *testing.T) { faults = s.run(t) })
+		if len(faults) > 0 {
+			rt.Fatalf("%+v: %v", s, faults)
+		}
+	})
+}
+
+func (s schedule) run(t *testing.T) []string {
+	random := rand.New(rand.NewPCG(s.seed, 1))
+	h := &history{running: map[string]int{}, runs: map[string]int{}}
+	net := &network{random: rand.New(rand.NewPCG(s.seed, 2)), loss: s.loss, history: h}
+	d := &domain{network: net, owners: map[string]*owner.Owner{}, alive: map[string]uint64{}, stops: map[string]context.CancelFunc{}}
+	for i := range 4 {
+		d.workers = append(d.workers, &fakeWorker{network: net, name: fmt.Sprintf("w%d", i), records: map[string]*worker.Record{}, changed: make(chan struct{})})
+	}
+	x, err := plan.NewIndex(plan.Lists{
+		Customers:    plan.Customers{Customers: []plan.Customer{{Name: "c", Plans: []string{"p"}}}},
+		Entitlements: plan.Entitlements{Plans: []plan.Entitlement{{Plan: "p", PromisedShare: 1, LimitShare: 1, QueueLimit: 1000, Classes: plan.Classes[:]}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range 3 {
+		d.startOwner(ctx, fmt.Sprintf("o%d", i), x)
+	}
+	d.assign(random, false)
+	time.Sleep(time.Second)
+	runner := request.New(d, request.NewTwoChoices("o0", "d", rand.New(rand.NewPCG(s.seed, 3))), retry.New(0.5, 100), request.DefaultTiming, logr.Discard())
+	outcomes := make([]request.Outcome, s.tasks)
+	repeatable := make([]bool, s.tasks)
+	var group sync.WaitGroup
+	for i := range s.tasks {
+		repeatable[i] = random.IntN(2) == 0
+		work := request.Work{ID: fmt.Sprintf("t%d", i), Submitted: time.Now(), Spec: request.Spec{
+			Plan: "p", Class: plan.Normal, Size: unit, Repeatable: repeatable[i], RunTimeMilliseconds: int64(random.IntN(8000)),
+		}}
+		group.Go(func() { outcomes[i] = runner.Run(ctx, work) })
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	}
+	for i := range s.kills {
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+		name := fmt.Sprintf("o%d", random.IntN(3))
+		if len(d.owners) > 1 && d.owners[name] != nil {
+			d.kill(name)
+		}
+		d.assign(random, s.contest)
+		if i%2 == 1 && d.owners[name] == nil {
+			d.startOwner(ctx, name, x)
+			d.assign(random, s.contest)
+		}
+	}
+	net.mutex.Lock()
+	net.quiet = true
+	net.mutex.Unlock()
+	d.assign(random, false)
+	group.Wait()
+	cancel()
+	time.Sleep(time.Minute)
+	return s.judge(h, outcomes)
+}
+
+func (s schedule) judge(h *history, outcomes []request.Outcome) []string {
+	for i, o := range outcomes {
+		name := fmt.Sprintf("t%d", i)
+		switch {
+		case !o.State.Ended():
+			h.fault("task %s has no outcome", name)
+		case o.State == request.Done && (!o.Whole() || string(o.Answer) != name):
+			h.fault("task %s got the answer %q", name, o.Answer)
+		case o.State == request.NotRun && h.runs[name] > 0:
+			h.fault("task %s was told not run (%s), but ran", name, o.Reason)
+		}
+	}
+	return h.faults
+}
+
+func TestInterruptedWorkIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	p := &scripted{statuses: []entry.Status{
+		{State: entry.Stopped, Reason: entry.ReasonPreempted},
+		{State: entry.NotRun, Reason: string(allocator.KindDeadlineOver)},
+	}}
+	r := request.New(p, request.NewTwoChoices("o", "d", rand.New(rand.NewPCG(1, 1))), retry.New(1, 1), request.DefaultTiming, logr.Discard())
+	o := r.Run(context.Background(), request.Work{ID: "t", Spec: request.Spec{Repeatable: true, Class: plan.Urgent}})
+	is.Equal(o.State, request.MayHaveRun)
+	is.Equal(o.Reason, entry.ReasonInterrupted)
+	is.True(p.last.Resumed)
+}
+
+// scripted is one owner that answers with given statuses.
+type scripted struct {
+	domain
+	statuses []entry.Status
+	last     entry.Task
+}
+
+func (p *scripted) Targets() []request.Target {
+	return []request.Target{{Name: "o", Domain: "d", Free: 1, Usable: true, Reachable: true}}
+}
+
+func (p *scripted) Run(_ context.Context, _ request.Target, a entry.RunArgs) (entry.Status, error) {
+	s := p.statuses[0]
+	p.statuses, p.last = p.statuses[1:], a.Task
+	return s, nil
+}
--- a/pkg/resource/vector.go
+++ b/pkg/resource/vector.go
@@ -19,7 +19,7 @@
 	// MemoryMebibytes is in MiB.
 	MemoryMebibytes int64 `json:"memory_mebibytes"`
 	// Accelerators is in whole devices.
-	Accelerators int64 `json:"accelerators"`
+	Accelerators int64 `json:"accelerators,omitempty"`
 	// Slots is in concurrent tasks.
 	Slots int64 `json:"slots"`
 	// Connections is in open connections of a worker.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -91,7 +91,7 @@
 		HeartbeatInterval: Duration(time.Second),
 		SuspectAfter:      Duration(2200 * time.Millisecond),
 		RemoveAfter:       Duration(3200 * time.Millisecond),
-		VMListInterval:    Duration(time.Second),
+		VMListInterval:    Duration(1500 * time.Millisecond),
 		WaitingLimit:      20_000,
 		OpenLimit:         5_000,
 		BodyLimitBytes:    2 << 20,
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -92,6 +92,13 @@
 	ended   time.Time
 }
 
+// brief returns the record with only the ID of its attempt.
+func (r *record) brief() worker.Record {
+	b := r.Record
+	b.Attempt = worker.Attempt{ID: r.Attempt.ID}
+	return b
+}
+
 // NewWorker returns an idle worker.
 func NewWorker(name, rack string, capacity resource.Vector) *Worker {
 	return &Worker{name: name, rack: rack, capacity: capacity, records: map[string]*record{}, changed: make(chan struct{})}
@@ -175,7 +182,9 @@
 	w.prune()
 	reply := worker.AdoptReply{Accepted: true, Current: w.token, Capacity: w.capacity, Rack: w.rack, Sequence: w.sequence}
 	for _, r := range w.records {
-		reply.Records = append(reply.Records, r.Record)
+		listed := r.Record
+		listed.Attempt.Payload = nil
+		reply.Records = append(reply.Records, listed)
 	}
 	w.notify()
 	return reply, nil
@@ -189,7 +198,7 @@
 		return worker.Record{}, err
 	}
 	if r, ok := w.records[q.Attempt.ID]; ok {
-		return r.Record, nil
+		return r.brief(), nil
 	}
 	if !time.Now().Before(w.leaseUntil) {
 		return worker.Record{}, &jsonhttp.StatusError{Code: http.StatusUnprocessableEntity, Message: "lease lapsed"}
@@ -207,7 +216,7 @@
 	})
 	w.setPhase(r, worker.Running, "")
 	w.run(r)
-	return r.Record, nil
+	return r.brief(), nil
 }
 
 func (w *Worker) run(r *record) {
@@ -271,7 +280,7 @@
 	reply := worker.SyncReply{Sequence: w.sequence, Used: w.used}
 	for _, r := range w.records {
 		if r.Sequence > q.After && r.Phase.Ended() {
-			reply.Records = append(reply.Records, r.Record)
+			reply.Records = append(reply.Records, r.brief())
 		}
 	}
 	return reply, w.changed, nil
@@ -296,7 +305,7 @@
 	case r.Phase == worker.Running && q.Mode != worker.Throttle:
 		w.setPhase(r, worker.Stopped, string(q.Mode))
 	}
-	return worker.StopReply{Record: r.Record}, nil
+	return worker.StopReply{Record: r.brief()}, nil
 }
 
 // WorkerFault switches faults of a worker on and off.
--- a/pkg/worker/protocol.go
+++ b/pkg/worker/protocol.go
@@ -64,20 +64,22 @@
 // Attempt is what a worker is asked to run.
 type Attempt struct {
 	ID       string          `json:"id"`
-	Customer string          `json:"customer"`
-	Plan     string          `json:"plan"`
-	Class    string          `json:"class"`
-	Size     resource.Vector `json:"size"`
-	Kind     string          `json:"kind"`
+	Customer string          `json:"customer,omitempty"`
+	Plan     string          `json:"plan,omitempty"`
+	Class    string          `json:"class,omitempty"`
+	Size     resource.Vector `json:"size,omitzero"`
+	Kind     string          `json:"kind,omitempty"`
 	// Repeatable work may run again after it was stopped.
-	Repeatable bool   `json:"repeatable"`
-	Payload    []byte `json:"payload"`
+	Repeatable bool   `json:"repeatable,omitempty"`
+	Payload    []byte `json:"payload,omitempty"`
 	// RunTime is the declared run time.
-	RunTime time.Duration `json:"run_time"`
+	RunTime time.Duration `json:"run_time,omitempty"`
 }
 
 // Record is what a worker says of one attempt.
 type Record struct {
+	// Attempt is without payload in every reply, and holds only the ID in
+	// replies other than that to an adoption.
 	Attempt Attempt `json:"attempt"`
 	Phase   Phase   `json:"phase"`
 	// Sequence orders the worker's phase changes; it only rises.
@@ -121,10 +123,10 @@
 
 // SyncReply carries the records after the asked sequence.
 type SyncReply struct {
-	Records  []Record `json:"records"`
+	Records  []Record `json:"records,omitempty"`
 	Sequence uint64   `json:"sequence"`
 	// Used is the measured use, reported with a lag.
-	Used resource.Vector `json:"used"`
+	Used resource.Vector `json:"used,omitzero"`
 }
 
 // StopMode says how an attempt is taken off a worker.
