--- a/pkg/configuration/store.go
+++ b/pkg/configuration/store.go
@@ -38,8 +38,11 @@
 	// for the first one.
 	BasedOn uint64 `json:"based_on"`
 	// Operator says who published, for the loser of a conflict.
-	Operator string     `json:"operator"`
-	Lists    plan.Lists `json:"lists"`
+	Operator string `json:"operator"`
+	// SnapshotOf is set when the record repeats the accepted version of that
+	// offset, so that it outlives the retention of the log.
+	SnapshotOf uint64     `json:"snapshot_of,omitempty"`
+	Lists      plan.Lists `json:"lists"`
 }
 
 // Version is an accepted configuration.
@@ -66,10 +69,21 @@
 	mutex   sync.Mutex
 	version Version
 	// read is the offset up to which the log was taken in.
-	read    uint64
-	changed func(Version)
+	read uint64
+	// anchored is true while the version follows from an unbroken row of
+	// records. Without that, records are kept in pending until a snapshot or a
+	// peer tells which version they follow on.
+	anchored bool
+	pending  []logservice.Record
+	// snapshotSeen is set when a record that holds the current version was read
+	// and is cleared by SnapshotDue.
+	snapshotSeen bool
+	changed      func(Version)
 }
 
+// maxPending bounds the records that wait for a snapshot.
+const maxPending = 4096
+
 // New returns a store with empty lists. The function is called with each newly
 // accepted version, in order of their offsets.
 func New(changed func(Version)) *Store {
@@ -118,17 +132,84 @@
 	if r.Offset <= s.read {
 		return Verdict{Repeated: true, Reason: "already read"}
 	}
+	if r.Offset > s.read+1 {
+		s.anchored, s.pending = false, nil
+	} else if r.Offset == 1 {
+		s.anchored = true
+	}
 	s.read = r.Offset
+	if snapshot, x, ok := decodeSnapshot(r.Data); ok {
+		s.applySnapshot(snapshot, x)
+		return Verdict{Repeated: true, Reason: "snapshot"}
+	}
+	if !s.anchored {
+		s.pending = append(s.pending, r)
+		if len(s.pending) > maxPending {
+			s.pending = s.pending[1:]
+		}
+		return Verdict{Reason: "the version before is not known yet"}
+	}
+	return s.judge(r)
+}
+
+func (s *Store) judge(r logservice.Record) Verdict {
 	if r.Offset <= s.version.Offset {
 		return Verdict{Repeated: true, Reason: "a peer passed it on"}
 	}
 	record, x, verdict := Judge(s.version, r.Data)
 	if verdict.Accepted {
+		s.snapshotSeen = true
 		s.set(Version{Offset: r.Offset, ID: record.ID, Operator: record.Operator, Lists: record.Lists, Index: x})
 	}
 	return verdict
 }
 
+func decodeSnapshot(data []byte) (Record, *plan.Index, bool) {
+	var r Record
+	if plan.DecodeStrict(data, &r) != nil || r.SnapshotOf == 0 {
+		return r, nil, false
+	}
+	x, err := plan.NewIndex(r.Lists)
+	return r, x, err == nil
+}
+
+// applySnapshot takes a snapshot as the version that later records follow on.
+func (s *Store) applySnapshot(r Record, x *plan.Index) {
+	if r.SnapshotOf == s.version.Offset {
+		s.snapshotSeen = true
+	}
+	if s.anchored {
+		return
+	}
+	if r.SnapshotOf > s.version.Offset {
+		s.set(Version{Offset: r.SnapshotOf, Operator: r.Operator, Lists: r.Lists, Index: x})
+	}
+	s.anchor()
+}
+
+// anchor judges the records that waited for the version.
+func (s *Store) anchor() {
+	s.anchored = true
+	waiting := s.pending
+	s.pending = nil
+	for _, r := range waiting {
+		s.judge(r)
+	}
+}
+
+// SnapshotDue returns the record that repeats the current version, if none
+// that holds it was read since the last call.
+func (s *Store) SnapshotDue(operator string) ([]byte, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.snapshotSeen || !s.anchored || s.version.Offset == 0 {
+		s.snapshotSeen = false
+		return nil, false
+	}
+	data, err := Encode(Record{Operator: operator, SnapshotOf: s.version.Offset, Lists: s.version.Lists})
+	return data, err == nil
+}
+
 // Learn takes over an accepted version from a peer if it is newer.
 func (s *Store) Learn(offset uint64, lists plan.Lists) error {
 	x, err := plan.NewIndex(lists)
@@ -137,8 +218,14 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if offset > s.version.Offset {
-		s.set(Version{Offset: offset, Lists: lists, Index: x})
+	if offset <= s.version.Offset {
+		return nil
+	}
+	s.set(Version{Offset: offset, Lists: lists, Index: x})
+	// The version is the one before the first waiting record that is newer, if
+	// no record between them is missing.
+	if !s.anchored && (len(s.pending) == 0 && offset >= s.read || len(s.pending) > 0 && s.pending[0].Offset <= offset+1) {
+		s.anchor()
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/configuration/store_test.go
@@ -0,0 +1,199 @@
+package configuration_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondpost/almondpost/pkg/configuration"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/invariant"
+	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/pkg/plan"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	invariant.SetFatal(true)
+	os.Exit(m.Run())
+}
+
+// fakeLog is a log with retention, outages and lost answers.
+type fakeLog struct {
+	records  []logservice.Record
+	dropped  int
+	loseNext bool
+	outage   bool
+}
+
+var errOutage = errors.New("outage")
+
+func (l *fakeLog) Append(_ context.Context, _ string, records [][]byte) (uint64, error) {
+	if l.outage {
+		return 0, errOutage
+	}
+	first := uint64(len(l.records) + 1)
+	for _, r := range records {
+		l.records = append(l.records, logservice.Record{Offset: uint64(len(l.records) + 1), Data: r})
+	}
+	if l.loseNext {
+		l.loseNext = false
+		return 0, errOutage
+	}
+	return first, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, after uint64, limit int, _ time.Duration) (logservice.ReadReply, error) {
+	if l.outage {
+		return logservice.ReadReply{}, errOutage
+	}
+	begin := max(int(after), l.dropped)
+	end := min(len(l.records), begin+limit)
+	if begin > end {
+		begin = end
+	}
+	return logservice.ReadReply{Records: l.records[begin:end], Oldest: uint64(l.dropped + 1)}, nil
+}
+
+func lists(price float64) plan.Lists {
+	return plan.Lists{
+		Customers: plan.Customers{Customers: []plan.Customer{{Name: "c", Plans: []string{"p"}}}},
+		Entitlements: plan.Entitlements{Plans: []plan.Entitlement{{
+			Plan: "p", PromisedShare: 0.5, LimitShare: 1, QueueLimit: 10, Classes: plan.Classes[:], Price: price,
+		}}},
+	}
+}
+
+func TestFirstInLogOrderWins(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	l := &fakeLog{}
+	first, err := configuration.Publish(ctx, l, 0, "a", lists(1))
+	is.NoErr(err)
+	won, err := configuration.Publish(ctx, l, first.Offset, "a", lists(2))
+	is.NoErr(err)
+	_, err = configuration.Publish(ctx, l, first.Offset, "b", lists(3))
+	is.Equal(fault.KindOf[configuration.Kind](err), configuration.KindConflict)
+	s, err := configuration.Load(ctx, l)
+	is.NoErr(err)
+	is.Equal(s.Current().Offset, won.Offset)
+	is.Equal(s.Current().Lists.Entitlements.Plans[0].Price, 2.0)
+}
+
+func TestLostAnswerOfAnAppendIsResolvedByReadingBack(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{loseNext: true}
+	v, err := configuration.Publish(context.Background(), l, 0, "a", lists(1))
+	is.NoErr(err)
+	is.Equal(v.Offset, uint64(1))
+	is.Equal(len(l.records), 1)
+}
+
+func TestInvalidListsAreNotPublished(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	bad := lists(1)
+	bad.Entitlements.Plans[0].PromisedShare = 2
+	_, err := configuration.Publish(context.Background(), l, 0, "a", bad)
+	is.Equal(fault.KindOf[configuration.Kind](err), configuration.KindInvalid)
+	is.Equal(len(l.records), 0)
+}
+
+// reader is one entry VM that follows the log.
+type reader struct {
+	store    *configuration.Store
+	versions []uint64
+}
+
+func newReader() *reader {
+	r := &reader{}
+	r.store = configuration.New(func(v configuration.Version) { r.versions = append(r.versions, v.Offset) })
+	return r
+}
+
+// TestReadersAgreeAndNeverRevert lets operators race, readers lag, restart, and
+// learn from each other, and the log drop old records. No reader reverts, and
+// in the end all hold what a reader of the whole log holds.
+func TestReadersAgreeAndNeverRevert(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ctx := context.Background()
+		l := &fakeLog{}
+		truth := newReader()
+		readers := []*reader{newReader(), newReader(), newReader()}
+		price := 1.0
+		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
+			i := rapid.IntRange(0, len(readers)-1).Draw(rt, "reader")
+			r := readers[i]
+			switch rapid.IntRange(0, 7).Draw(rt, "step") {
+			case 0, 1:
+				price++
+				base := r.store.Current().Offset
+				if rapid.Bool().Draw(rt, "newest") {
+					base = truth.store.Current().Offset
+				}
+				data, _ := configuration.Encode(configuration.Record{ID: fmt.Sprint(price), BasedOn: base, Operator: "o", Lists: lists(price)})
+				_, _ = l.Append(ctx, configuration.Stream, [][]byte{data})
+				if rapid.Bool().Draw(rt, "repeated") {
+					_, _ = l.Append(ctx, configuration.Stream, [][]byte{data})
+				}
+				catchUp(rt, l, truth)
+			case 2, 3:
+				catchUp(rt, l, r)
+			case 4:
+				readers[i] = newReader()
+			case 5:
+				from := readers[rapid.IntRange(0, len(readers)-1).Draw(rt, "peer")].store.Current()
+				if err := r.store.Learn(from.Offset, from.Lists); err != nil {
+					rt.Fatal(err)
+				}
+			case 6:
+				if data, due := r.store.SnapshotDue("r"); due {
+					_, _ = l.Append(ctx, configuration.Stream, [][]byte{data})
+					catchUp(rt, l, truth)
+				}
+			case 7:
+				// The log drops only what a snapshot has outlived.
+				truth.store.SnapshotDue("t")
+				if data, due := truth.store.SnapshotDue("t"); due {
+					_, _ = l.Append(ctx, configuration.Stream, [][]byte{data})
+					catchUp(rt, l, truth)
+					l.dropped = len(l.records) - 1
+				}
+			}
+		}
+		for _, r := range readers {
+			catchUp(rt, l, r)
+			if got, want := r.store.Current(), truth.store.Current(); got.Offset != want.Offset {
+				rt.Fatalf("a reader holds offset %d, the log's is %d", got.Offset, want.Offset)
+			}
+			for i := 1; i < len(r.versions); i++ {
+				if r.versions[i] <= r.versions[i-1] {
+					rt.Fatalf("reverted: %v", r.versions)
+				}
+			}
+		}
+	})
+}
+
+func catchUp(rt *rapid.T, l *fakeLog, r *reader) {
+	for {
+		before := r.store.Read()
+		if err := configuration.CatchUp(context.Background(), l, r.store, 0); err != nil {
+			rt.Fatal(err)
+		}
+		if r.store.Read() == before {
+			return
+		}
+	}
+}
--- a/pkg/daemon/node.go
+++ b/pkg/daemon/node.go
@@ -156,6 +156,7 @@
 	go n.receiveLoop()
 	go n.heartbeatLoop()
 	go n.usageLoop()
+	go n.snapshotLoop()
 	n.Log.Info("started", "domain", n.Settings.Domain, "peer_address", n.Settings.PeerAdvertise.String(), "incarnation", n.incarnation)
 }
 
--- a/pkg/daemon/usage.go
+++ b/pkg/daemon/usage.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/almondpost/almondpost/pkg/configuration"
 	"github.com/almondpost/almondpost/pkg/entry"
 	"github.com/almondpost/almondpost/pkg/report"
 	"github.com/almondpost/almondpost/pkg/usage"
@@ -108,3 +110,27 @@
 		}
 	}
 }
+
+// snapshotInterval is how often the current lists are repeated in the log. It
+// has to be well below the retention of the log.
+const snapshotInterval = time.Hour
+
+// snapshotLoop repeats the lists before the log drops them. The pause is drawn
+// at random, so that mostly one entry VM does it and the others see it.
+func (n *Node) snapshotLoop() {
+	for {
+		pause := snapshotInterval/2 + rand.N(snapshotInterval/2)
+		select {
+		case <-n.run.Done():
+			return
+		case <-time.After(pause):
+		}
+		data, due := n.store.SnapshotDue(n.Settings.Name)
+		if !due {
+			continue
+		}
+		if _, err := n.recorder.Append(n.run, configuration.Stream, data); err != nil {
+			n.Log.Error(err, "snapshot_failed")
+		}
+	}
+}
