Resolve outcomes whose owner gave up, inherit keys of a gone entry VM, add tests

Now an owner that says that it gave the attempt up counts. Found by naming the uncovered workers in the log. Ruled out: the HTTP read timeout (a 17 s answer passes).

Jobs of a thawed VM stayed suspended for good, since each tick took the pause anew; the end of the pause is kept instead.

Now the key's request is fenced at the owners of its domain and the key claimed anew once it is proved that it never ran.

--- a/pkg/app/entry.go
+++ b/pkg/app/entry.go
@@ -155,6 +155,7 @@
 // debug adds the routes of fault injection.
 func (e *entryVM) debug(r chi.Router) {
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.Handle("/debug/pprof/goroutine", pprof.Handler("goroutine"))
 	r.Post("/debug/cut", jsonhttp.Handler(func(_ context.Context, q cutRequest) (cutRequest, error) {
 		if err := e.node.SetCut(q.Names); err != nil {
 			return q, &jsonhttp.StatusError{Code: http.StatusForbidden, Message: err.Error()}
--- /dev/null
+++ b/pkg/app/script_test.go
@@ -0,0 +1,54 @@
+package app_test
+
+import (
+	"net/netip"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/almondpost/almondpost/pkg/app"
+	"github.com/almondpost/almondpost/pkg/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"almondpost": func() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the scenario files. Each gets a log service of its own,
+// whose address is in $LOG; outage switches it off and on.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			s := &standin.Server{}
+			log := standin.NewLog(standin.DefaultRetainedRecords)
+			a, err := s.Serve(netip.MustParseAddrPort("127.0.0.1:0"), log.Handler())
+			if err != nil {
+				return err
+			}
+			e.Defer(s.Close)
+			e.Setenv("LOG", a.String())
+			e.Values[logKey] = log
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"outage": outage,
+		},
+	})
+}
+
+const logKey = "log"
+
+func outage(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 1 || args[0] != "on" && args[0] != "off" {
+		ts.Fatalf("usage: outage on|off")
+	}
+	log, ok := ts.Value(logKey).(*standin.Log)
+	if !ok {
+		ts.Fatalf("no log")
+	}
+	log.SetFault(standin.LogFault{Outage: args[0] == "on"})
+}
--- a/pkg/daemon/jobs.go
+++ b/pkg/daemon/jobs.go
@@ -49,8 +49,11 @@
 	// process up to date.
 	confirmed time.Time
 	// ticked is when the loop of this process last ran.
-	ticked  time.Time
-	changed chan struct{}
+	ticked time.Time
+	// frozenUntil is the end of the last pause of this process. Only reads that
+	// were sent later confirm that it still holds its jobs.
+	frozenUntil time.Time
+	changed     chan struct{}
 	// takingOver holds the former holders whose takeover is under way.
 	takingOver map[job.Holder]bool
 }
@@ -91,7 +94,10 @@
 			}
 		}
 		if len(reply.Records) < jobReadLimit {
-			j.confirmed, wait = sent, jobReadWait
+			wait = jobReadWait
+			if sent.After(j.frozenUntil) {
+				j.confirmed = sent
+			}
 		}
 		j.reconcile()
 		if len(reply.Records) > 0 {
@@ -136,7 +142,8 @@
 	if time.Since(j.confirmed) < jobLease {
 		return true
 	}
-	return time.Since(j.ticked) < maxTickGap && !j.node.isIsolated()
+	wasFrozen := time.Since(j.ticked) > maxTickGap || j.confirmed.Before(j.frozenUntil)
+	return !wasFrozen && !j.node.isIsolated()
 }
 
 // isIsolated reports whether the view has other members of the own failure
@@ -172,15 +179,10 @@
 		}
 		j.mutex.Lock()
 		if gap := time.Since(j.ticked); gap > maxTickGap {
-			// After a freeze only a later read of the log counts.
-			j.confirmed = time.Time{}
+			j.frozenUntil = time.Now()
 			j.node.Log.Info("frozen", "gap", gap.String())
-		} else {
-			j.ticked = time.Now()
-		}
-		if time.Since(j.confirmed) < jobLease {
-			j.ticked = time.Now()
 		}
+		j.ticked = time.Now()
 		orphans := j.orphans()
 		j.mutex.Unlock()
 		for _, h := range orphans {
--- a/pkg/daemon/requests.go
+++ b/pkg/daemon/requests.go
@@ -174,8 +174,15 @@
 		return r.unclaimed(w, err)
 	}
 	if !result.Won {
-		return r.outcomeOfHolder(ctx, result)
+		out := r.outcomeOfHolder(ctx, result)
+		if out.Reason != reasonHolder {
+			return out
+		}
+		return r.inherit(ctx, w, result)
 	}
+	// After a pause another entry VM may have concluded that this one is gone.
+	epoch := r.node.owner.Epoch()
+	w.Permit = func() bool { return r.node.owner.Epoch() == epoch }
 	out := r.node.runner.Run(ctx, w)
 	go r.settle(w, out)
 	return out
@@ -256,6 +263,39 @@
 	return request.Outcome{ID: c.Holder, State: request.MayHaveRun, Reason: reasonHolder}
 }
 
+// inheritTimeout bounds the search for what became of a request whose entry VM
+// is gone.
+const inheritTimeout = 25 * time.Second
+
+// inherit finds out what became of a claimed key whose entry VM is gone. The
+// request is fenced at the owners of its failure domain; when it is proved that
+// it never ran and never will, the key is released and claimed anew.
+func (r *Requests) inherit(ctx context.Context, w request.Work, c claim.Result) request.Outcome {
+	unknown := request.Outcome{ID: c.Holder, State: request.MayHaveRun, Reason: reasonHolder}
+	domain, _, ok := splitID(c.Holder)
+	if !ok {
+		return unknown
+	}
+	search, cancel := context.WithTimeout(ctx, inheritTimeout)
+	defer cancel()
+	barrier := time.Now().Add(2*entry.HolderLease + time.Second)
+	found, err := r.node.runner.TakeOver(search, domain, map[string]int{c.Holder: 1}, barrier)
+	if err != nil {
+		return unknown
+	}
+	if f, ok := found[c.Holder]; ok {
+		former := request.Work{ID: c.Holder, Customer: w.Customer, Spec: w.Spec, Submitted: w.Submitted, Known: f.Attempt, KnownAt: f.Owner}
+		out := r.node.runner.Run(ctx, former)
+		go r.settle(former, out)
+		return out
+	}
+	if err := r.node.claims.Release(search, w.Spec.Plan, w.Spec.Key, c.Holder); err != nil {
+		return unknown
+	}
+	r.node.Log.Info("key_inherited", "from", c.Holder, "by", w.ID)
+	return r.claimed(ctx, w)
+}
+
 // Wait waits for the end of a request of this VM.
 func (r *Requests) Wait(ctx context.Context, id string, wait time.Duration) (request.Outcome, bool) {
 	o, ok := r.table.Get(id)
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -36,6 +36,8 @@
 	RaceLosers           int            `json:"race_losers,omitempty"`
 	ConfigurationSeconds float64        `json:"configuration_seconds,omitempty"`
 	Reasons              map[string]int `json:"reasons,omitempty"`
+	// LostIDs names requests that were lost, to look for in the logs.
+	LostIDs []string `json:"lost_ids,omitempty"`
 }
 
 // GroupReport is what the callers of one group saw.
@@ -95,6 +97,9 @@
 		if c.result != answered {
 			out.Reasons[string(c.result)+":"+shorten(c.reason)]++
 		}
+		if c.result == lost {
+			out.LostIDs = append(out.LostIDs, c.ids...)
+		}
 		if c.result == notRun && ran(c, runs) {
 			out.FalseNotRun++
 		}
--- /dev/null
+++ b/pkg/placement/packing_test.go
@@ -0,0 +1,148 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/almondpost/almondpost/pkg/invariant"
+	"github.com/almondpost/almondpost/pkg/ledger"
+	"github.com/almondpost/almondpost/pkg/placement"
+	"github.com/almondpost/almondpost/pkg/resource"
+)
+
+var (
+	snagWorker  = resource.Vector{Milliprocessors: 64000, MemoryMebibytes: 262144, Slots: 8, Connections: 64}
+	photoWorker = resource.Vector{Milliprocessors: 128000, MemoryMebibytes: 262144, Accelerators: 8, Slots: 8, Connections: 64}
+)
+
+// mix is a stream of sizes in fixed proportions.
+type mix struct {
+	name  string
+	sizes []resource.Vector
+}
+
+var mixes = []mix{
+	{"balanced", []resource.Vector{
+		{Milliprocessors: 8000, MemoryMebibytes: 32768, Slots: 1, Connections: 1},
+		{Milliprocessors: 4000, MemoryMebibytes: 65536, Slots: 1, Connections: 1},
+		{Milliprocessors: 16000, MemoryMebibytes: 16384, Slots: 1, Connections: 1},
+	}},
+	{"with_accelerators", []resource.Vector{
+		{Milliprocessors: 8000, MemoryMebibytes: 32768, Slots: 1, Connections: 1},
+		{Milliprocessors: 16000, MemoryMebibytes: 16384, Slots: 1, Connections: 1},
+		{Milliprocessors: 4000, MemoryMebibytes: 65536, Slots: 1, Connections: 1},
+		{Milliprocessors: 12000, MemoryMebibytes: 24576, Accelerators: 1, Slots: 1, Connections: 1},
+	}},
+	{"large_and_small", []resource.Vector{
+		{Milliprocessors: 32000, MemoryMebibytes: 65536, Slots: 1, Connections: 1},
+		{Milliprocessors: 2000, MemoryMebibytes: 4096, Slots: 1, Connections: 1},
+		{Milliprocessors: 8000, MemoryMebibytes: 98304, Slots: 1, Connections: 1},
+		{Milliprocessors: 4000, MemoryMebibytes: 8192, Slots: 1, Connections: 1},
+	}},
+}
+
+func fleet() (*ledger.Ledger, []string) {
+	l := ledger.New()
+	var names []string
+	for i := range 48 {
+		name, capacity := fmt.Sprintf("snag-%02d", i), snagWorker
+		if i >= 35 {
+			name, capacity = fmt.Sprintf("photo-%02d", i), photoWorker
+		}
+		_ = l.AddWorker(name, fmt.Sprintf("rack-%d", i/5), capacity)
+		names = append(names, name)
+	}
+	return l, names
+}
+
+// bound is the number of tasks of a mix that the fleet could hold if tasks
+// could be cut into pieces: the scarcest resource limits it.
+func bound(total resource.Vector, m mix) float64 {
+	var sum resource.Vector
+	for _, s := range m.sizes {
+		sum = sum.Add(s)
+	}
+	return float64(len(m.sizes)) / sum.DominantFraction(total)
+}
+
+// hold keeps a fleet full in strict order of arrival: the next task waits until
+// random ends make room for it. It returns the mean number of running tasks.
+func hold(p placement.Policy, l *ledger.Ledger, m mix, seed uint64, steps int) float64 {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var running []string
+	sum := 0
+	for i := range steps {
+		size := m.sizes[random.IntN(len(m.sizes))]
+		for {
+			if w := p.Choose(l, size, ""); w != nil {
+				id := fmt.Sprint(i)
+				_ = l.Reserve(w.Name, ledger.Reservation{Attempt: id, Size: size})
+				running = append(running, id)
+				break
+			}
+			if len(running) == 0 {
+				continue
+			}
+			j := random.IntN(len(running))
+			l.Release(running[j])
+			running = slices.Delete(running, j, j+1)
+		}
+		if i >= steps/2 {
+			sum += len(running)
+		}
+	}
+	return float64(sum) / float64(steps-steps/2)
+}
+
+// BenchmarkPacking reports how many tasks each policy keeps running, as a
+// fraction of the fractional bound.
+func BenchmarkPacking(b *testing.B) {
+	for _, m := range mixes {
+		for _, name := range []string{"balanced", "first_fit", "best_fit", "random_two"} {
+			b.Run(m.name+"/"+name, func(b *testing.B) {
+				sum, n := 0.0, 0
+				for b.Loop() {
+					l, names := fleet()
+					policies := map[string]placement.Policy{
+						"balanced": placement.Balanced{}, "first_fit": placement.FirstFit{Order: names},
+						"best_fit":   placement.BestFit{Order: names},
+						"random_two": placement.RandomTwo{Order: names, Random: rand.New(rand.NewPCG(uint64(n), 7))},
+					}
+					sum += hold(policies[name], l, m, uint64(n+1), 4000) / bound(l.Total(), m)
+					n++
+				}
+				b.ReportMetric(sum/float64(n), "of-bound")
+			})
+		}
+	}
+}
+
+func TestMain(m *testing.M) {
+	invariant.SetFatal(true)
+	m.Run()
+}
+
+func TestPoliciesNeverOverfill(t *testing.T) {
+	for _, m := range mixes {
+		l, names := fleet()
+		hold(placement.Balanced{}, l, m, 1, 1000)
+		l2, _ := fleet()
+		hold(placement.BestFit{Order: names}, l2, m, 1, 1000)
+	}
+}
+
+func TestSpreadPrefersOtherRacks(t *testing.T) {
+	l, _ := fleet()
+	size := resource.Vector{Milliprocessors: 1000, MemoryMebibytes: 1024, Slots: 1}
+	racks := map[string]int{}
+	for i := range 5 {
+		w := placement.Balanced{}.Choose(l, size, "service")
+		_ = l.Reserve(w.Name, ledger.Reservation{Attempt: fmt.Sprint(i), Size: size, Spread: "service"})
+		racks[w.Rack]++
+	}
+	if len(racks) < 4 {
+		t.Fatalf("5 tasks are on %d racks", len(racks))
+	}
+}
--- a/pkg/request/resolve.go
+++ b/pkg/request/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,40 +17,70 @@
 func (r *Runner) resolve(ctx context.Context, t Target, attempt string, asked time.Time) (Target, entry.Status) {
 	// Past barrier the original owner drops the attempt if it still waits.
 	barrier := asked.Add(entry.HolderLease + r.timing.Margin)
+	reported := time.Now()
 	for {
 		// A call to the original owner may renew its interest in the attempt
 		// even when the answer is lost.
 		sent := time.Now()
-		target, status, called, ok := r.askOriginal(t, attempt)
-		if ok {
-			return target, status
+		word := r.askOriginal(t, attempt)
+		if word.known {
+			return word.target, word.status
 		}
-		if called {
+		if word.lost {
 			barrier = sent.Add(entry.HolderLease + entry.CallTimeout + r.timing.Margin)
 		}
 		answers := r.askAll(t.Domain, entry.ResolveArgs{Attempts: []string{attempt}})
 		if target, status, ok := known(answers, attempt); ok {
 			return target, status
 		}
-		if r.covered(t, answers, barrier) {
+		former := t
+		if word.gaveUp {
+			// The original owner will not start the attempt any more, so what it
+			// holds by now proves as much as what others hold.
+			former = Target{Domain: t.Domain}
+		}
+		missing := r.uncovered(former, answers, barrier)
+		if len(missing) == 0 {
 			return t, entry.Status{State: entry.NotRun, Reason: entry.ReasonFenced, RetryAfter: time.Second}
 		}
 		if ctx.Err() != nil && time.Since(asked) > maxResolveAfterCancel {
 			return t, entry.Status{State: entry.Stopped, Reason: reasonUnresolved}
 		}
+		if time.Since(reported) > reportUnresolved {
+			reported = time.Now()
+			r.log.Info("outcome_unresolved", "attempt", attempt, "owner", t.Name, "uncovered", strings.Join(missing[:min(len(missing), maxReported)], ","))
+		}
 		time.Sleep(r.timing.Retry)
 	}
 }
 
+const (
+	// reportUnresolved is how often an outcome that is not found out is logged.
+	reportUnresolved = 5 * time.Second
+	// maxReported bounds the workers that are named then.
+	maxReported = 5
+)
+
 // maxResolveAfterCancel bounds how long a cancelled attempt is looked for.
 const maxResolveAfterCancel = time.Minute
 
 // reasonUnresolved is given when the outcome could not be found out.
 const reasonUnresolved = "unresolved"
 
-// askOriginal asks the owner that was given the attempt, if it still lives. It
-// reports whether a call was made, and whether it was answered.
-func (r *Runner) askOriginal(t Target, attempt string) (target Target, status entry.Status, called, ok bool) {
+// word is what the original owner of an attempt says.
+type word struct {
+	target Target
+	status entry.Status
+	// known is true when status is to be followed.
+	known bool
+	// gaveUp is true when the owner has lost the attempt's worker.
+	gaveUp bool
+	// lost is true when a call was made and not answered.
+	lost bool
+}
+
+// askOriginal asks the owner that was given the attempt, if it still lives.
+func (r *Runner) askOriginal(t Target, attempt string) word {
 	for _, o := range r.peers.Targets() {
 		if o.Name != t.Name || o.Epoch != t.Epoch || !o.Reachable {
 			continue
@@ -57,12 +88,15 @@
 		ctx, cancel := context.WithTimeout(context.Background(), entry.CallTimeout)
 		defer cancel()
 		s, err := r.peers.Await(ctx, o, entry.AwaitArgs{Epoch: o.Epoch, Attempt: attempt})
-		if err == nil && s.State != entry.Moved {
-			return o, s, true, true
+		switch {
+		case err != nil:
+			return word{lost: true}
+		case s.State == entry.Moved:
+			return word{gaveUp: true}
 		}
-		called = called || err != nil
+		return word{target: o, status: s, known: true}
 	}
-	return t, entry.Status{}, called, false
+	return word{}
 }
 
 // answer is the reply of one owner and when it was asked.
@@ -114,12 +148,9 @@
 	return target, status, ok
 }
 
-// covered reports whether every listed worker of the domain was proved, after
+// uncovered returns the listed workers of the domain that were not proved, after
 // the barrier, to be held by an owner other than the original one.
-func (r *Runner) covered(t Target, answers []answer, barrier time.Time) bool {
-	if time.Now().Before(barrier) {
-		return false
-	}
+func (r *Runner) uncovered(t Target, answers []answer, barrier time.Time) []string {
 	held := map[string]bool{}
 	for _, a := range answers {
 		if a.target.Name == t.Name && a.reply.Epoch == t.Epoch {
@@ -131,13 +162,17 @@
 			}
 		}
 	}
+	var missing []string
 	workers := r.peers.Workers(t.Domain)
 	for _, w := range workers {
 		if !held[w] {
-			return false
+			missing = append(missing, w)
 		}
 	}
-	return len(workers) > 0
+	if len(workers) == 0 || time.Now().Before(barrier) {
+		return append(missing, "all")
+	}
+	return missing
 }
 
 // Found is what became of a task under its former holder.
@@ -163,7 +198,7 @@
 				found[name] = Found{f, a.target}
 			}
 		}
-		if len(found) == len(tasks) || r.covered(Target{Domain: domain}, answers, barrier) {
+		if len(found) == len(tasks) || len(r.uncovered(Target{Domain: domain}, answers, barrier)) == 0 {
 			return found, nil
 		}
 		select {
