--- a/pkg/placement/policy.go
+++ b/pkg/placement/policy.go
@@ -17,16 +17,13 @@
 	ChooseGained(l *ledger.Ledger, since uint64, size resource.Vector, spread string) (w *ledger.Worker, complete bool)
 }
 
-const (
-	// spreadPenalty outweighs every difference in packing.
-	spreadPenalty = 4.0
-	// tightnessWeight weighs the room that is left against its imbalance.
-	tightnessWeight = 0.5
-)
+// spreadPenalty outweighs every difference in packing.
+const spreadPenalty = 4.0
 
-// Balanced prefers the worker whose remaining room is small and evenly spread
-// over the resources, so that no resource is stranded. Attempts of one spread
-// group go to different racks where there is room.
+// Balanced prefers the worker on which the largest fraction of any resource that
+// is left over is smallest, so that tight workers are filled and no resource is
+// stranded. Attempts of one spread group go to different racks where there is
+// room.
 type Balanced struct{}
 
 // Choose implements Policy.
@@ -47,32 +44,23 @@
 
 // Score implements ledger.Scorer.
 func (b balancedScorer) Score(w *ledger.Worker) float64 {
-	low, high, mean := remaining(w.Free().Sub(b.size), w.Capacity)
-	return high - low + tightnessWeight*mean + spreadPenalty*float64(b.ledger.SpreadCount(b.spread, w.Rack))
+	return largestLeft(w.Free().Sub(b.size), w.Capacity) + spreadPenalty*float64(b.ledger.SpreadCount(b.spread, w.Rack))
 }
 
-// remaining returns the smallest, largest and mean fraction of processors,
-// memory, slots and accelerators that is left.
-func remaining(left, capacity resource.Vector) (low, high, mean float64) {
-	low = 1
-	kinds := 0
+// largestLeft returns the largest fraction of processors, memory, slots and
+// accelerators that is left.
+func largestLeft(left, capacity resource.Vector) float64 {
+	largest := 0.0
 	add := func(left, capacity int64) {
-		if capacity <= 0 {
-			return
+		if capacity > 0 {
+			largest = max(largest, float64(left)/float64(capacity))
 		}
-		f := float64(left) / float64(capacity)
-		low, high = min(low, f), max(high, f)
-		mean += f
-		kinds++
 	}
 	add(left.Milliprocessors, capacity.Milliprocessors)
 	add(left.MemoryMebibytes, capacity.MemoryMebibytes)
 	add(left.Slots, capacity.Slots)
 	add(left.Accelerators, capacity.Accelerators)
-	if kinds > 0 {
-		mean /= float64(kinds)
-	}
-	return low, high, mean
+	return largest
 }
 
 // FirstFit chooses the first worker in name order that has room. It is a
