--- a/pkg/configuration/store.go
+++ b/pkg/configuration/store.go
@@ -41,8 +41,10 @@
 	Operator string `json:"operator"`
 	// SnapshotOf is set when the record repeats the accepted version of that
 	// offset, so that it outlives the retention of the log.
-	SnapshotOf uint64     `json:"snapshot_of,omitempty"`
-	Lists      plan.Lists `json:"lists"`
+	SnapshotOf uint64 `json:"snapshot_of,omitempty"`
+	// AsOf is the offset up to which the writer of a snapshot knew the log.
+	AsOf  uint64     `json:"as_of,omitempty"`
+	Lists plan.Lists `json:"lists"`
 }
 
 // Version is an accepted configuration.
@@ -75,6 +77,8 @@
 	// peer tells which version they follow on.
 	anchored bool
 	pending  []logservice.Record
+	// first is the first offset of the unbroken row that was read, or 0.
+	first uint64
 	// snapshotSeen is set when a record that holds the current version was read
 	// and is cleared by SnapshotDue.
 	snapshotSeen bool
@@ -132,10 +136,9 @@
 	if r.Offset <= s.read {
 		return Verdict{Repeated: true, Reason: "already read"}
 	}
-	if r.Offset > s.read+1 {
-		s.anchored, s.pending = false, nil
-	} else if r.Offset == 1 {
-		s.anchored = true
+	if r.Offset > s.read+1 || r.Offset == 1 {
+		s.first, s.pending = r.Offset, nil
+		s.anchored = s.follows(s.version.Offset)
 	}
 	s.read = r.Offset
 	if snapshot, x, ok := decodeSnapshot(r.Data); ok {
@@ -152,6 +155,10 @@
 	return s.judge(r)
 }
 
+// follows reports whether every record after an offset is in the unbroken row
+// that was read.
+func (s *Store) follows(offset uint64) bool { return s.first > 0 && offset+1 >= s.first }
+
 func (s *Store) judge(r logservice.Record) Verdict {
 	if r.Offset <= s.version.Offset {
 		return Verdict{Repeated: true, Reason: "a peer passed it on"}
@@ -178,7 +185,7 @@
 	if r.SnapshotOf == s.version.Offset {
 		s.snapshotSeen = true
 	}
-	if s.anchored {
+	if s.anchored || !s.follows(r.AsOf) {
 		return
 	}
 	if r.SnapshotOf > s.version.Offset {
@@ -206,7 +213,7 @@
 		s.snapshotSeen = false
 		return nil, false
 	}
-	data, err := Encode(Record{Operator: operator, SnapshotOf: s.version.Offset, Lists: s.version.Lists})
+	data, err := Encode(Record{Operator: operator, SnapshotOf: s.version.Offset, AsOf: max(s.read, s.version.Offset), Lists: s.version.Lists})
 	return data, err == nil
 }
 
@@ -222,9 +229,7 @@
 		return nil
 	}
 	s.set(Version{Offset: offset, Lists: lists, Index: x})
-	// The version is the one before the first waiting record that is newer, if
-	// no record between them is missing.
-	if !s.anchored && (len(s.pending) == 0 && offset >= s.read || len(s.pending) > 0 && s.pending[0].Offset <= offset+1) {
+	if !s.anchored && s.follows(offset) {
 		s.anchor()
 	}
 	return nil
--- a/pkg/configuration/store_test.go
+++ b/pkg/configuration/store_test.go
@@ -168,7 +168,7 @@
 				if data, due := truth.store.SnapshotDue("t"); due {
 					_, _ = l.Append(ctx, configuration.Stream, [][]byte{data})
 					catchUp(rt, l, truth)
-					l.dropped = len(l.records) - 1
+					l.dropped = rapid.IntRange(l.dropped, len(l.records)-1).Draw(rt, "dropped")
 				}
 			}
 		}
--- /dev/null
+++ b/pkg/ledger/ledger_test.go
@@ -0,0 +1,38 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/ledger"
+	"github.com/almondpost/almondpost/pkg/resource"
+)
+
+func TestReserveRefuses(t *testing.T) {
+	capacity := resource.Vector{Milliprocessors: 1000, MemoryMebibytes: 1000, Slots: 2}
+	small := resource.Vector{Milliprocessors: 600, MemoryMebibytes: 1, Slots: 1}
+	scenarios := []struct {
+		testName string
+		worker   string
+		attempt  string
+		expected ledger.Kind
+	}{
+		{"what does not fit", "w", "second", ledger.KindFull},
+		{"an attempt twice", "other", "first", ledger.KindDuplicate},
+		{"an unknown worker", "nobody", "second", ledger.KindUnknownWorker},
+		{"nothing else", "other", "second", ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			is := is.New(t)
+			l := ledger.New()
+			is.NoErr(l.AddWorker("w", "r", capacity))
+			is.NoErr(l.AddWorker("other", "r", capacity))
+			is.NoErr(l.Reserve("w", ledger.Reservation{Attempt: "first", Size: small}))
+			err := l.Reserve(s.worker, ledger.Reservation{Attempt: s.attempt, Size: small})
+			is.Equal(fault.KindOf[ledger.Kind](err), s.expected)
+		})
+	}
+}
--- a/pkg/request/runner_test.go
+++ b/pkg/request/runner_test.go
@@ -42,7 +42,7 @@
 }
 
 var (
-	capacity = resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 4096, Slots: 4, Connections: 64}
+	capacity = resource.Vector{Milliprocessors: 2000, MemoryMebibytes: 2048, Slots: 2, Connections: 64}
 	unit     = resource.Vector{Milliprocessors: 1000, MemoryMebibytes: 1024, Slots: 1, Connections: 1}
 )
 
@@ -54,6 +54,8 @@
 type fakeWorker struct {
 	network *network
 	name    string
+	// muted workers hear every call, but their answers are lost.
+	muted bool
 
 	mutex    sync.Mutex
 	token    worker.Token
@@ -146,7 +148,10 @@
 	case <-time.After(deadline):
 		return none, fault.New("call", worker.KindUnreachable, errLost)
 	}
-	if after && err == nil {
+	l.worker.mutex.Lock()
+	muted := l.worker.muted
+	l.worker.mutex.Unlock()
+	if (after || muted) && err == nil {
 		return none, fault.New("call", worker.KindUnreachable, errLost)
 	}
 	return reply, err
@@ -344,7 +349,9 @@
 	owners  map[string]*owner.Owner
 	alive   map[string]uint64
 	stops   map[string]context.CancelFunc
-	serial  uint64
+	// hidden owners live, but calls of holders do not reach them.
+	hidden map[string]bool
+	serial uint64
 }
 
 type silentObserver struct{}
@@ -393,7 +400,9 @@
 	defer d.mutex.Unlock()
 	names := make([]string, 0, len(d.owners))
 	for name := range d.owners {
-		names = append(names, name)
+		if !d.hidden[name] {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	mine := map[string][]vmlist.VM{}
@@ -405,10 +414,26 @@
 		}
 	}
 	for name, o := range d.owners {
-		o.Assign(mine[name])
+		if !d.hidden[name] {
+			o.Assign(mine[name])
+		}
 	}
 }
 
+// hide cuts an owner off from the holders. It goes on with its workers, which
+// the others claim.
+func (d *domain) hide(name string, hidden bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.hidden[name] = hidden
+}
+
+func (w *fakeWorker) mute(muted bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.muted = muted
+}
+
 func (d *domain) Targets() []request.Target {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -416,7 +441,7 @@
 	for name, o := range d.owners {
 		load := o.Advertise()
 		out = append(out, request.Target{
-			Name: name, Epoch: o.Epoch(), Domain: "d", Free: load.FreeFraction, Usable: load.Workers > 0, Reachable: true,
+			Name: name, Epoch: o.Epoch(), Domain: "d", Free: load.FreeFraction, Usable: load.Workers > 0 && !d.hidden[name], Reachable: !d.hidden[name],
 		})
 	}
 	slices.SortFunc(out, func(a, b request.Target) int {
@@ -443,13 +468,14 @@
 	time.Sleep(min(delay, time.Second))
 	d.mutex.Lock()
 	o := d.owners[t.Name]
+	hidden := d.hidden[t.Name]
 	d.mutex.Unlock()
-	if o == nil || before {
+	if o == nil || before || hidden {
 		return none, fault.New(method, entry.KindNotSent, errLost)
 	}
 	reply, err := f(o)
 	d.mutex.Lock()
-	gone := d.owners[t.Name] != o
+	gone := d.owners[t.Name] != o || d.hidden[t.Name]
 	d.mutex.Unlock()
 	if after || gone || ctx.Err() != nil {
 		return none, fault.New(method, entry.KindUnknown, errLost)
@@ -495,6 +521,8 @@
 	loss    float64
 	tasks   int
 	kills   int
+	cuts    int
+	mutes   int
 	contest bool
 }
 
@@ -509,6 +537,8 @@
 			loss:    rapid.Float64Range(0, 0.2).Draw(rt, "loss"),
 			tasks:   rapid.IntRange(1, 30).Draw(rt, "tasks"),
 			kills:   rapid.IntRange(0, 3).Draw(rt, "kills"),
+			cuts:    rapid.IntRange(0, 2).Draw(rt, "cuts"),
+			mutes:   rapid.IntRange(0, 1).Draw(rt, "mutes"),
 			contest: rapid.Bool().Draw(rt, "contest"),
 		}
 		var faults []string
@@ -545,7 +575,7 @@
 	random := rand.New(rand.NewPCG(s.seed, 1))
 	h := &history{running: map[string]int{}, runs: map[string]int{}, events: map[string][]string{}, began: time.Now()}
 	net := &network{random: rand.New(rand.NewPCG(s.seed, 2)), loss: s.loss, history: h}
-	d := &domain{network: net, owners: map[string]*owner.Owner{}, alive: map[string]uint64{}, stops: map[string]context.CancelFunc{}}
+	d := &domain{network: net, owners: map[string]*owner.Owner{}, alive: map[string]uint64{}, stops: map[string]context.CancelFunc{}, hidden: map[string]bool{}}
 	for i := range 4 {
 		d.workers = append(d.workers, &fakeWorker{network: net, name: fmt.Sprintf("w%d", i), records: map[string]*worker.Record{}, changed: make(chan struct{})})
 	}
@@ -569,7 +599,7 @@
 	for i := range s.tasks {
 		repeatable[i] = random.IntN(2) == 0
 		work := request.Work{ID: fmt.Sprintf("t%d", i), Submitted: time.Now(), Spec: request.Spec{
-			Plan: "p", Class: plan.Normal, Size: unit, Repeatable: repeatable[i], RunTimeMilliseconds: int64(random.IntN(8000)),
+			Plan: "p", Class: plan.Normal, Size: unit, Repeatable: repeatable[i], RunTimeMilliseconds: s.runTime(random),
 		}}
 		group.Go(func() { outcomes[i] = runner.Run(ctx, work) })
 		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
@@ -586,6 +616,23 @@
 			d.assign(random, s.contest)
 		}
 	}
+	for range s.cuts {
+		name := fmt.Sprintf("o%d", random.IntN(3))
+		if d.owners[name] == nil || len(d.owners) < 2 {
+			continue
+		}
+		d.hide(name, true)
+		d.assign(random, s.contest)
+		time.Sleep(time.Duration(random.IntN(12_000)) * time.Millisecond)
+		d.hide(name, false)
+		d.assign(random, s.contest)
+	}
+	for range s.mutes {
+		w := d.workers[random.IntN(len(d.workers))]
+		w.mute(true)
+		time.Sleep(time.Duration(20_000+random.IntN(40_000)) * time.Millisecond)
+		w.mute(false)
+	}
 	net.mutex.Lock()
 	net.quiet = true
 	net.mutex.Unlock()
@@ -596,6 +643,14 @@
 	return s.judge(h, outcomes)
 }
 
+// runTime draws a run time; with muted workers some tasks outlive a lease.
+func (s schedule) runTime(random *rand.Rand) int64 {
+	if s.mutes > 0 && random.IntN(3) == 0 {
+		return int64(30_000 + random.IntN(60_000))
+	}
+	return int64(random.IntN(8000))
+}
+
 func (s schedule) judge(h *history, outcomes []request.Outcome) []string {
 	for i, o := range outcomes {
 		name := fmt.Sprintf("t%d", i)
