--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -23,6 +23,7 @@
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "1")
+		_ = flag.Set("rapid.checks", "1000")
 	}
 	os.Exit(m.Run())
 }
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -400,6 +400,30 @@
 	return fault.Newf("wait", KindTimeout, "not ready after %s", startTimeout)
 }
 
+// AwaitAdopted waits until the live entry VMs hold every worker.
+func (c *Cluster) AwaitAdopted(ctx context.Context) error {
+	for {
+		adopted := 0
+		for _, e := range c.Entries {
+			select {
+			case <-e.Done():
+				continue
+			default:
+			}
+			if v, err := c.variables(ctx, e); err == nil {
+				adopted += v.Owner.Workers
+			}
+		}
+		if adopted >= len(c.Deployment.Workers()) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
 func (c *Cluster) ready(ctx context.Context) bool {
 	adopted := 0
 	for _, e := range c.Entries {
--- a/pkg/configuration/store_test.go
+++ b/pkg/configuration/store_test.go
@@ -24,6 +24,7 @@
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "1")
+		_ = flag.Set("rapid.checks", "1000")
 	}
 	invariant.SetFatal(true)
 	os.Exit(m.Run())
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -106,6 +106,9 @@
 	// raceLosers those that were told of a conflict.
 	raceRounds, raceWinners, raceLosers int
 	configurationSeconds                float64
+	// takeoverSeconds is the time from a kill until every worker was adopted
+	// again.
+	takeoverSeconds float64
 }
 
 // balancer returns an entry VM for the next call.
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -35,6 +35,7 @@
 	RaceWinners          int            `json:"race_winners,omitempty"`
 	RaceLosers           int            `json:"race_losers,omitempty"`
 	ConfigurationSeconds float64        `json:"configuration_seconds,omitempty"`
+	TakeoverSeconds      float64        `json:"takeover_seconds,omitempty"`
 	Reasons              map[string]int `json:"reasons,omitempty"`
 	// LostIDs names requests that were lost, to look for in the logs.
 	LostIDs []string `json:"lost_ids,omitempty"`
@@ -87,7 +88,7 @@
 	out := Report{
 		Scenario: r.scenario.Name, Deployment: r.cluster.Deployment.Name, Seconds: time.Since(r.began).Seconds(),
 		RaceRounds: r.notes.raceRounds, RaceWinners: r.notes.raceWinners, RaceLosers: r.notes.raceLosers,
-		ConfigurationSeconds: r.notes.configurationSeconds, Reasons: map[string]int{},
+		ConfigurationSeconds: r.notes.configurationSeconds, TakeoverSeconds: r.notes.takeoverSeconds, Reasons: map[string]int{},
 	}
 	runs := runsOf(histories)
 	for _, g := range r.groups {
--- a/pkg/load/scenario.go
+++ b/pkg/load/scenario.go
@@ -59,7 +59,11 @@
 	time.Sleep(notReadyAfter)
 	r.markGone(e.Name, true)
 	r.remove(e)
-	time.Sleep(4 * time.Second)
+	killed := time.Now().Add(-notReadyAfter)
+	if err := r.cluster.AwaitAdopted(ctx); err != nil {
+		return err
+	}
+	r.notes.takeoverSeconds = time.Since(killed).Seconds()
 	return r.addEntry(ctx, e.Name+"-new", e.Domain)
 }
 
--- a/pkg/request/resolve.go
+++ b/pkg/request/resolve.go
@@ -169,8 +169,8 @@
 			missing = append(missing, w)
 		}
 	}
-	if len(workers) == 0 || time.Now().Before(barrier) {
-		return append(missing, "all")
+	if len(workers) == 0 {
+		return []string{"unknown"}
 	}
 	return missing
 }
--- /dev/null
+++ b/pkg/request/resolve_test.go
@@ -0,0 +1,111 @@
+package request_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/owner"
+	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/pkg/retry"
+	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/pkg/worker"
+)
+
+// lostOwner loses the answer of the first owner, which is then gone; the other
+// owner proves at once that it holds every worker.
+type lostOwner struct {
+	domain
+	offered int
+}
+
+func (p *lostOwner) Targets() []request.Target {
+	return []request.Target{
+		{Name: "gone", Epoch: 1, Domain: "d", Free: 1, Usable: p.offered == 0, Reachable: false},
+		{Name: "other", Epoch: 1, Domain: "d", Free: 1, Usable: true, Reachable: true},
+	}
+}
+
+func (p *lostOwner) Workers(string) []string { return []string{"w"} }
+
+func (p *lostOwner) Run(_ context.Context, t request.Target, _ entry.RunArgs) (entry.Status, error) {
+	p.offered++
+	if t.Name == "gone" {
+		return entry.Status{}, fault.New("Run", entry.KindUnknown, errors.New("lost"))
+	}
+	return entry.Status{State: entry.Finished, Answer: []byte("answer")}, nil
+}
+
+func (p *lostOwner) Resolve(context.Context, request.Target, entry.ResolveArgs) (entry.ResolveReply, error) {
+	return entry.ResolveReply{Epoch: 1, Verified: map[string]time.Duration{"w": 0}}, nil
+}
+
+// firstTarget routes to the first usable target that was not tried.
+type firstTarget struct{}
+
+func (firstTarget) Route(targets []request.Target, _ plan.Class, tried map[string]bool) (request.Target, bool) {
+	for _, t := range targets {
+		if t.Usable && !tried[t.Name] {
+			return t, true
+		}
+	}
+	return request.Target{}, false
+}
+
+// TestSecondAttemptWaitsOutTheFormerOwner checks on the virtual clock that no
+// second attempt begins while the former owner may still start the first one.
+func TestSecondAttemptWaitsOutTheFormerOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &lostOwner{}
+		r := request.New(p, firstTarget{}, retry.New(1, 1), request.DefaultTiming, logr.Discard())
+		began := time.Now()
+		o := r.Run(context.Background(), request.Work{ID: "t", Spec: request.Spec{Repeatable: true, Class: plan.Urgent}})
+		is.Equal(o.State, request.Done)
+		is.Equal(p.offered, 2)
+		is.True(time.Since(began) >= entry.HolderLease)
+	})
+}
+
+// TestWaitingAttemptNeedsItsHolder checks that an owner never starts a waiting
+// attempt that nobody has asked for within the lease.
+func TestWaitingAttemptNeedsItsHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &history{running: map[string]int{}, runs: map[string]int{}, events: map[string][]string{}, began: time.Now()}
+		net := &network{random: rand.New(rand.NewPCG(1, 1)), history: h, quiet: true}
+		w := &fakeWorker{network: net, name: "w", records: map[string]*worker.Record{}, changed: make(chan struct{})}
+		ctx, cancel := context.WithCancel(context.Background())
+		o := owner.New(ctx, "o", 1, owner.DefaultTiming, 10, func(vmlist.VM) worker.Peer { return link{w, "o"} }, silentObserver{}, logr.Discard())
+		x, err := plan.NewIndex(plan.Lists{
+			Customers:    plan.Customers{Customers: []plan.Customer{{Name: "c", Plans: []string{"p"}}}},
+			Entitlements: plan.Entitlements{Plans: []plan.Entitlement{{Plan: "p", PromisedShare: 1, LimitShare: 1, QueueLimit: 10, Classes: plan.Classes[:]}}},
+		})
+		is.NoErr(err)
+		o.SetPlans(x)
+		o.Assign([]vmlist.VM{{Name: "w"}})
+		time.Sleep(time.Second)
+		run := func(id string, runTime time.Duration) {
+			_, err := o.Run(entry.RunArgs{Epoch: o.Epoch(), Task: entry.Task{Attempt: id, Plan: "p", Class: plan.Normal, Size: capacity, RunTime: runTime}})
+			is.NoErr(err)
+		}
+		run("long/1", 3*entry.HolderLease)
+		run("waiting/1", time.Second)
+		time.Sleep(5 * entry.HolderLease)
+		s, err := o.Await(entry.AwaitArgs{Epoch: o.Epoch(), Attempt: "waiting/1"})
+		is.NoErr(err)
+		is.Equal(s.State, entry.NotRun)
+		is.Equal(h.runs["waiting"], 0)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
