--- a/pkg/owner/gang.go
+++ b/pkg/owner/gang.go
@@ -95,7 +95,7 @@
 	a.heldUntil = time.Time{}
 	o.observer.Started(a.task, 0)
 	o.meter.Started(a.task.Customer, a.task.Plan, string(a.task.Class), 0)
-	go o.start(s.peer, s.token, a)
+	go o.start(s.peer, startRequest(s.token, a), a)
 }
 
 // lapseHolds gives back room whose gang did not come.
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -198,7 +198,7 @@
 		o.meter.Started(a.task.Customer, a.task.Plan, string(a.task.Class), d.Waited)
 		o.ejected.Started(d.Worker)
 		o.updateAccepting(s)
-		go o.start(s.peer, s.token, a)
+		go o.start(s.peer, startRequest(s.token, a), a)
 	}
 }
 
@@ -272,13 +272,13 @@
 }
 
 // start starts an attempt on its worker. The call is repeated until its
-// outcome is known, since starts are idempotent per attempt. The token is that
+// outcome is known, since starts are idempotent per attempt. The request is that
 // of the moment of the decision: a later adoption by the same owner must not
 // revive a start that was given up in between.
-func (o *Owner) start(peer worker.Peer, token worker.Token, a *attempt) {
-	id := a.task.Attempt
+func (o *Owner) start(peer worker.Peer, request worker.StartRequest, a *attempt) {
+	id := request.Attempt.ID
 	for first := true; ; first = false {
-		record, err := peer.Start(o.run, worker.StartRequest{Token: token, Attempt: forWorker(a.task)})
+		record, err := peer.Start(o.run, request)
 		o.mutex.Lock()
 		if o.attempts[id] != a || a.status.State.Ended() {
 			// The worker was lost in the meantime; if it was adopted again, the
@@ -443,9 +443,11 @@
 	return entry.Status{State: entry.Stopped, Reason: reason}
 }
 
-func forWorker(t entry.Task) worker.Attempt {
-	return worker.Attempt{
+// startRequest is built under the lock of the owner.
+func startRequest(token worker.Token, a *attempt) worker.StartRequest {
+	t := a.task
+	return worker.StartRequest{Token: token, Attempt: worker.Attempt{
 		ID: t.Attempt, Customer: t.Customer, Plan: t.Plan, Class: string(t.Class), Size: t.Size,
 		Kind: t.Kind, Repeatable: t.Repeatable, Payload: t.Payload, RunTime: t.RunTime,
-	}
+	}}
 }
