--- a/pkg/jsonhttp/jsonhttp.go
+++ b/pkg/jsonhttp/jsonhttp.go
@@ -52,6 +52,7 @@
 	if tag != "" {
 		r.Header.Set("If-None-Match", tag)
 	}
+	omitUserAgent(r)
 	s, err := client.Do(r)
 	if err != nil {
 		return "", err
@@ -68,6 +69,7 @@
 		return err
 	}
 	r.Header.Set("Content-Type", "application/json")
+	omitUserAgent(r)
 	s, err := client.Do(r)
 	if err != nil {
 		return err
@@ -75,6 +77,9 @@
 	return decode(s, reply)
 }
 
+// omitUserAgent saves the bytes of a header that no peer reads.
+func omitUserAgent(r *http.Request) { r.Header.Set("User-Agent", "") }
+
 func decode(s *http.Response, reply any) error {
 	defer func() { _ = s.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(s.Body, MaxBodyBytes))
--- a/pkg/traffic/traffic.go
+++ b/pkg/traffic/traffic.go
@@ -79,6 +79,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: idleConnections,
+		DisableCompression:  true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
