--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -114,7 +114,7 @@
 			}
 		}
 	}
-	out.Packing.UsedOverUsable = r.usedOverUsable(histories)
+	out.Packing = r.packing(histories)
 	out.LowestUrgentRate = r.lowestUrgentRate()
 	return out
 }
@@ -231,25 +231,43 @@
 
 func (g *goodput) ratio() float64 { return float64(g.useful) / float64(max(1, g.sent)) }
 
-// usedOverUsable is the mean use of slots in the acting phase.
-func (r *run) usedOverUsable(histories []standin.History) float64 {
+// packing compares the mean use in the acting phase with the capacity: of
+// slots, and of the resource that would be full first if the same mix of tasks
+// were scaled up and could be cut into pieces.
+func (r *run) packing(histories []standin.History) Packing {
 	var capacity resource.Vector
-	used := 0.0
+	var used [resource.Kinds]float64
 	from, to := r.began.Add(calmPhase+rampTime), r.began.Add(calmPhase+actingPhase)
 	for _, h := range histories {
 		capacity = capacity.Add(h.Capacity)
 		for _, s := range h.Runs {
-			began, ended := s.Started, s.Ended
-			if ended.IsZero() || ended.After(to) {
-				ended = to
+			seconds := overlap(s, from, to).Seconds()
+			for i, amount := range s.Size.Amounts() {
+				used[i] += float64(amount) * seconds
 			}
-			if began.Before(from) {
-				began = from
-			}
-			used += max(0, ended.Sub(began)).Seconds()
 		}
 	}
-	return used / (float64(capacity.Slots) * to.Sub(from).Seconds())
+	var p Packing
+	for i, amount := range capacity.Amounts() {
+		fraction := used[i] / max(1, float64(amount)*to.Sub(from).Seconds())
+		p.OverFractionalBound = max(p.OverFractionalBound, fraction)
+		if resource.KindNames[i] == "slots" {
+			p.UsedOverUsable = fraction
+		}
+	}
+	return p
+}
+
+// overlap returns how long a run lasted between two times.
+func overlap(s standin.Run, from, to time.Time) time.Duration {
+	began, ended := s.Started, s.Ended
+	if ended.IsZero() || ended.After(to) {
+		ended = to
+	}
+	if began.Before(from) {
+		began = from
+	}
+	return max(0, ended.Sub(began))
 }
 
 const urgentWindow = 2 * time.Second
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -54,8 +54,8 @@
 	// Ended is zero while the attempt runs.
 	Ended time.Time    `json:"ended"`
 	Phase worker.Phase `json:"phase"`
-	// Processors is the declared size, for sums of use.
-	Milliprocessors int64 `json:"milliprocessors"`
+	// Size is the declared size, for sums of use.
+	Size resource.Vector `json:"size"`
 }
 
 // History is a worker's own account of what happened on it.
@@ -212,7 +212,7 @@
 	w.history = append(w.history, Run{
 		Attempt: q.Attempt.ID, Worker: w.name, Plan: q.Attempt.Plan, Class: q.Attempt.Class,
 		Repeatable: q.Attempt.Repeatable, Started: time.Now(), Phase: worker.Running,
-		Milliprocessors: q.Attempt.Size.Milliprocessors,
+		Size: q.Attempt.Size,
 	})
 	w.setPhase(r, worker.Running, "")
 	w.run(r)
