Use a worker until its new owner has fenced it; treat unclassified errors as unknown

Nothing safe depends on stopping early: the new owner's adoption fences. The time Unclaimed is not needed any more.

Errors without a kind now count as unknown outcomes in the owner and the runner.

--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -48,3 +48,15 @@
 	}
 	return ""
 }
+
+// KindOr is KindOf, but for errors without a kind it returns another one. Only
+// nil has the empty kind.
+func KindOr[K ~string](err error, otherwise K) K {
+	if err == nil {
+		return ""
+	}
+	if k := KindOf[K](err); k != "" {
+		return k
+	}
+	return otherwise
+}
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -39,9 +39,6 @@
 	Retention time.Duration
 	// UrgentWait bounds how long an urgent attempt waits for its start.
 	UrgentWait time.Duration
-	// Unclaimed is how long a worker may be assigned elsewhere without being
-	// adopted there before this owner uses it again.
-	Unclaimed time.Duration
 }
 
 // DefaultTiming suits workers on the same site.
@@ -53,7 +50,6 @@
 	Contested:   2 * time.Second,
 	Tick:        100 * time.Millisecond,
 	Retention:   2 * time.Minute,
-	Unclaimed:   5 * time.Second,
 	UrgentWait:  1800 * time.Millisecond,
 }
 
@@ -286,7 +282,7 @@
 			o.mutex.Unlock()
 			return
 		}
-		switch fault.KindOf[worker.Kind](err) {
+		switch fault.KindOr(err, worker.KindUnreachable) {
 		case "":
 			o.started(a, record)
 			o.mutex.Unlock()
--- a/pkg/owner/session.go
+++ b/pkg/owner/session.go
@@ -22,10 +22,8 @@
 	// lost.
 	adopted bool
 	// wanted is false once the assignment names another owner.
-	wanted bool
-	// unwantedSince is when wanted became false.
-	unwantedSince time.Time
-	sequence      uint64
+	wanted   bool
+	sequence uint64
 	// heard is when the last answered call was sent.
 	heard time.Time
 	// renewed is when the last call that may have renewed the lease was sent.
@@ -39,7 +37,8 @@
 }
 
 // Assign names the workers that this owner should have. Workers that it holds
-// beyond these stay until their new owner fences them, but get no new work.
+// beyond these are used until their new owner fences them, so that no worker
+// stands idle while views of the membership differ.
 func (o *Owner) Assign(workers []vmlist.VM) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -52,9 +51,6 @@
 		if ok {
 			s.vm.Leaving = v.Leaving
 		}
-		if s.wanted && !ok {
-			s.unwantedSince = time.Now()
-		}
 		s.wanted = ok
 		o.updateAccepting(s)
 	}
@@ -72,8 +68,7 @@
 	if !s.adopted {
 		return
 	}
-	wanted := s.wanted || time.Since(s.unwantedSince) > o.timing.Unclaimed
-	o.alloc.SetAccepting(s.vm.Name, wanted && !s.silent && !s.vm.Leaving && !o.draining && o.ejected.Allows(time.Now(), s.vm.Name))
+	o.alloc.SetAccepting(s.vm.Name, !s.silent && !s.vm.Leaving && !o.draining && o.ejected.Allows(time.Now(), s.vm.Name))
 }
 
 // serve works with one worker until it is given up.
@@ -176,10 +171,10 @@
 // probed, so that the time at which its lease lapses is known.
 func (o *Owner) follow(s *session) (fenced bool) {
 	lease := o.timing.Lease
-	for {
+	for o.run.Err() == nil {
 		reply, sent, err := o.sync(s, lease)
 		o.mutex.Lock()
-		switch fault.KindOf[worker.Kind](err) {
+		switch fault.KindOr(err, worker.KindUnreachable) {
 		case "":
 			lease = o.timing.Lease
 			o.takeRecords(s, reply, sent)
@@ -190,10 +185,6 @@
 			o.mutex.Unlock()
 			return true
 		}
-		if o.run.Err() != nil {
-			o.mutex.Unlock()
-			return false
-		}
 		lease = 0
 		s.silent = true
 		o.updateAccepting(s)
@@ -205,6 +196,7 @@
 		o.mutex.Unlock()
 		o.pause(o.timing.Retry)
 	}
+	return false
 }
 
 // lapsedAfter is the age of the last renewal past which the lease has lapsed
--- a/pkg/placement/packing_test.go
+++ b/pkg/placement/packing_test.go
@@ -126,10 +126,16 @@
 
 func TestPoliciesNeverOverfill(t *testing.T) {
 	for _, m := range mixes {
-		l, names := fleet()
-		hold(placement.Balanced{}, l, m, 1, 1000)
-		l2, _ := fleet()
-		hold(placement.BestFit{Order: names}, l2, m, 1, 1000)
+		_, names := fleet()
+		for _, p := range []placement.Policy{placement.Balanced{}, placement.BestFit{Order: names}, placement.FirstFit{Order: names}} {
+			l, _ := fleet()
+			hold(p, l, m, 1, 1000)
+			l.Workers(func(w *ledger.Worker) {
+				if !w.Used.Fits(w.Capacity) {
+					t.Errorf("%s: worker %s holds %v of %v", m.name, w.Name, w.Used, w.Capacity)
+				}
+			})
+		}
 	}
 }
 
--- a/pkg/request/runner.go
+++ b/pkg/request/runner.go
@@ -273,7 +273,7 @@
 	stop := context.AfterFunc(ctx, func() { r.cancel(t, task.Attempt) })
 	defer stop()
 	status, err := r.peers.Run(callContext, t, entry.RunArgs{Epoch: t.Epoch, Task: task, Wait: r.timing.Poll})
-	switch fault.KindOf[entry.Kind](err) {
+	switch fault.KindOr(err, entry.KindUnknown) {
 	case "":
 	case entry.KindNotSent, entry.KindEpoch:
 		return entry.Status{State: entry.NotRun, Reason: string(fault.KindOf[entry.Kind](err)), RetryAfter: time.Second}
