Split grown files; share the seeds of the tests and the calls to owners

Five copies of TestMain become one, four copies of the local-or-remote call one, two of decode-and-validate one.

--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -1,9 +1,7 @@
 package allocator_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,22 +10,13 @@
 
 	"github.com/almondpost/almondpost/pkg/allocator"
 	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/invariant"
 	"github.com/almondpost/almondpost/pkg/placement"
 	"github.com/almondpost/almondpost/pkg/plan"
 	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/pkg/seeded"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict. Long runs
-// over other seeds pass -rapid.seed themselves.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	invariant.SetFatal(true)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 300) }
 
 var (
 	begin    = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/pkg/caller/gateway.go
+++ b/pkg/caller/gateway.go
@@ -125,9 +125,24 @@
 	jsonhttp.Write(w, status, Problem{Reason: reason, Detail: detail})
 }
 
-// DecodeBody reads a strict JSON body of bounded size; it reports false after
-// it has answered with a Problem.
-func DecodeBody(w http.ResponseWriter, r *http.Request, limit int64, into any) bool {
+// validator is a body that can name its first bad field.
+type validator interface{ Validate() string }
+
+// decode reads and validates a body; it reports false after it has answered
+// with a Problem.
+func decode[T validator](w http.ResponseWriter, r *http.Request, limit int64) (body T, ok bool) {
+	if !decodeBody(w, r, limit, &body) {
+		return body, false
+	}
+	if reason := body.Validate(); reason != "" {
+		problem(w, http.StatusBadRequest, ReasonInvalid, reason)
+		return body, false
+	}
+	return body, true
+}
+
+// decodeBody reads a strict JSON body of bounded size.
+func decodeBody(w http.ResponseWriter, r *http.Request, limit int64, into any) bool {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
 	d.DisallowUnknownFields()
 	err := d.Decode(into)
@@ -148,12 +163,8 @@
 }
 
 func (g *Gateway) submit(w http.ResponseWriter, r *http.Request) {
-	var spec request.Spec
-	if !DecodeBody(w, r, g.bodyLimit, &spec) {
-		return
-	}
-	if reason := spec.Validate(); reason != "" {
-		problem(w, http.StatusBadRequest, ReasonInvalid, reason)
+	spec, ok := decode[request.Spec](w, r, g.bodyLimit)
+	if !ok {
 		return
 	}
 	wait, ok := waitOf(w, r, DefaultWait)
--- a/pkg/caller/jobs.go
+++ b/pkg/caller/jobs.go
@@ -11,12 +11,8 @@
 )
 
 func (g *Gateway) submitJob(w http.ResponseWriter, r *http.Request) {
-	var spec job.Spec
-	if !DecodeBody(w, r, g.bodyLimit, &spec) {
-		return
-	}
-	if reason := spec.Validate(); reason != "" {
-		problem(w, http.StatusBadRequest, ReasonInvalid, reason)
+	spec, ok := decode[job.Spec](w, r, g.bodyLimit)
+	if !ok {
 		return
 	}
 	s := g.service.SubmitJob(r.Context(), spec)
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -16,17 +14,10 @@
 	"github.com/almondpost/almondpost/pkg/claim"
 	"github.com/almondpost/almondpost/pkg/fault"
 	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/pkg/seeded"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.checks", "1000")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 1000) }
 
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -20,11 +20,9 @@
 	"github.com/almondpost/almondpost/pkg/configuration"
 	"github.com/almondpost/almondpost/pkg/deployment"
 	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
 	"github.com/almondpost/almondpost/pkg/logservice"
 	"github.com/almondpost/almondpost/pkg/settings"
 	"github.com/almondpost/almondpost/pkg/standin"
-	"github.com/almondpost/almondpost/pkg/traffic"
 	"github.com/almondpost/almondpost/pkg/vmlist"
 )
 
@@ -131,7 +129,6 @@
 	}
 	return c, nil
 }
-
 func (c *Cluster) start(ctx context.Context, o Options) error {
 	var args []string
 	if o.RetainedRecords > 0 {
@@ -185,7 +182,6 @@
 	}
 	return rows, nil
 }
-
 func (c *Cluster) standin(role string, file *standin.FileSettings, more ...string) (standin.Started, error) {
 	args := append([]string{"-role", role}, more...)
 	name := fmt.Sprintf("%s-%d", role, len(c.processes))
@@ -200,7 +196,6 @@
 	_, err := c.launch(name, c.programs.Standin, args, &started)
 	return started, err
 }
-
 func (c *Cluster) write(name string, value any) (string, error) {
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
@@ -278,102 +273,6 @@
 	return e, c.control(ctx, c.listAt, "set", vmlist.VM{Name: name, Role: vmlist.Entry, Domain: domain, Address: e.Peer})
 }
 
-func (c *Cluster) control(ctx context.Context, a netip.AddrPort, operation string, request any) error {
-	var ignored json.RawMessage
-	return jsonhttp.Post(ctx, c.client, "http://"+a.String()+"/control/"+operation, request, &ignored)
-}
-
-// SetLogFault switches faults of the log on and off.
-func (c *Cluster) SetLogFault(ctx context.Context, f standin.LogFault) error {
-	return c.control(ctx, c.logAt, "fault", f)
-}
-
-// SetListFault switches an outage of the VM list on and off.
-func (c *Cluster) SetListFault(ctx context.Context, f standin.VMsFault) error {
-	return c.control(ctx, c.listAt, "fault", f)
-}
-
-// MarkLeaving lets the VM list show a VM as leaving.
-func (c *Cluster) MarkLeaving(ctx context.Context, name string) error {
-	return c.control(ctx, c.listAt, "leaving", standin.LeavingRequest{Name: name, Leaving: true})
-}
-
-// SetWorkerFault switches faults of a worker on and off.
-func (c *Cluster) SetWorkerFault(ctx context.Context, name string, f standin.WorkerFault) error {
-	var last error
-	for _, a := range c.fleets {
-		if last = c.control(ctx, a, "fault", standin.FleetFault{Worker: name, Fault: f}); last == nil {
-			return nil
-		}
-	}
-	return last
-}
-
-// Histories returns the workers' own accounts.
-func (c *Cluster) Histories(ctx context.Context) ([]standin.History, error) {
-	var all []standin.History
-	for _, a := range c.fleets {
-		var h []standin.History
-		if err := jsonhttp.Get(ctx, c.client, "http://"+a.String()+"/control/history", &h); err != nil {
-			return nil, err
-		}
-		all = append(all, h...)
-	}
-	return all, nil
-}
-
-// Appends returns the number of appends that the log took.
-func (c *Cluster) Appends(ctx context.Context) (uint64, error) {
-	var s standin.LogStatus
-	err := jsonhttp.Get(ctx, c.client, "http://"+c.logAt.String()+"/control/status", &s)
-	return s.Appends, err
-}
-
-// variables is the part of expvar that readiness and checks look at.
-type variables struct {
-	Owner struct {
-		Workers             int    `json:"workers"`
-		ConfigurationOffset uint64 `json:"configuration_offset"`
-	} `json:"owner"`
-	Violations map[string]int64 `json:"invariant_violations"`
-	Traffic    traffic.Sums     `json:"traffic_bytes"`
-}
-
-func (c *Cluster) variables(ctx context.Context, e *Entry) (v variables, err error) {
-	err = jsonhttp.Get(ctx, c.client, "http://"+e.Caller.String()+"/debug/vars", &v)
-	return v, err
-}
-
-// Violations returns the invariant violations that a live entry VM counted.
-func (c *Cluster) Violations(ctx context.Context, e *Entry) (int64, error) {
-	v, err := c.variables(ctx, e)
-	total := int64(0)
-	for _, n := range v.Violations {
-		total += n
-	}
-	return total, err
-}
-
-// Traffic returns the bytes that an entry VM has exchanged with its peers, the
-// workers and the platform.
-func (c *Cluster) Traffic(ctx context.Context, e *Entry) (int64, error) {
-	v, err := c.variables(ctx, e)
-	return v.Traffic.Heartbeats + v.Traffic.Peers + v.Traffic.Workers + v.Traffic.Platform, err
-}
-
-// ConfigurationOffset returns the offset of the lists in force on an entry VM.
-func (c *Cluster) ConfigurationOffset(ctx context.Context, e *Entry) (uint64, error) {
-	v, err := c.variables(ctx, e)
-	return v.Owner.ConfigurationOffset, err
-}
-
-// SetCut cuts failure domains or the platform off from an entry VM.
-func (c *Cluster) SetCut(ctx context.Context, e *Entry, names []string) error {
-	var ignored json.RawMessage
-	request := map[string][]string{"names": names}
-	return jsonhttp.Post(ctx, c.client, "http://"+e.Caller.String()+"/debug/cut", request, &ignored)
-}
-
 // IsReady reports whether an entry VM is ready.
 func (c *Cluster) IsReady(ctx context.Context, e *Entry) bool {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Caller.String()+"/readyz", nil)
@@ -423,7 +322,6 @@
 		time.Sleep(readyPoll)
 	}
 }
-
 func (c *Cluster) ready(ctx context.Context) bool {
 	adopted := 0
 	for _, e := range c.Entries {
--- a/pkg/configuration/store_test.go
+++ b/pkg/configuration/store_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -14,21 +12,12 @@
 
 	"github.com/almondpost/almondpost/pkg/configuration"
 	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/invariant"
 	"github.com/almondpost/almondpost/pkg/logservice"
 	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/pkg/seeded"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.checks", "1000")
-	}
-	invariant.SetFatal(true)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 1000) }
 
 // fakeLog is a log with retention, outages and lost answers.
 type fakeLog struct {
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -73,56 +73,42 @@
 	return reply, err
 }
 
-// localError gives an error of the own handler the kind that a remote one has.
-func localError(method string, err error) error {
-	if err == nil {
-		return nil
+// callOwner calls the own owner directly and others by name. An error of the
+// own owner gets the kind that a remote one has.
+func callOwner[R any](ctx context.Context, n *Node, t request.Target, method string, args any, own func() (R, error)) (R, error) {
+	if t.Name != n.Settings.Name {
+		return callPeer[R](ctx, n, t.Name, method, args)
 	}
-	return fault.New(method, entry.Kind(err.Error()), err)
+	reply, err := own()
+	if err != nil {
+		return reply, fault.New(method, entry.Kind(err.Error()), err)
+	}
+	return reply, nil
 }
 
 // Run implements request.Peers.
 func (n *Node) Run(ctx context.Context, t request.Target, a entry.RunArgs) (entry.Status, error) {
-	if t.Name == n.Settings.Name {
-		s, err := n.owner.Run(a)
-		return s, localError("Run", err)
-	}
-	return callPeer[entry.Status](ctx, n, t.Name, "Run", a)
+	return callOwner(ctx, n, t, "Run", a, func() (entry.Status, error) { return n.owner.Run(a) })
 }
 
 // Await implements request.Peers.
 func (n *Node) Await(ctx context.Context, t request.Target, a entry.AwaitArgs) (entry.Status, error) {
-	if t.Name == n.Settings.Name {
-		s, err := n.owner.Await(a)
-		return s, localError("Await", err)
-	}
-	return callPeer[entry.Status](ctx, n, t.Name, "Await", a)
+	return callOwner(ctx, n, t, "Await", a, func() (entry.Status, error) { return n.owner.Await(a) })
 }
 
 // Resolve implements request.Peers.
 func (n *Node) Resolve(ctx context.Context, t request.Target, a entry.ResolveArgs) (entry.ResolveReply, error) {
-	if t.Name == n.Settings.Name {
-		s, err := n.owner.Resolve(a)
-		return s, localError("Resolve", err)
-	}
-	return callPeer[entry.ResolveReply](ctx, n, t.Name, "Resolve", a)
+	return callOwner(ctx, n, t, "Resolve", a, func() (entry.ResolveReply, error) { return n.owner.Resolve(a) })
 }
 
 // Reserve implements request.Peers.
 func (n *Node) Reserve(ctx context.Context, t request.Target, a entry.ReserveArgs) (entry.ReserveReply, error) {
-	if t.Name == n.Settings.Name {
-		r, err := n.owner.Reserve(a)
-		return r, localError("Reserve", err)
-	}
-	return callPeer[entry.ReserveReply](ctx, n, t.Name, "Reserve", a)
+	return callOwner(ctx, n, t, "Reserve", a, func() (entry.ReserveReply, error) { return n.owner.Reserve(a) })
 }
 
 // Cancel implements request.Peers.
 func (n *Node) Cancel(ctx context.Context, t request.Target, a entry.CancelArgs) error {
-	if t.Name == n.Settings.Name {
-		return localError("Cancel", n.owner.Cancel(a))
-	}
-	_, err := callPeer[entry.Nothing](ctx, n, t.Name, "Cancel", a)
+	_, err := callOwner(ctx, n, t, "Cancel", a, func() (entry.Nothing, error) { return entry.Nothing{}, n.owner.Cancel(a) })
 	return err
 }
 
--- /dev/null
+++ b/pkg/daemon/request_fetch.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/request"
+)
+
+// Serve answers a fetch of another entry VM.
+func (r *Requests) Serve(a entry.FetchArgs) entry.FetchReply {
+	if a.Job {
+		status, ok := r.node.jobs.wait(context.Background(), a.ID, a.Wait)
+		data, err := json.Marshal(status)
+		return entry.FetchReply{Known: ok && err == nil, Outcome: data}
+	}
+	if a.Cancel {
+		return entry.FetchReply{Known: r.Cancel(a.ID)}
+	}
+	out, ok := r.Wait(context.Background(), a.ID, min(a.Wait, maxFetchWait))
+	if !ok {
+		return entry.FetchReply{}
+	}
+	data, err := json.Marshal(out)
+	return entry.FetchReply{Known: err == nil, Outcome: data}
+}
+
+// splitID returns the failure domain and the entry VM that an ID names.
+func splitID(id string) (domain, vm string, ok bool) {
+	parts := strings.Split(id, ".")
+	if len(parts) != 3 {
+		return "", "", false
+	}
+	return parts[0], parts[1], true
+}
+
+// Fetch returns the outcome of a request wherever it was submitted.
+func (r *Requests) Fetch(ctx context.Context, id string, wait time.Duration) (request.Outcome, bool) {
+	domain, vm, ok := splitID(id)
+	if !ok {
+		return request.Outcome{}, false
+	}
+	wait = min(wait, maxFetchWait)
+	if vm == r.node.Settings.Name {
+		if out, known := r.Wait(ctx, id, wait); known {
+			return out, true
+		}
+		return r.orphan(ctx, domain, id)
+	}
+	callContext, cancel := context.WithTimeout(ctx, wait+entry.CallTimeout)
+	defer cancel()
+	reply, err := callPeer[entry.FetchReply](callContext, r.node, vm, "Fetch", entry.FetchArgs{ID: id, Wait: wait})
+	var out request.Outcome
+	if err == nil && reply.Known && json.Unmarshal(reply.Outcome, &out) == nil {
+		return out, true
+	}
+	return r.orphan(ctx, domain, id)
+}
+
+// orphan looks for a request whose entry VM is gone among the attempts that
+// the owners of its failure domain know.
+func (r *Requests) orphan(ctx context.Context, domain, id string) (request.Outcome, bool) {
+	attempts := make([]string, 0, orphanAttempts)
+	for i := range orphanAttempts {
+		attempts = append(attempts, request.AttemptID(id, i+1))
+	}
+	for _, t := range r.node.Targets() {
+		if t.Domain != domain || !t.Reachable {
+			continue
+		}
+		callContext, cancel := context.WithTimeout(ctx, entry.CallTimeout)
+		reply, err := r.node.Resolve(callContext, t, entry.ResolveArgs{Attempts: attempts, Peek: true})
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, s := range reply.Found {
+			if s.State == entry.Finished {
+				out := request.Outcome{ID: id, State: request.Done}
+				out.SetAnswer(s.Answer)
+				return out, true
+			}
+			if !s.State.Ended() {
+				return request.Outcome{ID: id, State: request.Pending}, true
+			}
+		}
+	}
+	return request.Outcome{}, false
+}
+
+// Fetch implements caller.Service.
+func (n *Node) Fetch(ctx context.Context, id string, wait time.Duration) (request.Outcome, bool) {
+	return n.requests.Fetch(ctx, id, wait)
+}
+
+// CancelRequest implements caller.Service.
+func (n *Node) CancelRequest(ctx context.Context, id string) bool {
+	_, vm, ok := splitID(id)
+	if !ok {
+		return false
+	}
+	if vm == n.Settings.Name {
+		return n.requests.Cancel(id)
+	}
+	reply, err := callPeer[entry.FetchReply](ctx, n, vm, "Fetch", entry.FetchArgs{ID: id, Cancel: true})
+	return err == nil && reply.Known
+}
--- a/pkg/job/table_test.go
+++ b/pkg/job/table_test.go
@@ -1,9 +1,7 @@
 package job_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,16 +10,10 @@
 	"github.com/almondpost/almondpost/pkg/job"
 	"github.com/almondpost/almondpost/pkg/logservice"
 	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/pkg/seeded"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 300) }
 
 func spec(tasks int) *job.Spec {
 	s := &job.Spec{}
--- a/pkg/request/runner_test.go
+++ b/pkg/request/runner_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -21,26 +19,17 @@
 	"github.com/almondpost/almondpost/pkg/allocator"
 	"github.com/almondpost/almondpost/pkg/entry"
 	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/invariant"
 	"github.com/almondpost/almondpost/pkg/owner"
 	"github.com/almondpost/almondpost/pkg/plan"
 	"github.com/almondpost/almondpost/pkg/request"
 	"github.com/almondpost/almondpost/pkg/resource"
 	"github.com/almondpost/almondpost/pkg/retry"
+	"github.com/almondpost/almondpost/pkg/seeded"
 	"github.com/almondpost/almondpost/pkg/vmlist"
 	"github.com/almondpost/almondpost/pkg/worker"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.checks", "300")
-	}
-	invariant.SetFatal(true)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 300) }
 
 var (
 	capacity = resource.Vector{Milliprocessors: 2000, MemoryMebibytes: 2048, Slots: 2, Connections: 64}
