Repeat unfinished jobs before the log drops them; test silent connections

A job that outlasted the retention was known only to those who had read its first record. Holders now repeat unfinished jobs hourly; a repetition from before a takeover is not taken (with that check removed the test fails).

--- a/pkg/daemon/jobs.go
+++ b/pkg/daemon/jobs.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// repetitions returns the records that repeat the jobs of this process.
+func (j *Jobs) repetitions() []job.Record {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.table.Repetitions(j.self)
+}
+
 // reconcile starts the jobs that this process holds and abandons the others.
 func (j *Jobs) reconcile() {
 	for id, r := range j.running {
--- a/pkg/daemon/usage.go
+++ b/pkg/daemon/usage.go
@@ -111,11 +111,11 @@
 	}
 }
 
-// snapshotInterval is how often the current lists are repeated in the log. It
-// has to be well below the retention of the log.
+// snapshotInterval is how often the current lists and the unfinished jobs are
+// repeated in the log. It has to be well below the retention of the log.
 const snapshotInterval = time.Hour
 
-// snapshotLoop repeats the lists before the log drops them. The pause is drawn
+// snapshotLoop repeats the lists and the own jobs before the log drops them. The pause is drawn
 // at random, so that mostly one entry VM does it and the others see it.
 func (n *Node) snapshotLoop() {
 	for {
@@ -125,12 +125,17 @@
 			return
 		case <-time.After(pause):
 		}
-		data, due := n.store.SnapshotDue(n.Settings.Name)
-		if !due {
-			continue
+		if data, due := n.store.SnapshotDue(n.Settings.Name); due {
+			n.appendSnapshot(configuration.Stream, data)
 		}
-		if _, err := n.recorder.Append(n.run, configuration.Stream, data); err != nil {
-			n.Log.Error(err, "snapshot_failed")
+		for _, r := range n.jobs.repetitions() {
+			n.appendSnapshot(n.jobs.stream(), r.Encode())
 		}
 	}
 }
+
+func (n *Node) appendSnapshot(stream string, data []byte) {
+	if _, err := n.recorder.Append(n.run, stream, data); err != nil {
+		n.Log.Error(err, "snapshot_failed", "stream", stream)
+	}
+}
--- /dev/null
+++ b/pkg/entry/client_test.go
@@ -0,0 +1,126 @@
+package entry_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/traffic"
+)
+
+// slowHandler holds every Run until it is released.
+type slowHandler struct{ release chan struct{} }
+
+func (h slowHandler) Run(entry.RunArgs) (entry.Status, error) {
+	<-h.release
+	return entry.Status{State: entry.Finished}, nil
+}
+
+func (h slowHandler) Await(entry.AwaitArgs) (entry.Status, error) {
+	return entry.Status{State: entry.Running}, nil
+}
+
+func (h slowHandler) Cancel(entry.CancelArgs) error { return nil }
+
+func (h slowHandler) Resolve(entry.ResolveArgs) (entry.ResolveReply, error) {
+	return entry.ResolveReply{}, entry.ErrEpoch
+}
+
+func (h slowHandler) Fetch(entry.FetchArgs) (entry.FetchReply, error) {
+	return entry.FetchReply{}, nil
+}
+
+func (h slowHandler) Configuration() (entry.ConfigurationReply, error) {
+	return entry.ConfigurationReply{}, nil
+}
+
+func (h slowHandler) Usage() (entry.UsageReply, error) { return entry.UsageReply{}, nil }
+
+func (h slowHandler) Reserve(entry.ReserveArgs) (entry.ReserveReply, error) {
+	return entry.ReserveReply{}, nil
+}
+
+func reachable(netip.AddrPort) bool { return false }
+
+func listen(is *is.I) (net.Listener, netip.AddrPort) {
+	is.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// TestSilentConnectionIsReplaced calls a peer that accepts connections and
+// answers nothing. The call ends with an unknown outcome though its caller set
+// no deadline, and later calls go through once the peer answers.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	l, address := listen(is)
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	c := entry.New(&traffic.Counter{}, reachable)
+	defer c.Close()
+	err := c.Call(context.Background(), address, "Await", entry.AwaitArgs{}, &entry.Status{})
+	is.Equal(fault.KindOf[entry.Kind](err), entry.KindUnknown)
+	is.NoErr(l.Close())
+	_ = (<-accepted).Close()
+
+	again, err := net.Listen("tcp", address.String())
+	is.NoErr(err)
+	server, err := entry.NewServer(again, slowHandler{}, &traffic.Counter{})
+	is.NoErr(err)
+	defer server.Close()
+	var s entry.Status
+	is.NoErr(c.Call(context.Background(), address, "Await", entry.AwaitArgs{}, &s))
+	is.Equal(s.State, entry.Running)
+}
+
+// TestProbeSparesASlowCall checks that a call which takes long on a living
+// connection is not given up.
+func TestProbeSparesASlowCall(t *testing.T) {
+	is := is.New(t)
+	l, address := listen(is)
+	h := slowHandler{release: make(chan struct{})}
+	server, err := entry.NewServer(l, h, &traffic.Counter{})
+	is.NoErr(err)
+	defer server.Close()
+	c := entry.New(&traffic.Counter{}, reachable)
+	defer c.Close()
+	done := make(chan error, 1)
+	go func() {
+		done <- c.Call(context.Background(), address, "Run", entry.RunArgs{}, &entry.Status{})
+	}()
+	// Each of these calls is answered while the slow one waits.
+	for range 100 {
+		is.NoErr(c.Call(context.Background(), address, "Await", entry.AwaitArgs{}, &entry.Status{}))
+	}
+	close(h.release)
+	is.NoErr(<-done)
+}
+
+func TestKindsOfCallErrors(t *testing.T) {
+	is := is.New(t)
+	l, address := listen(is)
+	c := entry.New(&traffic.Counter{}, reachable)
+	defer c.Close()
+	server, err := entry.NewServer(l, slowHandler{}, &traffic.Counter{})
+	is.NoErr(err)
+	err = c.Call(context.Background(), address, "Resolve", entry.ResolveArgs{}, &entry.ResolveReply{})
+	is.Equal(fault.KindOf[entry.Kind](err), entry.KindEpoch)
+	server.Close()
+	_ = c.Call(context.Background(), address, "Await", entry.AwaitArgs{}, &entry.Status{})
+	err = c.Call(context.Background(), address, "Await", entry.AwaitArgs{}, &entry.Status{})
+	is.Equal(fault.KindOf[entry.Kind](err), entry.KindNotSent)
+}
--- a/pkg/job/table.go
+++ b/pkg/job/table.go
@@ -50,6 +50,9 @@
 	Cancelled Action = "cancelled"
 	// TakenOver moves every job of a holder to another.
 	TakenOver Action = "taken_over"
+	// Repeated carries the state of an unfinished job, so that it outlives the
+	// retention of the log.
+	Repeated Action = "repeated"
 )
 
 // Record is one line of the stream.
@@ -64,6 +67,11 @@
 	Outcome *request.Outcome `json:"outcome,omitempty"`
 	// From is the former holder of a takeover.
 	From *Holder `json:"from,omitempty"`
+	// Generation, Outcomes and AsOf belong to a repeated job: AsOf is the offset
+	// up to which its writer knew the stream.
+	Generation int                `json:"generation,omitempty"`
+	Outcomes   []*request.Outcome `json:"outcomes,omitempty"`
+	AsOf       uint64             `json:"as_of,omitempty"`
 }
 
 // Encode returns the data of a record.
@@ -98,6 +106,8 @@
 	jobs map[string]*Job
 	// read is the offset of the last applied record.
 	read uint64
+	// moved is the offset of the last takeover.
+	moved uint64
 	// ended lists ended jobs in order, for pruning.
 	ended []string
 }
@@ -146,7 +156,10 @@
 			j.Cancelled = true
 		}
 	case TakenOver:
+		t.moved = r.Offset
 		t.takeOver(c)
+	case Repeated:
+		t.repeat(c)
 	}
 	return nil
 }
@@ -183,6 +196,35 @@
 	}
 }
 
+// repeat takes in a job whose first record was dropped by the log. When a
+// takeover came after the writer's view of the stream, the holder that it names
+// may be wrong; the next repetition will do.
+func (t *Table) repeat(c Record) {
+	if t.jobs[c.Job] != nil || c.Spec == nil || len(c.Outcomes) != len(c.Spec.Tasks) || t.moved > c.AsOf {
+		return
+	}
+	j := &Job{ID: c.Job, Spec: *c.Spec, Holder: c.By, Generation: c.Generation, Outcomes: c.Outcomes}
+	for _, o := range c.Outcomes {
+		if o == nil {
+			j.Left++
+		}
+	}
+	if j.Left > 0 {
+		t.jobs[c.Job] = j
+	}
+}
+
+// Repetitions returns the records that repeat the unfinished jobs of a holder.
+func (t *Table) Repetitions(h Holder) []Record {
+	var out []Record
+	for _, j := range t.HeldBy(h) {
+		spec := Spec{Gang: j.Spec.Gang, Tasks: append([]request.Spec(nil), j.Spec.Tasks...)}
+		outcomes := append([]*request.Outcome(nil), j.Outcomes...)
+		out = append(out, Record{Action: Repeated, By: h, Job: j.ID, Spec: &spec, Generation: j.Generation, Outcomes: outcomes, AsOf: t.read})
+	}
+	return out
+}
+
 func (t *Table) takeOver(c Record) {
 	if c.From == nil {
 		return
--- a/pkg/job/table_test.go
+++ b/pkg/job/table_test.go
@@ -115,3 +115,30 @@
 	is.NoErr(table.Apply(logservice.Record{Offset: 2, Data: job.Record{Action: job.Accepted, Job: "j", Spec: spec(1)}.Encode()}))
 	is.Equal(table.Len(), 1)
 }
+
+func TestRepeatedJobOutlivesTheRetention(t *testing.T) {
+	is := is.New(t)
+	a, b := holder(1), holder(2)
+	whole := job.New()
+	put := func(t *job.Table, offset uint64, r job.Record) {
+		is.NoErr(t.Apply(logservice.Record{Offset: offset, Data: r.Encode()}))
+	}
+	put(whole, 1, job.Record{Action: job.Accepted, By: a, Job: "j", Spec: spec(2)})
+	put(whole, 2, job.Record{Action: job.TaskEnded, By: a, Job: "j", Task: 1, Outcome: &request.Outcome{State: request.Done}})
+	repeated := whole.Repetitions(a)
+	is.Equal(len(repeated), 1)
+
+	late := job.New()
+	put(late, 3, repeated[0])
+	is.Equal(late.Job("j").Holder, a)
+	is.Equal(late.Job("j").Left, 1)
+
+	// A takeover that the writer had not seen makes its view useless.
+	misled := job.New()
+	put(misled, 3, job.Record{Action: job.TakenOver, By: b, From: &a})
+	put(misled, 4, repeated[0])
+	is.Equal(misled.Job("j"), nil)
+
+	put(whole, 3, repeated[0])
+	is.Equal(whole.Job("j").Left, 1)
+}
