Bound the bytes of payloads and kept answers

20,000 waiting tasks with payloads of 1 MB could have taken 20 GB of the 256 MB. Open requests and the attempts of an owner are each bounded at 48 MB (setting payload_limit_bytes), kept answers at 48 MB by a shorter retention. The test fills the limit and ends an attempt. The test of a paused owner fails when the epoch stays.

--- a/pkg/daemon/node.go
+++ b/pkg/daemon/node.go
@@ -113,7 +113,7 @@
 		return nil, err
 	}
 	dial := func(v vmlist.VM) worker.Peer { return worker.New(v.Address, workers) }
-	n.owner = owner.New(ctx, c.Settings.Name, n.incarnation, owner.DefaultTiming, c.Settings.WaitingLimit, dial, observer{registry}, c.Log)
+	n.owner = owner.New(ctx, c.Settings.Name, n.incarnation, owner.DefaultTiming, owner.Limits{Waiting: c.Settings.WaitingLimit, PayloadBytes: c.Settings.PayloadLimitBytes}, dial, observer{registry}, c.Log)
 	n.store = configuration.New(n.configurationChanged)
 	n.recorder = recorder.New(ctx, n.log, totalAppendsPerSecond)
 	n.claims = claim.New(n.recorder, n.log, time.Now)
--- a/pkg/daemon/requests.go
+++ b/pkg/daemon/requests.go
@@ -15,6 +15,8 @@
 const (
 	// outcomeRetention is how long an outcome can be fetched.
 	outcomeRetention = 10 * time.Minute
+	// maxAnswerBytes bounds the answers that are kept, at each pruning.
+	maxAnswerBytes = 48 << 20
 	// maxFetchWait bounds the wait of one fetch.
 	maxFetchWait = 30 * time.Second
 	// maxSettledAnswer bounds the answers that are kept in the log.
@@ -24,7 +26,7 @@
 	// orphanAttempts is how many attempt numbers are asked for when the entry
 	// VM of a request is gone.
 	orphanAttempts = 8
-	pruneInterval  = 10 * time.Second
+	pruneInterval  = 2 * time.Second
 	// fetchPause is the pause between fetches of another request's outcome.
 	fetchPause = 200 * time.Millisecond
 )
@@ -34,6 +36,10 @@
 	node  *Node
 	table *shard.Map[*open]
 	count atomic.Int64
+	// payload is the sum of the payloads of open requests, in bytes.
+	payload atomic.Int64
+	// answers is the sum of the answers in the table, in bytes.
+	answers atomic.Int64
 }
 
 // open is a request of this VM, until outcomeRetention after its end.
@@ -59,17 +65,32 @@
 			return
 		case <-tick.C:
 		}
-		r.table.DeleteIf(func(_ string, o *open) bool {
-			select {
-			case <-o.done:
-				return time.Since(o.ended) > outcomeRetention
-			default:
-				return false
+		// Large answers are kept for a shorter time.
+		for retention := outcomeRetention; ; retention /= 2 {
+			r.prune(retention)
+			if r.answers.Load() <= maxAnswerBytes || retention < time.Second {
+				break
 			}
-		})
+		}
 	}
 }
 
+// prune forgets the requests that ended longer ago than a time.
+func (r *Requests) prune(retention time.Duration) {
+	r.table.DeleteIf(func(_ string, o *open) bool {
+		select {
+		case <-o.done:
+		default:
+			return false
+		}
+		if time.Since(o.ended) <= retention {
+			return false
+		}
+		r.answers.Add(-int64(len(o.outcome.Answer)))
+		return true
+	})
+}
+
 // Open returns the number of requests that have not ended.
 func (r *Requests) Open() int { return int(r.count.Load()) }
 
@@ -85,6 +106,7 @@
 
 // Reasons of the gateway for "not run".
 const (
+	reasonPayload   = "payload_limit"
 	reasonOverload  = "too_many_open"
 	reasonNoPlans   = "no_configuration"
 	reasonUnknown   = "unknown_plan"
@@ -113,13 +135,17 @@
 	o := &open{cancel: cancel, done: make(chan struct{})}
 	r.table.Set(id, o)
 	r.count.Add(1)
+	size := int64(len(spec.Payload))
+	r.payload.Add(size)
 	go func() {
 		defer cancel()
 		outcome := r.work(ctx, request.Work{ID: id, Customer: customer, Spec: spec, Submitted: time.Now()})
 		r.account(key, spec, outcome)
 		o.outcome, o.ended = outcome, time.Now()
+		r.answers.Add(int64(len(outcome.Answer)))
 		close(o.done)
 		r.count.Add(-1)
+		r.payload.Add(-size)
 	}()
 	return id, nil
 }
@@ -133,6 +159,8 @@
 		return reasonUnknown, 0
 	case r.Open() >= n.Settings.OpenLimit:
 		return reasonOverload, retryAfterShort
+	case r.payload.Load()+int64(len(spec.Payload)) > n.Settings.PayloadLimitBytes:
+		return reasonPayload, retryAfterShort
 	}
 	return "", 0
 }
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -56,6 +56,10 @@
 
 func (o *Owner) admit(t entry.Task) (*attempt, error) {
 	now := time.Now()
+	size := int64(len(t.Payload))
+	if o.payload+size > o.payloadLimit {
+		return nil, fault.Newf("admit", allocator.KindQueueFull, "payloads take %d bytes", o.payload)
+	}
 	waiting := &allocator.Task{
 		Attempt: t.Attempt, Plan: t.Plan, Class: t.Class, Size: t.Size, Spread: t.Spread,
 		Repeatable: t.Repeatable, RunTime: t.RunTime, Resumed: t.Resumed,
@@ -72,6 +76,7 @@
 	}
 	a := &attempt{task: t, status: entry.Status{State: entry.Waiting}, changed: make(chan struct{})}
 	o.attempts[t.Attempt] = a
+	o.payload += size
 	o.kick()
 	return a, nil
 }
--- a/pkg/owner/gang.go
+++ b/pkg/owner/gang.go
@@ -63,6 +63,7 @@
 	if !ok {
 		return false
 	}
+	o.payload += int64(len(t.Payload))
 	o.attempts[t.Attempt] = &attempt{
 		task: t, status: entry.Status{State: entry.Waiting, Worker: worker}, changed: make(chan struct{}),
 		heldUntil: until, asked: time.Now(),
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -53,6 +53,14 @@
 	UrgentWait:  1800 * time.Millisecond,
 }
 
+// Limits bound the memory of an owner.
+type Limits struct {
+	// Waiting bounds the waiting attempts.
+	Waiting int
+	// PayloadBytes bounds the payloads of attempts that wait or run.
+	PayloadBytes int64
+}
+
 // Dial returns the peer of a worker VM.
 type Dial func(v vmlist.VM) worker.Peer
 
@@ -84,8 +92,11 @@
 	// adopted worker, or was fenced here, until Retention after its end.
 	attempts map[string]*attempt
 	sessions map[string]*session
-	ejected  *ejection.Tracker
-	meter    *usage.Meter
+	// payload is the sum of the payloads in attempts, in bytes. It is at most
+	// payloadLimit.
+	payload, payloadLimit int64
+	ejected               *ejection.Tracker
+	meter                 *usage.Meter
 	// generations holds the lowest generation that may start, by task of a job
 	// that was taken over.
 	generations map[string]fencedTask
@@ -113,13 +124,13 @@
 }
 
 // New returns an owner without workers. It works until ctx ends.
-func New(ctx context.Context, name string, incarnation uint64, t Timing, waitingLimit int, dial Dial, o Observer, log logr.Logger) *Owner {
+func New(ctx context.Context, name string, incarnation uint64, t Timing, limits Limits, dial Dial, o Observer, log logr.Logger) *Owner {
 	w := &Owner{
 		name: name, epoch: incarnation, ticked: time.Now(), timing: t, dial: dial, observer: o, log: log, run: ctx,
 		wake:     make(chan struct{}, 1),
 		gained:   make(chan struct{}, 1),
-		alloc:    allocator.New(placement.Balanced{}, allocator.Limits{Waiting: waitingLimit, UrgentWait: t.UrgentWait}),
-		attempts: map[string]*attempt{}, sessions: map[string]*session{}, ejected: ejection.New(), meter: usage.New(name, time.Now()), generations: map[string]fencedTask{},
+		alloc:    allocator.New(placement.Balanced{}, allocator.Limits{Waiting: limits.Waiting, UrgentWait: t.UrgentWait}),
+		attempts: map[string]*attempt{}, sessions: map[string]*session{}, payloadLimit: limits.PayloadBytes, ejected: ejection.New(), meter: usage.New(name, time.Now()), generations: map[string]fencedTask{},
 	}
 	go w.loop()
 	return w
@@ -204,6 +215,7 @@
 	a.status = s
 	if s.State.Ended() {
 		a.ended = time.Now()
+		o.payload -= int64(len(a.task.Payload))
 		a.task.Payload = nil
 	}
 	close(a.changed)
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,11 @@
 var capacity = resource.Vector{Milliprocessors: 1000, MemoryMebibytes: 1000, Slots: 1, Connections: 1}
 
 // idleWorker accepts everything and ends nothing.
-type idleWorker struct{ started int }
+type idleWorker struct {
+	started int
+	// startTime is how long a start takes.
+	startTime time.Duration
+}
 
 func (w *idleWorker) Adopt(context.Context, worker.AdoptRequest) (worker.AdoptReply, error) {
 	return worker.AdoptReply{Accepted: true, Capacity: capacity}, nil
@@ -28,6 +33,7 @@
 
 func (w *idleWorker) Start(_ context.Context, q worker.StartRequest) (worker.Record, error) {
 	w.started++
+	time.Sleep(w.startTime)
 	return worker.Record{Attempt: q.Attempt, Phase: worker.Running}, nil
 }
 
@@ -52,24 +58,97 @@
 func TestWorkerIsUsedUntilItIsFenced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
 		w := &idleWorker{}
-		o := owner.New(ctx, "o", 1, owner.DefaultTiming, 10, func(vmlist.VM) worker.Peer { return w }, silentObserver{}, logr.Discard())
-		x, err := plan.NewIndex(plan.Lists{
-			Customers:    plan.Customers{Customers: []plan.Customer{{Name: "c", Plans: []string{"p"}}}},
-			Entitlements: plan.Entitlements{Plans: []plan.Entitlement{{Plan: "p", PromisedShare: 1, LimitShare: 1, QueueLimit: 10, Classes: plan.Classes[:]}}},
-		})
-		is.NoErr(err)
-		o.SetPlans(x)
-		o.Assign([]vmlist.VM{{Name: "w"}})
-		time.Sleep(time.Second)
+		o, stop := start(is, w, silentObserver{})
 		o.Assign(nil)
 		time.Sleep(time.Second)
-		s, err := o.Run(entry.RunArgs{Epoch: o.Epoch(), Wait: time.Second, Task: entry.Task{Attempt: "t/1", Plan: "p", Class: plan.Urgent, Size: capacity}})
+		s, err := o.Run(arguments(o.Epoch(), "t/1"))
 		is.NoErr(err)
 		is.Equal(s.State, entry.Running)
 		is.Equal(w.started, 1)
-		cancel()
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// pausingObserver stops the owner's loop at the first start, as a freeze of the
+// process does.
+type pausingObserver struct {
+	pause time.Duration
+	done  bool
+}
+
+func (p *pausingObserver) Started(entry.Task, time.Duration) {
+	if !p.done {
+		p.done = true
+		time.Sleep(p.pause)
+	}
+}
+
+// TestPausedOwnerRefusesEarlierCalls pauses an owner. A call that was meant for
+// it before the pause is refused, and what waited is given up.
+func TestPausedOwnerRefusesEarlierCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &idleWorker{startTime: time.Minute}
+		o, stop := start(is, w, &pausingObserver{pause: entry.HolderLease})
+		before := o.Epoch()
+		_, err := o.Run(arguments(before, "first/1"))
+		is.NoErr(err)
+		time.Sleep(2 * entry.HolderLease)
+		_, err = o.Run(arguments(before, "late/1"))
+		is.True(errors.Is(err, entry.ErrEpoch))
+		is.True(o.Epoch() > before)
+		_, err = o.Run(arguments(o.Epoch(), "new/1"))
+		is.NoErr(err)
+		stop()
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+// start returns an owner that has adopted a worker, and how to stop it.
+func start(is *is.I, w worker.Peer, observer owner.Observer) (*owner.Owner, context.CancelFunc) {
+	is.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	o := owner.New(ctx, "o", 1, owner.DefaultTiming, owner.Limits{Waiting: 10, PayloadBytes: 1000}, func(vmlist.VM) worker.Peer { return w }, observer, logr.Discard())
+	x, err := plan.NewIndex(plan.Lists{
+		Customers:    plan.Customers{Customers: []plan.Customer{{Name: "c", Plans: []string{"p"}}}},
+		Entitlements: plan.Entitlements{Plans: []plan.Entitlement{{Plan: "p", PromisedShare: 1, LimitShare: 1, QueueLimit: 10, Classes: plan.Classes[:]}}},
+	})
+	is.NoErr(err)
+	o.SetPlans(x)
+	o.Assign([]vmlist.VM{{Name: "w"}})
+	time.Sleep(time.Second)
+	return o, cancel
+}
+
+func arguments(epoch uint64, attempt string) entry.RunArgs {
+	return entry.RunArgs{Epoch: epoch, Wait: time.Millisecond, Task: entry.Task{Attempt: attempt, Plan: "p", Class: plan.Urgent, Size: capacity}}
+}
+
+// TestPayloadsAreBounded fills the payload limit; what ends makes room again.
+func TestPayloadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, stop := start(is, &idleWorker{}, silentObserver{})
+		large := func(attempt string) entry.RunArgs {
+			a := arguments(o.Epoch(), attempt)
+			a.Task.Payload = make([]byte, 400)
+			return a
+		}
+		for _, attempt := range []string{"a/1", "b/1"} {
+			s, err := o.Run(large(attempt))
+			is.NoErr(err)
+			is.True(s.State != entry.NotRun)
+		}
+		s, err := o.Run(large("c/1"))
+		is.NoErr(err)
+		is.Equal(s.State, entry.NotRun)
+		is.NoErr(o.Cancel(entry.CancelArgs{Attempt: "b/1"}))
+		s, err = o.Run(large("d/1"))
+		is.NoErr(err)
+		is.Equal(s.State, entry.Waiting)
+		stop()
 		time.Sleep(time.Minute)
 	})
 }
--- a/pkg/request/runner_test.go
+++ b/pkg/request/runner_test.go
@@ -369,7 +369,7 @@
 		}
 		return nil
 	}
-	o := owner.New(ctx, name, d.serial, owner.DefaultTiming, 1000, dial, silentObserver{}, logr.Discard())
+	o := owner.New(ctx, name, d.serial, owner.DefaultTiming, owner.Limits{Waiting: 1000, PayloadBytes: 1 << 20}, dial, silentObserver{}, logr.Discard())
 	o.SetPlans(x)
 	d.owners[name], d.alive[name], d.stops[name] = o, d.serial, cancel
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -69,6 +69,9 @@
 	WaitingLimit int `json:"waiting_limit"`
 	// OpenLimit bounds the requests that are open on this VM.
 	OpenLimit int `json:"open_limit"`
+	// PayloadLimitBytes bounds the payloads of all open requests, and again those
+	// of all attempts that wait or run here.
+	PayloadLimitBytes int64 `json:"payload_limit_bytes"`
 	// BodyLimitBytes bounds the body of a caller's request.
 	BodyLimitBytes int64 `json:"body_limit_bytes"`
 	// DrainTimeout bounds a graceful shutdown.
@@ -94,6 +97,7 @@
 		VMListInterval:    Duration(1500 * time.Millisecond),
 		WaitingLimit:      20_000,
 		OpenLimit:         5_000,
+		PayloadLimitBytes: 48 << 20,
 		BodyLimitBytes:    2 << 20,
 		DrainTimeout:      Duration(time.Minute),
 	}
@@ -165,6 +169,7 @@
 		seconds("drain_timeout", s.DrainTimeout, time.Second, time.Hour),
 		{"waiting_limit", int64(s.WaitingLimit), 1, 1_000_000, false},
 		{"open_limit", int64(s.OpenLimit), 1, 1_000_000, false},
+		{"payload_limit_bytes", s.PayloadLimitBytes, s.BodyLimitBytes, 1 << 30, false},
 		{"body_limit_bytes", s.BodyLimitBytes, 1 << 10, 64 << 20, false},
 		{"log_verbosity", int64(s.LogVerbosity), 0, 2, false},
 	}
