--- a/pkg/owner/session.go
+++ b/pkg/owner/session.go
@@ -13,10 +13,12 @@
 )
 
 // session is the work with one worker. Its fields are guarded by the lock of
-// the Owner, except peer; token changes only while no start is under way.
+// the Owner, except vm.Name and peer, which do not change.
 type session struct {
-	vm    vmlist.VM
-	peer  worker.Peer
+	vm   vmlist.VM
+	peer worker.Peer
+	// token is that of the last adoption. Only the goroutine of the session
+	// writes it.
 	token worker.Token
 	// adopted is true from a successful adoption until the worker is fenced or
 	// lost.
