Compress published lists; time takeover and configuration without the log

Changes instead of whole lists were weighed: they need a merge rule for races, and save little more.

--- /dev/null
+++ b/pkg/configuration/codec.go
@@ -0,0 +1,60 @@
+package configuration
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/pkg/plan"
+)
+
+// maxRecordBytes bounds a record after decompression.
+const maxRecordBytes = 16 << 20
+
+// gzipMagic begins every compressed record.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// Encode returns the log record of a publication. It is compressed, since every
+// entry VM reads every record and the lists repeat the same words.
+func Encode(r Record) ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// decode reads a record, compressed or plain.
+func decode(data []byte) (r Record, err error) {
+	if bytes.HasPrefix(data, gzipMagic) {
+		if data, err = decompress(data); err != nil {
+			return r, fault.New("decode", KindInvalid, err)
+		}
+	}
+	return r, plan.DecodeStrict(data, &r)
+}
+
+func decompress(data []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, maxRecordBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(plain) > maxRecordBytes {
+		return nil, fault.Newf("decompress", KindInvalid, "the record is above %d bytes", maxRecordBytes)
+	}
+	return plain, nil
+}
--- a/pkg/configuration/store.go
+++ b/pkg/configuration/store.go
@@ -5,7 +5,6 @@
 package configuration
 
 import (
-	"encoding/json"
 	"sync"
 
 	"github.com/almondpost/almondpost/pkg/fault"
@@ -112,8 +111,8 @@
 // Judge decides on a record after a version. It depends on nothing else, so
 // that every process decides alike.
 func Judge(after Version, data []byte) (Record, *plan.Index, Verdict) {
-	var r Record
-	if err := plan.DecodeStrict(data, &r); err != nil {
+	r, err := decode(data)
+	if err != nil {
 		return r, nil, Verdict{Reason: err.Error()}
 	}
 	if r.ID != "" && r.ID == after.ID {
@@ -172,8 +171,8 @@
 }
 
 func decodeSnapshot(data []byte) (Record, *plan.Index, bool) {
-	var r Record
-	if plan.DecodeStrict(data, &r) != nil || r.SnapshotOf == 0 {
+	r, err := decode(data)
+	if err != nil || r.SnapshotOf == 0 {
 		return r, nil, false
 	}
 	x, err := plan.NewIndex(r.Lists)
@@ -240,6 +239,3 @@
 	s.version = v
 	s.changed(v)
 }
-
-// Encode returns the log record of a publication.
-func Encode(r Record) ([]byte, error) { return json.Marshal(r) }
--- /dev/null
+++ b/pkg/deployment/deployment_test.go
@@ -0,0 +1,39 @@
+package deployment_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/examples"
+	"github.com/almondpost/almondpost/pkg/deployment"
+	"github.com/almondpost/almondpost/pkg/settings"
+)
+
+func TestExamplesAreOfTheSizesOfTheCustomers(t *testing.T) {
+	scenarios := []struct {
+		testName                  string
+		domains, entries, workers int
+	}{
+		{"hearthmark", 3, 8, 48},
+		{"lumiquote", 4, 8, 48},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			is := is.New(t)
+			d, err := deployment.Load(examples.Files, s.testName)
+			is.NoErr(err)
+			is.Equal(len(d.Domains), s.domains)
+			is.Equal(len(d.Entries()), s.entries)
+			is.Equal(len(d.Workers()), s.workers)
+			inDomain := map[string]int{}
+			for _, w := range d.Workers() {
+				inDomain[w.Domain]++
+			}
+			is.Equal(len(inDomain), s.domains)
+			loaded, err := settings.Load("../../examples/" + s.testName + "/entry.json")
+			is.NoErr(err)
+			is.NoErr(loaded.Validate())
+		})
+	}
+}
--- a/pkg/load/scenario.go
+++ b/pkg/load/scenario.go
@@ -40,6 +40,8 @@
 		{Name: "bad_worker", Act: badWorker},
 		{Name: "cancel_wave", Act: cancelWave},
 		{Name: "silent_connection", Act: silentConnection},
+		{Name: "kill_log_outage", Act: killInOutage},
+		{Name: "configuration_by_peers", Act: configurationByPeers},
 	}
 	out := map[string]Scenario{}
 	for _, s := range all {
@@ -67,6 +69,45 @@
 	return r.addEntry(ctx, e.Name+"-new", e.Domain)
 }
 
+// killInOutage kills an entry VM while the log is away.
+func killInOutage(ctx context.Context, r *run) error {
+	if err := r.cluster.SetLogFault(ctx, standin.LogFault{Outage: true}); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	if err := kill(ctx, r); err != nil {
+		return err
+	}
+	return r.cluster.SetLogFault(ctx, standin.LogFault{})
+}
+
+// configurationByPeers publishes while only one entry VM reaches the platform.
+func configurationByPeers(ctx context.Context, r *run) error {
+	for _, e := range r.cluster.Entries[1:] {
+		if err := r.cluster.SetCut(ctx, e, []string{isolation.Platform}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	store, err := configuration.Load(ctx, r.cluster.Log)
+	if err != nil {
+		return err
+	}
+	base := store.Current()
+	if _, err := configuration.Publish(ctx, r.cluster.Log, base.Offset, "load", base.Lists); err != nil {
+		return err
+	}
+	if err := r.awaitConfiguration(ctx); err != nil {
+		return err
+	}
+	for _, e := range r.cluster.Entries[1:] {
+		if err := r.cluster.SetCut(ctx, e, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (r *run) remove(gone *cluster.Entry) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
