--- a/pkg/request/gang.go
+++ b/pkg/request/gang.go
@@ -93,20 +93,11 @@
 	placed := make([]Placed, len(works))
 	missing := len(works)
 	for _, o := range owners {
-		tasks := make([]entry.Task, 0, missing)
-		index := map[string]int{}
-		for i, w := range works {
-			if placed[i].Task.Attempt != "" && !collect {
-				continue
-			}
-			t := w.task(fmt.Sprintf("%s/%d.g%d-%s", w.ID, w.Generation, try, o.Name), 0)
-			index[t.Attempt] = i
-			tasks = append(tasks, t)
-		}
-		if len(tasks) == 0 {
+		offers := gangOffers(works, placed, try, o, collect)
+		if len(offers) == 0 {
 			break
 		}
-		reply, err := r.reserve(ctx, o, works[0], tasks, collect)
+		reply, err := r.reserve(ctx, o, works[0], offers, collect)
 		if err != nil {
 			continue
 		}
@@ -114,16 +105,10 @@
 			return nil, true
 		}
 		for _, attempt := range reply.Held {
-			i := index[attempt]
-			p := Placed{tasks[0], o}
-			for _, t := range tasks {
-				if t.Attempt == attempt {
-					p.Task = t
-				}
-			}
-			held[attempt] = p
-			if placed[i].Task.Attempt == "" {
-				placed[i] = p
+			offer := offers[attempt]
+			held[attempt] = offer.placed
+			if placed[offer.index].Task.Attempt == "" {
+				placed[offer.index] = offer.placed
 				missing--
 			}
 		}
@@ -134,7 +119,35 @@
 	return placed, false
 }
 
-func (r *Runner) reserve(ctx context.Context, o Target, w Work, tasks []entry.Task, collect bool) (entry.ReserveReply, error) {
+// gangOffer is a task of a gang that one owner is asked for.
+type gangOffer struct {
+	// index is that of the task in the gang.
+	index  int
+	placed Placed
+}
+
+// gangOffers returns the tasks to ask an owner for, by attempt: those without
+// room, or all of them for a gang that collects.
+func gangOffers(works []Work, placed []Placed, try int, o Target, collect bool) map[string]gangOffer {
+	out := map[string]gangOffer{}
+	for i, w := range works {
+		if placed[i].Task.Attempt != "" && !collect {
+			continue
+		}
+		t := w.task(fmt.Sprintf("%s/%d.g%d-%s", w.ID, w.Generation, try, o.Name), 0)
+		out[t.Attempt] = gangOffer{i, Placed{t, o}}
+	}
+	return out
+}
+
+func (r *Runner) reserve(ctx context.Context, o Target, w Work, offers map[string]gangOffer, collect bool) (entry.ReserveReply, error) {
+	tasks := make([]entry.Task, len(offers))
+	position := 0
+	for _, offer := range offers {
+		tasks[position] = offer.placed.Task
+		position++
+	}
+	sort.Slice(tasks, func(i, j int) bool { return tasks[i].Attempt < tasks[j].Attempt })
 	ctx, cancel := context.WithTimeout(ctx, entry.CallTimeout)
 	defer cancel()
 	return r.peers.Reserve(ctx, o, entry.ReserveArgs{
