Run job tasks that may not repeat at most once across takeovers

Found by reading: after a takeover a task that no worker lists was run again. If the takeover came later than workers list ended attempts (the log away for hours), a task that may not repeat could have run twice. Its start is now in the log before it is offered, and after a takeover later than 90 s it ends as may_have_run. First try: any started task that is not found ends as may_have_run; the test failed, since tasks that still queued were given up (may_have_run instead of done in all three scenarios), so the age of the start decides.

A gang whose job has another holder stops looking for room, and holds none while its holder is not confirmed.

--- a/pkg/cluster/jobs_test.go
+++ b/pkg/cluster/jobs_test.go
@@ -100,7 +100,22 @@
 	}
 }
 
+// runsOf counts how often a task started, by the workers' own records.
+func runsOf(histories []standin.History, task string) int {
+	n := 0
+	for _, h := range histories {
+		for _, r := range h.Runs {
+			if strings.HasPrefix(r.Attempt, task+"/") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func TestJobOutlivesItsEntryVM(t *testing.T) {
+	// onlyOnce is how many tasks of the job may not repeat.
+	const onlyOnce = 4
 	scenarios := []struct {
 		testName string
 		act      func(c *cluster.Cluster, e *cluster.Entry)
@@ -117,10 +132,19 @@
 			t.Parallel()
 			is := is.New(t)
 			c := start(t)
-			accepted := submitJob(is, c.Entries[0], jobSpec(40, 2*time.Second))
+			spec := jobSpec(40, 2*time.Second)
+			for i := range onlyOnce {
+				spec.Tasks[i].Repeatable = false
+			}
+			accepted := submitJob(is, c.Entries[0], spec)
 			time.Sleep(500 * time.Millisecond)
 			s.act(c, c.Entries[0])
 			checkJob(is, c, awaitJob(is, c.Entries[2], accepted.ID), 40)
+			histories, err := c.Histories(context.Background())
+			is.NoErr(err)
+			for i := range onlyOnce {
+				is.Equal(runsOf(histories, job.TaskID(accepted.ID, i)), 1)
+			}
 		})
 	}
 }
--- a/pkg/daemon/job_run.go
+++ b/pkg/daemon/job_run.go
@@ -26,6 +26,7 @@
 		}
 	}
 	spec := job.Spec{Gang: k.Spec.Gang, Tasks: append([]request.Spec(nil), k.Spec.Tasks...)}
+	started := append([]time.Time(nil), k.Started...)
 	j.mutex.Unlock()
 	found := map[string]request.Found{}
 	if r.generation > 1 {
@@ -34,7 +35,8 @@
 			j.node.Log.Error(err, "takeover_unresolved", "job", id)
 		}
 	}
-	if spec.Gang && len(found) == 0 {
+	left = j.settleStarted(r, id, left, started, found)
+	if spec.Gang && len(found) == 0 && len(left) > 0 && j.recordStarts(ctx, r, id, left, spec) {
 		found = j.placeGang(ctx, r, id, left, spec)
 	}
 	slots := make(chan struct{}, maxTasksInFlight)
@@ -47,6 +49,49 @@
 	}
 }
 
+// listedFor is how long workers surely list an attempt after its start, less a
+// margin for the difference between the clocks of two holders.
+const listedFor = 90 * time.Second
+
+// settleStarted ends the tasks that may not repeat and may have run under a
+// former holder so long ago that no worker lists them any more. It returns the
+// other tasks.
+func (j *Jobs) settleStarted(r *jobRun, id string, left []int, started []time.Time, found map[string]request.Found) []int {
+	var others []int
+	for _, i := range left {
+		if _, ok := found[job.TaskID(id, i)]; ok || started[i].IsZero() || time.Since(started[i]) < listedFor {
+			others = append(others, i)
+			continue
+		}
+		j.recordEnd(r, id, i, request.Outcome{ID: job.TaskID(id, i), State: request.MayHaveRun, Reason: reasonHolder})
+	}
+	return others
+}
+
+// recordStarts writes to the log that tasks which may not repeat are about to
+// start. It reports whether they may: the records are in the log, and this
+// process held the job at that point.
+func (j *Jobs) recordStarts(ctx context.Context, r *jobRun, id string, tasks []int, spec job.Spec) bool {
+	for _, i := range tasks {
+		if !spec.Tasks[i].Repeatable && !j.recordStart(ctx, r, id, i) {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *Jobs) recordStart(ctx context.Context, r *jobRun, id string, i int) bool {
+	record := job.Record{Action: job.TaskStarted, By: j.self, Job: id, Task: i, At: time.Now()}
+	offset, ok := j.insist(ctx, r, record.Encode())
+	if !ok || !j.awaitOffset(ctx, offset) {
+		return false
+	}
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	k := j.table.Job(id)
+	return k != nil && !k.Started[i].IsZero() && k.Holder == j.self
+}
+
 // placeGang holds room for all tasks at once and starts them. After a takeover
 // that found some of them running, the others are run one by one instead.
 func (j *Jobs) placeGang(ctx context.Context, r *jobRun, id string, left []int, spec job.Spec) map[string]request.Found {
@@ -76,6 +121,12 @@
 // runTask runs one task until it has an outcome that is final, and records it.
 func (j *Jobs) runTask(ctx context.Context, r *jobRun, id string, i int, spec request.Spec, found request.Found) {
 	w := j.workOf(r, id, i, spec)
+	if !spec.Repeatable && found.Attempt.Attempt == "" && !j.recordStart(ctx, r, id, i) {
+		if ctx.Err() != nil {
+			j.recordEnd(r, id, i, request.Outcome{ID: w.ID, State: request.Cancelled})
+		}
+		return
+	}
 	w.Known, w.KnownAt = found.Attempt, found.Owner
 	for {
 		out := j.node.runner.Run(ctx, w)
@@ -105,18 +156,24 @@
 		out.Answer = nil
 	}
 	record := job.Record{Action: job.TaskEnded, By: j.self, Job: id, Task: i, Outcome: &out}
-	data := record.Encode()
-	for j.node.run.Err() == nil {
-		ctx, cancel := context.WithTimeout(j.node.run, appendWait)
-		_, err := j.node.recorder.Append(ctx, j.stream(), data)
+	j.insist(context.Background(), r, record.Encode())
+}
+
+// insist appends to the job stream, with retries until the record is there, the
+// job is abandoned, or ctx or the process ends.
+func (j *Jobs) insist(ctx context.Context, r *jobRun, data []byte) (offset uint64, ok bool) {
+	for j.node.run.Err() == nil && ctx.Err() == nil {
+		callContext, cancel := context.WithTimeout(ctx, appendWait)
+		offset, err := j.node.recorder.Append(callContext, j.stream(), data)
 		cancel()
 		if err == nil {
-			return
+			return offset, true
 		}
 		select {
 		case <-r.abandon:
-			return
+			return 0, false
 		case <-time.After(jobRetry):
 		}
 	}
+	return 0, false
 }
--- a/pkg/job/table.go
+++ b/pkg/job/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/almondpost/almondpost/pkg/fault"
 	"github.com/almondpost/almondpost/pkg/invariant"
@@ -45,9 +46,12 @@
 
 // The actions of records.
 const (
-	Accepted  Action = "accepted"
-	TaskEnded Action = "task_ended"
-	Cancelled Action = "cancelled"
+	Accepted Action = "accepted"
+	// TaskStarted is written before a task that may not repeat is offered to an
+	// owner for the first time.
+	TaskStarted Action = "task_started"
+	TaskEnded   Action = "task_ended"
+	Cancelled   Action = "cancelled"
 	// TakenOver moves every job of a holder to another.
 	TakenOver Action = "taken_over"
 	// Repeated carries the state of an unfinished job, so that it outlives the
@@ -67,10 +71,13 @@
 	Outcome *request.Outcome `json:"outcome,omitempty"`
 	// From is the former holder of a takeover.
 	From *Holder `json:"from,omitempty"`
-	// Generation, Outcomes and AsOf belong to a repeated job: AsOf is the offset
+	// At is the writer's time of a start.
+	At time.Time `json:"at,omitzero"`
+	// Generation, Outcomes, Started and AsOf belong to a repeated job: AsOf is the offset
 	// up to which its writer knew the stream.
 	Generation int                `json:"generation,omitempty"`
 	Outcomes   []*request.Outcome `json:"outcomes,omitempty"`
+	Started    []time.Time        `json:"started,omitempty"`
 	AsOf       uint64             `json:"as_of,omitempty"`
 }
 
@@ -91,7 +98,10 @@
 	Generation int
 	// Outcomes holds the outcome of each ended task; it is nil for others. A
 	// task ends once.
-	Outcomes  []*request.Outcome
+	Outcomes []*request.Outcome
+	// Started holds, for tasks that may not repeat, the first time at which they
+	// may have started, by the clock of their holder; it is zero before.
+	Started   []time.Time
 	Left      int
 	Cancelled bool
 	// EndedAt is the offset at which the last task ended, or 0.
@@ -149,6 +159,10 @@
 	switch c.Action {
 	case Accepted:
 		t.accept(c)
+	case TaskStarted:
+		if j := t.jobs[c.Job]; j != nil && c.Task >= 0 && c.Task < len(j.Started) && j.Holder == c.By && j.Started[c.Task].IsZero() {
+			j.Started[c.Task] = c.At
+		}
 	case TaskEnded:
 		t.endTask(c, r.Offset)
 	case Cancelled:
@@ -170,7 +184,7 @@
 	}
 	t.jobs[c.Job] = &Job{
 		ID: c.Job, Spec: *c.Spec, Holder: c.By, Generation: 1,
-		Outcomes: make([]*request.Outcome, len(c.Spec.Tasks)), Left: len(c.Spec.Tasks),
+		Outcomes: make([]*request.Outcome, len(c.Spec.Tasks)), Started: make([]time.Time, len(c.Spec.Tasks)), Left: len(c.Spec.Tasks),
 	}
 }
 
@@ -200,10 +214,10 @@
 // takeover came after the writer's view of the stream, the holder that it names
 // may be wrong; the next repetition will do.
 func (t *Table) repeat(c Record) {
-	if t.jobs[c.Job] != nil || c.Spec == nil || len(c.Outcomes) != len(c.Spec.Tasks) || t.moved > c.AsOf {
+	if t.jobs[c.Job] != nil || c.Spec == nil || len(c.Outcomes) != len(c.Spec.Tasks) || len(c.Started) != len(c.Spec.Tasks) || t.moved > c.AsOf {
 		return
 	}
-	j := &Job{ID: c.Job, Spec: *c.Spec, Holder: c.By, Generation: c.Generation, Outcomes: c.Outcomes}
+	j := &Job{ID: c.Job, Spec: *c.Spec, Holder: c.By, Generation: c.Generation, Outcomes: c.Outcomes, Started: c.Started}
 	for _, o := range c.Outcomes {
 		if o == nil {
 			j.Left++
@@ -220,7 +234,10 @@
 	for _, j := range t.HeldBy(h) {
 		spec := Spec{Gang: j.Spec.Gang, Tasks: append([]request.Spec(nil), j.Spec.Tasks...)}
 		outcomes := append([]*request.Outcome(nil), j.Outcomes...)
-		out = append(out, Record{Action: Repeated, By: h, Job: j.ID, Spec: &spec, Generation: j.Generation, Outcomes: outcomes, AsOf: t.read})
+		out = append(out, Record{
+			Action: Repeated, By: h, Job: j.ID, Spec: &spec, Generation: j.Generation,
+			Outcomes: outcomes, Started: append([]time.Time(nil), j.Started...), AsOf: t.read,
+		})
 	}
 	return out
 }
--- a/pkg/job/table_test.go
+++ b/pkg/job/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -13,6 +14,8 @@
 	"github.com/almondpost/almondpost/pkg/seeded"
 )
 
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 func TestMain(m *testing.M) { seeded.Main(m, 300) }
 
 func spec(tasks int) *job.Spec {
@@ -142,3 +145,21 @@
 	put(whole, 3, repeated[0])
 	is.Equal(whole.Job("j").Left, 1)
 }
+
+func TestStartedTasksAreRemembered(t *testing.T) {
+	is := is.New(t)
+	a, b := holder(1), holder(2)
+	table := job.New()
+	for i, r := range []job.Record{
+		{Action: job.Accepted, By: a, Job: "j", Spec: spec(3)},
+		{Action: job.TaskStarted, By: a, Job: "j", Task: 1, At: begin},
+		{Action: job.TakenOver, By: b, From: &a},
+		{Action: job.TaskStarted, By: a, Job: "j", Task: 2, At: begin},
+		{Action: job.TaskStarted, By: b, Job: "j", Task: 9, At: begin},
+		{Action: job.TaskStarted, By: b, Job: "j", Task: 1, At: begin.Add(time.Hour)},
+	} {
+		is.NoErr(table.Apply(logservice.Record{Offset: uint64(i + 1), Data: r.Encode()}))
+	}
+	is.Equal(table.Job("j").Started, []time.Time{{}, begin, {}})
+	is.Equal(table.Repetitions(b)[0].Started, []time.Time{{}, begin, {}})
+}
--- a/pkg/request/gang.go
+++ b/pkg/request/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -37,11 +38,12 @@
 // Run.
 func (r *Runner) Gang(ctx context.Context, domain string, works []Work) ([]Placed, error) {
 	began := time.Now()
-	for try := 1; ctx.Err() == nil; try++ {
-		aged := time.Since(began) > gangPatience
-		placed := r.gather(ctx, domain, works, try, aged)
-		if placed != nil {
-			return placed, nil
+	for try := 1; ctx.Err() == nil && !works[0].isAbandoned(); try++ {
+		if works[0].isPermitted() {
+			aged := time.Since(began) > gangPatience
+			if placed := r.gather(ctx, domain, works, try, aged); placed != nil {
+				return placed, nil
+			}
 		}
 		pause := gangPauseLow + rand.N(gangPauseHigh-gangPauseLow)
 		select {
@@ -49,9 +51,12 @@
 		case <-time.After(pause):
 		}
 	}
-	return nil, ctx.Err()
+	return nil, errNoGang
 }
 
+// errNoGang means that the job was cancelled or has another holder.
+var errNoGang = errors.New("gang given up")
+
 // gather makes one try. An aged gang keeps what it has and collects for a
 // bounded time; the slot of the first owner in name order lets one gang collect
 // at a time, so that two never wait for each other.
