Pin jobs and keyed requests to their failure domain; retry refused job tasks

Cause, from the workers' records: the task had spilled to another failure domain, and the takeover asks the owners of its own domain only. The same hole stood open for keys of a killed entry VM. Ruled out: the retention of workers and owners. Now jobs and keyed requests stay in their domain; repeatable requests still spill.

That uncovered a second fault: a queued task that a draining VM refused ended its job as not_run, since the refusal had no Retry-After and no other owner was left for a moment. Job tasks are now offered again unless the reason is permanent, and tasks whose last worker has moved are refused with no_workers, not with the permanent fits_no_worker.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -208,7 +208,7 @@
 	var out []Refusal
 	for _, i := range a.waiting {
 		if !a.ledger.FitsSome(i.Value.Size) {
-			out = append(out, Refusal{Task: i.Value, Reason: KindTooLarge})
+			out = append(out, Refusal{Task: i.Value, Reason: KindNoWorkers})
 		}
 	}
 	for _, r := range out {
--- a/pkg/daemon/job_run.go
+++ b/pkg/daemon/job_run.go
@@ -114,7 +114,7 @@
 func (j *Jobs) workOf(r *jobRun, id string, i int, spec request.Spec) request.Work {
 	return request.Work{
 		ID: job.TaskID(id, i), Customer: j.node.store.Current().Index.Customer(spec.Plan), Spec: spec, Submitted: time.Now(),
-		Generation: r.generation, Permit: j.permitted, Abandoned: r.abandon,
+		Domain: j.node.Settings.Domain, Generation: r.generation, Permit: j.permitted, Abandoned: r.abandon,
 	}
 }
 
@@ -136,7 +136,7 @@
 		default:
 		}
 		// A task that may pass later is offered again; the job was accepted.
-		again := out.State == request.NotRun && out.RetryAfterMilliseconds > 0 || out.Reason == entry.ReasonInterrupted
+		again := out.State == request.NotRun && !request.IsPermanent(out.Reason) || out.Reason == entry.ReasonInterrupted
 		if again && ctx.Err() == nil {
 			w.Known = entry.FoundAttempt{}
 			w.FirstAttempt = out.NextAttempt
--- a/pkg/daemon/keyed_requests.go
+++ b/pkg/daemon/keyed_requests.go
@@ -27,6 +27,7 @@
 	}
 	// After a pause another entry VM may have concluded that this one is gone.
 	epoch := r.node.owner.Epoch()
+	w.Domain = r.node.Settings.Domain
 	w.Permit = func() bool { return r.node.owner.Epoch() == epoch }
 	out := r.node.runner.Run(ctx, w)
 	go r.settle(w, out)
--- a/pkg/request/resolve_test.go
+++ b/pkg/request/resolve_test.go
@@ -109,3 +109,21 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// elsewhere has its only owner in another failure domain.
+type elsewhere struct{ lostOwner }
+
+func (p *elsewhere) Targets() []request.Target {
+	return []request.Target{{Name: "other", Epoch: 1, Domain: "far", Free: 1, Usable: true, Reachable: true}}
+}
+
+func TestWorkOfADomainStaysThere(t *testing.T) {
+	is := is.New(t)
+	p := &elsewhere{}
+	r := request.New(p, firstTarget{}, retry.New(1, 1), request.DefaultTiming, logr.Discard())
+	o := r.Run(context.Background(), request.Work{ID: "t", Domain: "near", Spec: request.Spec{Class: plan.Normal}})
+	is.Equal(o.State, request.NotRun)
+	is.Equal(p.offered, 0)
+	o = r.Run(context.Background(), request.Work{ID: "t", Spec: request.Spec{Class: plan.Normal}})
+	is.Equal(o.State, request.Done)
+}
--- a/pkg/request/runner.go
+++ b/pkg/request/runner.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/almondpost/almondpost/pkg/allocator"
 	"github.com/almondpost/almondpost/pkg/entry"
 	"github.com/almondpost/almondpost/pkg/fault"
 	"github.com/almondpost/almondpost/pkg/plan"
@@ -86,6 +88,9 @@
 	Spec     Spec
 	// Submitted is when the caller submitted the work.
 	Submitted time.Time
+	// Domain restricts the work to one failure domain, so that whoever takes it
+	// over has to ask the owners of that domain only; empty means any.
+	Domain string
 	// FirstAttempt numbers the first attempt; 0 means 1.
 	FirstAttempt int
 	// Generation is that of the holder of a job; 0 for requests.
@@ -211,7 +216,7 @@
 		if !w.isPermitted() {
 			return entry.Status{State: entry.NotRun, Reason: reasonNotPermitted, RetryAfter: time.Second}
 		}
-		target, ok := r.router.Route(r.peers.Targets(), w.Spec.Class, tried)
+		target, ok := r.router.Route(r.targets(w), w.Spec.Class, tried)
 		if !ok {
 			return last
 		}
@@ -231,22 +236,44 @@
 	return last
 }
 
+// targets returns the owners that may run the work.
+func (r *Runner) targets(w Work) []Target {
+	all := r.peers.Targets()
+	if w.Domain == "" {
+		return all
+	}
+	return slices.DeleteFunc(all, func(t Target) bool { return t.Domain != w.Domain })
+}
+
 const (
 	reasonNoOwner      = "no_owner"
-	reasonDeadline     = "deadline_over"
+	reasonDeadline     = string(allocator.KindDeadlineOver)
 	reasonNotPermitted = "holder_not_confirmed"
 	reasonAbandoned    = "abandoned"
 )
 
-// isFinalRefusal reports whether no other owner would decide otherwise.
-func isFinalRefusal(reason string) bool {
+// IsPermanent reports whether work that was not run for a reason would not run
+// later either.
+func IsPermanent(reason string) bool {
 	switch reason {
-	case entry.ReasonCancelled, "unknown_plan", "class_not_allowed", "above_plan_limit", "deadline_hopeless", "deadline_over", "shed":
+	case entry.ReasonCancelled, string(allocator.KindUnknownPlan), string(allocator.KindClass),
+		string(allocator.KindPlanLimit), string(allocator.KindHopeless), string(allocator.KindDeadlineOver),
+		string(allocator.KindTooLarge):
 		return true
 	}
 	return false
 }
 
+// isFinalRefusal reports whether no other owner would decide otherwise. Others
+// may have larger workers; what was shed in one queue is not pushed into the
+// next.
+func isFinalRefusal(reason string) bool {
+	if reason == string(allocator.KindTooLarge) {
+		return false
+	}
+	return reason == string(allocator.KindShed) || IsPermanent(reason)
+}
+
 func (w Work) remaining(now time.Time) (time.Duration, bool) {
 	if w.Spec.DeadlineMilliseconds == 0 {
 		return 0, true
