Switch the VM list off in TestPlatformAway, too

Now both are, and the test passes: the others take the workers over, and an entry VM born then is ready from its peers.

--- a/pkg/cluster/outage_test.go
+++ b/pkg/cluster/outage_test.go
@@ -24,6 +24,7 @@
 	ctx := context.Background()
 	c := start(t)
 	is.NoErr(c.SetLogFault(ctx, standin.LogFault{Outage: true}))
+	is.NoErr(c.SetListFault(ctx, standin.VMsFault{Outage: true}))
 	c.Entries[0].Kill()
 	is.NoErr(c.AwaitAdopted(ctx))
 	o, _, err := post(c.Entries[2], spec("urgent", 50*time.Millisecond), "")
@@ -49,6 +50,7 @@
 	is.Equal(nonce(o), "born")
 
 	is.NoErr(c.SetLogFault(ctx, standin.LogFault{}))
+	is.NoErr(c.SetListFault(ctx, standin.VMsFault{}))
 	for o.State = request.NotRun; o.State == request.NotRun; {
 		o, _, err = post(born, s, "")
 		is.NoErr(err)
