Drop dead code and restore blank lines between declarations

Dead: Queue.PushFront, invariant.Violations with its counter, the time of the last VM list, and a check of the reservation in the start loop that the state of the attempt implies. The sum of waiting tasks stood twice; it is a method of the advertisement now. Left: tests of owner, request and allocator each build their own small plan index.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -34,18 +34,6 @@
 	q.live++
 }
 
-// PushFront puts an item before all others.
-func (q *Queue[T]) PushFront(i *Item[T]) {
-	q.skip()
-	if q.head > 0 {
-		q.head--
-		q.items[q.head] = i
-	} else {
-		q.items = append([]*Item[T]{i}, q.items...)
-	}
-	q.live++
-}
-
 // Head returns the first item, or nil.
 func (q *Queue[T]) Head() *Item[T] {
 	q.skip()
--- a/pkg/allocator/next.go
+++ b/pkg/allocator/next.go
@@ -176,6 +176,15 @@
 	Waiting [len(plan.Classes)]int
 }
 
+// TotalWaiting returns the number of waiting tasks of all classes.
+func (a Advertisement) TotalWaiting() int {
+	n := 0
+	for _, w := range a.Waiting {
+		n += w
+	}
+	return n
+}
+
 // Advertise summarises the allocator.
 func (a *Allocator) Advertise() Advertisement {
 	out := Advertisement{Workers: a.ledger.Len()}
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -129,6 +129,7 @@
 	}
 	return c, nil
 }
+
 func (c *Cluster) start(ctx context.Context, o Options) error {
 	var args []string
 	if o.RetainedRecords > 0 {
@@ -182,6 +183,7 @@
 	}
 	return rows, nil
 }
+
 func (c *Cluster) standin(role string, file *standin.FileSettings, more ...string) (standin.Started, error) {
 	args := append([]string{"-role", role}, more...)
 	name := fmt.Sprintf("%s-%d", role, len(c.processes))
@@ -196,6 +198,7 @@
 	_, err := c.launch(name, c.programs.Standin, args, &started)
 	return started, err
 }
+
 func (c *Cluster) write(name string, value any) (string, error) {
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
@@ -322,6 +325,7 @@
 		time.Sleep(readyPoll)
 	}
 }
+
 func (c *Cluster) ready(ctx context.Context) bool {
 	adopted := 0
 	for _, e := range c.Entries {
--- a/pkg/daemon/job_calls.go
+++ b/pkg/daemon/job_calls.go
@@ -14,6 +14,7 @@
 func (n *Node) SubmitJob(ctx context.Context, spec job.Spec) job.Status {
 	return n.jobs.submit(ctx, spec)
 }
+
 func (j *Jobs) submit(ctx context.Context, spec job.Spec) job.Status {
 	id := j.node.NewID()
 	if reason, after := j.node.requests.admission(spec.Tasks[0]); reason != "" {
@@ -68,6 +69,7 @@
 	}
 	return job.Status{}, false
 }
+
 func (j *Jobs) wait(ctx context.Context, id string, wait time.Duration) (job.Status, bool) {
 	timer := time.NewTimer(min(wait, maxFetchWait))
 	defer timer.Stop()
--- a/pkg/daemon/job_run.go
+++ b/pkg/daemon/job_run.go
@@ -111,6 +111,7 @@
 	j.node.Log.Info("gang_started", "job", id, "tasks", len(placed))
 	return found
 }
+
 func (j *Jobs) workOf(r *jobRun, id string, i int, spec request.Spec) request.Work {
 	return request.Work{
 		ID: job.TaskID(id, i), Customer: j.node.store.Current().Index.Customer(spec.Plan), Spec: spec, Submitted: time.Now(),
--- a/pkg/daemon/job_takeover.go
+++ b/pkg/daemon/job_takeover.go
@@ -69,6 +69,7 @@
 	}
 	return m.State == membership.Removed || m.Incarnation > h.Incarnation
 }
+
 func (n *Node) isSuccessor(h job.Holder) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/pkg/daemon/jobs.go
+++ b/pkg/daemon/jobs.go
@@ -54,6 +54,7 @@
 	// takingOver holds the former holders whose takeover is under way.
 	takingOver map[job.Holder]bool
 }
+
 type jobRun struct {
 	generation int
 	cancel     context.CancelFunc
@@ -70,6 +71,7 @@
 	go j.tick()
 	return j
 }
+
 func (j *Jobs) stream() string { return job.Stream(j.node.Settings.Domain) }
 func (j *Jobs) follow() {
 	// The first reads return at once, so that jobs are accepted early.
--- a/pkg/daemon/keyed_requests.go
+++ b/pkg/daemon/keyed_requests.go
@@ -51,6 +51,7 @@
 		return r.node.claims.Release(ctx, w.Spec.Plan, w.Spec.Key, w.ID)
 	})
 }
+
 func (r *Requests) settle(w request.Work, out request.Outcome) {
 	if out.State == request.NotRun || out.State == request.Cancelled && out.Attempts == 0 {
 		r.release(w)
--- a/pkg/daemon/members.go
+++ b/pkg/daemon/members.go
@@ -42,12 +42,8 @@
 // and every address that has not answered yet.
 func (n *Node) sendHeartbeats() {
 	load, epoch := n.owner.Advertise(), n.owner.Epoch()
-	waiting := 0
-	for _, w := range load.Waiting {
-		waiting += w
-	}
 	n.mutex.Lock()
-	n.view.SetSelf(membership.Advert{Free: load.FreeFraction, Waiting: waiting, Workers: load.Workers}, epoch, n.store.Current().Offset, n.leaving)
+	n.view.SetSelf(membership.Advert{Free: load.FreeFraction, Waiting: load.TotalWaiting(), Workers: load.Workers}, epoch, n.store.Current().Offset, n.leaving)
 	self := n.view.Self()
 	targets := n.heartbeatTargets()
 	n.beats++
@@ -164,7 +160,7 @@
 		l, err := n.lister.List(n.run, "")
 		if err == nil {
 			n.mutex.Lock()
-			n.listed, n.listRead = l, time.Now()
+			n.listed = l
 			n.mutex.Unlock()
 			n.assign()
 		}
--- a/pkg/daemon/node.go
+++ b/pkg/daemon/node.go
@@ -80,12 +80,11 @@
 	// pendingUsage holds sums that the log has not taken yet, oldest first.
 	pendingUsage []usage.Period
 
-	mutex    sync.Mutex
-	view     *membership.View
-	listed   vmlist.List
-	listRead time.Time
-	leaving  bool
-	gossip   *rand.Rand
+	mutex   sync.Mutex
+	view    *membership.View
+	listed  vmlist.List
+	leaving bool
+	gossip  *rand.Rand
 	// beats counts rounds of heartbeats.
 	beats uint64
 }
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -16,13 +16,9 @@
 	load, epoch := n.owner.Advertise(), n.owner.Epoch()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	waiting := 0
-	for _, w := range load.Waiting {
-		waiting += w
-	}
 	out := []request.Target{{
 		Name: n.Settings.Name, Epoch: epoch, Domain: n.Settings.Domain,
-		Free: load.FreeFraction, Waiting: waiting,
+		Free: load.FreeFraction, Waiting: load.TotalWaiting(),
 		Usable: !n.leaving && load.Workers > 0, Reachable: true,
 	}}
 	for _, m := range n.view.Members() {
--- a/pkg/daemon/requests.go
+++ b/pkg/daemon/requests.go
@@ -56,6 +56,7 @@
 	go r.pruneLoop()
 	return r
 }
+
 func (r *Requests) pruneLoop() {
 	tick := time.NewTicker(pruneInterval)
 	defer tick.Stop()
@@ -149,6 +150,7 @@
 	}()
 	return id, nil
 }
+
 func (r *Requests) admission(spec request.Spec) (reason string, retryAfter time.Duration) {
 	n := r.node
 	version := n.store.Current()
@@ -164,6 +166,7 @@
 	}
 	return "", 0
 }
+
 func (r *Requests) account(key metrics.Key, spec request.Spec, o request.Outcome) {
 	r.node.metrics.Update(key, func(s *metrics.Summary) {
 		switch o.State {
--- a/pkg/invariant/invariant.go
+++ b/pkg/invariant/invariant.go
@@ -10,23 +10,18 @@
 
 var (
 	violations = expvar.NewMap("invariant_violations")
-	total      atomic.Int64
 	fatal      atomic.Bool
 )
 
 // SetFatal makes every later violation panic.
 func SetFatal(on bool) { fatal.Store(on) }
 
-// Violations returns the number of violations of this process.
-func Violations() int64 { return total.Load() }
-
 // Check counts a violation of the named invariant when ok is false. The
 // message is only formatted then.
 func Check(ok bool, name, format string, args ...any) {
 	if ok {
 		return
 	}
-	total.Add(1)
 	violations.Add(name, 1)
 	if fatal.Load() {
 		panic("invariant " + name + ": " + fmt.Sprintf(format, args...))
--- a/pkg/load/figures.go
+++ b/pkg/load/figures.go
@@ -64,6 +64,7 @@
 	}
 	return 20 * time.Second
 }
+
 func (g *goodput) add(c call) {
 	if c.result == cancelled {
 		return
@@ -73,6 +74,7 @@
 		g.useful++
 	}
 }
+
 func (g *goodput) ratio() float64 { return float64(g.useful) / float64(max(1, g.sent)) }
 
 // packing compares the mean use in the acting phase with the capacity: of
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -124,6 +124,7 @@
 	}
 	return s[:min(len(s), maxReasonBytes)]
 }
+
 func (r *run) groupReport(g Group, runs map[string][]standin.Run) GroupReport {
 	out := GroupReport{Customer: g.Customer, Plan: g.Plan, Class: string(g.Class), Flooding: r.scenario.Flood[r.cluster.Deployment.Name] == g.Plan}
 	waited := hdrhistogram.New(1, time.Hour.Milliseconds(), 3)
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -109,6 +109,7 @@
 	generation int
 	at         time.Time
 }
+
 type attempt struct {
 	task    entry.Task
 	status  entry.Status
@@ -160,6 +161,7 @@
 	default:
 	}
 }
+
 func (o *Owner) loop() {
 	tick := time.NewTicker(o.timing.Tick)
 	defer tick.Stop()
@@ -176,6 +178,7 @@
 		}
 	}
 }
+
 func (o *Owner) dispatch() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -221,6 +224,7 @@
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
+
 func (o *Owner) end(id string, s entry.Status) {
 	o.measure(time.Now())
 	if o.alloc.Release(id) {
@@ -279,9 +283,8 @@
 			return
 		}
 		o.suspect(a.status.Worker)
-		gone := o.alloc.Ledger().Reservation(id) == nil
 		o.mutex.Unlock()
-		if gone || !o.pause(o.timing.Retry) {
+		if !o.pause(o.timing.Retry) {
 			return
 		}
 	}
@@ -299,6 +302,7 @@
 		s.interrupt()
 	}
 }
+
 func (o *Owner) started(a *attempt, r worker.Record) {
 	if r.Phase.Ended() {
 		o.end(a.task.Attempt, statusOf(r))
@@ -332,11 +336,13 @@
 		return true
 	}
 }
+
 func (o *Owner) refuse(r allocator.Refusal) {
 	if a := o.attempts[r.Task.Attempt]; a != nil {
 		o.set(a, entry.Status{State: entry.NotRun, Reason: string(r.Reason)})
 	}
 }
+
 func statusOf(r worker.Record) entry.Status {
 	switch r.Phase {
 	case worker.Running:
--- a/pkg/owner/upkeep.go
+++ b/pkg/owner/upkeep.go
@@ -56,6 +56,7 @@
 	o.noticePause(time.Now())
 	return o.epoch
 }
+
 func (o *Owner) expire() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
