--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/almondpost/almondpost/pkg/load"
+	"github.com/almondpost/almondpost/internal/emulate/load"
 )
 
 func main() { os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
 )
 
 func main() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/pkg/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/invariant"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
 )
 
 // Item is one waiting element of a Queue.
--- a/pkg/allocator/allocator.go
+++ b/internal/decide/allocator/allocator.go
@@ -7,14 +7,14 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/admission"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/ledger"
-	"github.com/almondpost/almondpost/pkg/placement"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/share"
+	"github.com/almondpost/almondpost/internal/decide/admission"
+	"github.com/almondpost/almondpost/internal/decide/ledger"
+	"github.com/almondpost/almondpost/internal/decide/placement"
+	"github.com/almondpost/almondpost/internal/decide/share"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/allocator/allocator_test.go
+++ b/internal/decide/allocator/allocator_test.go
@@ -8,12 +8,12 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/placement"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/seeded"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/decide/placement"
+	"github.com/almondpost/almondpost/internal/emulate/seeded"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m, 300) }
--- a/pkg/allocator/bench_test.go
+++ b/internal/decide/allocator/bench_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/placement"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/decide/placement"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // BenchmarkDecision measures one decision with one release and one admission
--- a/pkg/allocator/next.go
+++ b/internal/decide/allocator/next.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/admission"
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/ledger"
-	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/internal/decide/admission"
+	"github.com/almondpost/almondpost/internal/decide/ledger"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // turn is the order in which plans get room: plans below their promise come
--- a/pkg/allocator/reclaim.go
+++ b/internal/decide/allocator/reclaim.go
@@ -3,10 +3,10 @@
 import (
 	"sort"
 
-	"github.com/almondpost/almondpost/pkg/admission"
-	"github.com/almondpost/almondpost/pkg/ledger"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/decide/admission"
+	"github.com/almondpost/almondpost/internal/decide/ledger"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // maxReclaims bounds the preemptions under way for one plan.
--- a/pkg/ejection/ejection_test.go
+++ b/internal/decide/ejection/ejection_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/ejection"
+	"github.com/almondpost/almondpost/internal/decide/ejection"
 )
 
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/pkg/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -4,9 +4,9 @@
 package ledger
 
 import (
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -5,9 +5,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/ledger"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/decide/ledger"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 func TestReserveRefuses(t *testing.T) {
--- a/pkg/ledger/search.go
+++ b/internal/decide/ledger/search.go
@@ -1,6 +1,6 @@
 package ledger
 
-import "github.com/almondpost/almondpost/pkg/resource"
+import "github.com/almondpost/almondpost/internal/state/resource"
 
 // maxCandidates bounds how many fitting workers one search scores.
 const maxCandidates = 24
--- a/pkg/placement/packing_test.go
+++ b/internal/decide/placement/packing_test.go
@@ -6,10 +6,10 @@
 	"slices"
 	"testing"
 
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/ledger"
-	"github.com/almondpost/almondpost/pkg/placement"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/decide/ledger"
+	"github.com/almondpost/almondpost/internal/decide/placement"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 var (
--- a/pkg/placement/policy.go
+++ b/internal/decide/placement/policy.go
@@ -4,8 +4,8 @@
 import (
 	"math/rand/v2"
 
-	"github.com/almondpost/almondpost/pkg/ledger"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/decide/ledger"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Policy chooses a worker for a size, or nil when none has room. A policy
--- a/pkg/share/share.go
+++ b/internal/decide/share/share.go
@@ -3,9 +3,9 @@
 package share
 
 import (
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Account is what one plan uses of the pool.
--- a/pkg/cluster/cluster.go
+++ b/internal/emulate/cluster/cluster.go
@@ -17,13 +17,13 @@
 	"syscall"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/configuration"
-	"github.com/almondpost/almondpost/pkg/deployment"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/settings"
-	"github.com/almondpost/almondpost/pkg/standin"
-	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/settings"
+	"github.com/almondpost/almondpost/internal/operate/deployment"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/state/configuration"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/cluster/control.go
+++ b/internal/emulate/cluster/control.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"net/netip"
 
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
-	"github.com/almondpost/almondpost/pkg/standin"
-	"github.com/almondpost/almondpost/pkg/traffic"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/operate/traffic"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
 )
 
 func (c *Cluster) control(ctx context.Context, a netip.AddrPort, operation string, request any) error {
--- a/pkg/cluster/jobs_test.go
+++ b/internal/emulate/cluster/jobs_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/state/job"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 func jobSpec(tasks int, run time.Duration) job.Spec {
--- a/pkg/cluster/outage_test.go
+++ b/internal/emulate/cluster/outage_test.go
@@ -10,9 +10,9 @@
 	"github.com/matryer/is"
 	"github.com/oklog/ulid/v2"
 
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/node/request"
 )
 
 // TestPlatformAway kills an entry VM while log and VM list are away. The others
--- a/pkg/cluster/path_test.go
+++ b/internal/emulate/cluster/path_test.go
@@ -15,12 +15,12 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/almondpost/almondpost/examples"
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/deployment"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/operate/deployment"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 var programs cluster.Programs
@@ -28,7 +28,7 @@
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "almondpost")
 	if err == nil {
-		programs, err = cluster.Build(context.Background(), "../..", folder)
+		programs, err = cluster.Build(context.Background(), "../../..", folder)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/pkg/load/call.go
+++ b/internal/emulate/load/call.go
@@ -10,9 +10,9 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/node/request"
 )
 
 // result is what became of a call from its caller's side.
--- a/pkg/load/control.go
+++ b/internal/emulate/load/control.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/cluster"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
 )
 
 // clockTicksPerSecond is the unit of process times in /proc.
--- a/pkg/load/figures.go
+++ b/internal/emulate/load/figures.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // runsOf groups the workers' records by request.
--- a/pkg/load/load.go
+++ b/internal/emulate/load/load.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/load/main.go
+++ b/internal/emulate/load/main.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"github.com/almondpost/almondpost/examples"
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/deployment"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/settings"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/settings"
+	"github.com/almondpost/almondpost/internal/operate/deployment"
 )
 
 // Options of one run.
--- a/pkg/load/report.go
+++ b/internal/emulate/load/report.go
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
 )
 
 // Report is the result of one run.
--- a/pkg/load/scenario.go
+++ b/internal/emulate/load/scenario.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/configuration"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/isolation"
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/emulate/isolation"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/configuration"
 )
 
 const (
--- a/pkg/load/slope.go
+++ b/internal/emulate/load/slope.go
@@ -10,11 +10,11 @@
 	"gonum.org/v1/gonum/mat"
 
 	"github.com/almondpost/almondpost/examples"
-	"github.com/almondpost/almondpost/pkg/cluster"
-	"github.com/almondpost/almondpost/pkg/deployment"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/emulate/cluster"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/deployment"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // slopePoint is one size at which the cost of control is measured.
--- a/pkg/seeded/seeded.go
+++ b/internal/emulate/seeded/seeded.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"testing"
 
-	"github.com/almondpost/almondpost/pkg/invariant"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
 )
 
 // Main makes violations of invariants fatal, fixes rapid's seed and number of
--- a/pkg/standin/log.go
+++ b/internal/emulate/standin/log.go
@@ -11,8 +11,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
-	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
 )
 
 // DefaultRetainedRecords is how many records a stream keeps.
--- a/pkg/standin/main.go
+++ b/internal/emulate/standin/main.go
@@ -12,8 +12,8 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // FileSettings is the settings file of the stand-in program.
--- a/pkg/standin/serve.go
+++ b/internal/emulate/standin/serve.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // WorkerSettings describes one stand-in worker.
--- a/pkg/standin/vms.go
+++ b/internal/emulate/standin/vms.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
-	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
 )
 
 // VMs is an in-memory VM list.
--- a/pkg/standin/worker.go
+++ b/internal/emulate/standin/worker.go
@@ -10,9 +10,9 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/worker"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
+	"github.com/almondpost/almondpost/internal/peer/worker"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Work is the payload that a stand-in worker understands.
--- a/pkg/app/app.go
+++ b/internal/node/app/app.go
@@ -8,7 +8,7 @@
 	"io"
 	"sort"
 
-	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/internal/node/fault"
 )
 
 // Exit statuses.
--- a/pkg/app/entry.go
+++ b/internal/node/app/entry.go
@@ -17,13 +17,13 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/samber/oops"
 
-	"github.com/almondpost/almondpost/pkg/caller"
-	"github.com/almondpost/almondpost/pkg/common"
-	"github.com/almondpost/almondpost/pkg/daemon"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
-	"github.com/almondpost/almondpost/pkg/metrics"
-	"github.com/almondpost/almondpost/pkg/settings"
+	"github.com/almondpost/almondpost/internal/node/common"
+	"github.com/almondpost/almondpost/internal/node/daemon"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/settings"
+	"github.com/almondpost/almondpost/internal/operate/metrics"
+	"github.com/almondpost/almondpost/internal/peer/caller"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
 )
 
 const (
--- a/pkg/app/lists.go
+++ b/internal/node/app/lists.go
@@ -9,11 +9,11 @@
 	"os"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/configuration"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/settings"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/settings"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
+	"github.com/almondpost/almondpost/internal/state/configuration"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // listFlags adds the flags that name the files of the two lists.
--- a/pkg/app/operator.go
+++ b/internal/node/app/operator.go
@@ -9,9 +9,9 @@
 	"os"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/report"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/report"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 // operatorTimeout bounds one call of an operator tool.
--- a/pkg/app/script_test.go
+++ b/internal/node/app/script_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/almondpost/almondpost/pkg/app"
-	"github.com/almondpost/almondpost/pkg/standin"
+	"github.com/almondpost/almondpost/internal/emulate/standin"
+	"github.com/almondpost/almondpost/internal/node/app"
 )
 
 func TestMain(m *testing.M) {
--- a/pkg/common/common.go
+++ b/internal/node/common/common.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/almondpost/almondpost/pkg/settings"
+	"github.com/almondpost/almondpost/internal/node/settings"
 )
 
 // Common is shared by all parts of one daemon.
--- a/pkg/common/common_test.go
+++ b/internal/node/common/common_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/common"
-	"github.com/almondpost/almondpost/pkg/settings"
+	"github.com/almondpost/almondpost/internal/node/common"
+	"github.com/almondpost/almondpost/internal/node/settings"
 )
 
 func TestOneLineOfKeysAndValuesPerEvent(t *testing.T) {
--- a/pkg/daemon/job_calls.go
+++ b/internal/node/daemon/job_calls.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 // SubmitJob accepts a job once it is in the log.
--- a/pkg/daemon/job_run.go
+++ b/internal/node/daemon/job_run.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 // run runs the tasks of a job that have not ended.
--- a/pkg/daemon/job_takeover.go
+++ b/internal/node/daemon/job_takeover.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/membership"
+	"github.com/almondpost/almondpost/internal/state/job"
+	"github.com/almondpost/almondpost/internal/state/membership"
 )
 
 // permitted reports whether this process may start work of its jobs. It may
--- a/pkg/daemon/jobs.go
+++ b/internal/node/daemon/jobs.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/job"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 const (
--- a/pkg/daemon/keyed_requests.go
+++ b/internal/node/daemon/keyed_requests.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/claim"
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/state/claim"
 )
 
 func (r *Requests) claimed(ctx context.Context, w request.Work) request.Outcome {
--- a/pkg/daemon/members.go
+++ b/internal/node/daemon/members.go
@@ -5,9 +5,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/membership"
-	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/state/membership"
 )
 
 const (
--- a/pkg/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -4,11 +4,11 @@
 	"context"
 	"net/netip"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/membership"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/state/membership"
 )
 
 // Targets implements request.Peers.
--- a/pkg/daemon/request_fetch.go
+++ b/internal/node/daemon/request_fetch.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/entry"
 )
 
 // Serve answers a fetch of another entry VM.
--- a/pkg/daemon/requests.go
+++ b/internal/node/daemon/requests.go
@@ -7,9 +7,9 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/almondpost/almondpost/pkg/metrics"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/shard"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/node/shard"
+	"github.com/almondpost/almondpost/internal/operate/metrics"
 )
 
 const (
--- a/pkg/daemon/usage.go
+++ b/internal/node/daemon/usage.go
@@ -7,11 +7,11 @@
 	"slices"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/configuration"
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/report"
-	"github.com/almondpost/almondpost/pkg/usage"
-	"github.com/almondpost/almondpost/pkg/vmlist"
+	"github.com/almondpost/almondpost/internal/operate/report"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/state/configuration"
+	"github.com/almondpost/almondpost/internal/state/usage"
 )
 
 const (
--- a/pkg/owner/calls.go
+++ b/internal/node/owner/calls.go
@@ -4,10 +4,10 @@
 	"strings"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/worker"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/worker"
 )
 
 // MaxWait bounds how long one call waits for an attempt.
--- a/pkg/owner/gang.go
+++ b/internal/node/owner/gang.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/peer/entry"
 )
 
 // gang is the one gang that may collect room at this owner over time. The slot
--- a/pkg/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -10,15 +10,15 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/ejection"
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/placement"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/usage"
-	"github.com/almondpost/almondpost/pkg/vmlist"
-	"github.com/almondpost/almondpost/pkg/worker"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/decide/ejection"
+	"github.com/almondpost/almondpost/internal/decide/placement"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/worker"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/usage"
 )
 
 // Timing is how an owner deals with its workers.
--- a/pkg/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -10,12 +10,12 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/owner"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/vmlist"
-	"github.com/almondpost/almondpost/pkg/worker"
+	"github.com/almondpost/almondpost/internal/node/owner"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/worker"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 var capacity = resource.Vector{Milliprocessors: 1000, MemoryMebibytes: 1000, Slots: 1, Connections: 1}
--- a/pkg/owner/session.go
+++ b/internal/node/owner/session.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/vmlist"
-	"github.com/almondpost/almondpost/pkg/worker"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/worker"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // session is the work with one worker. Its fields are guarded by the lock of
--- a/pkg/owner/upkeep.go
+++ b/internal/node/owner/upkeep.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/usage"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/state/usage"
 )
 
 // measure integrates the use up to now; it is called before the use changes.
--- a/pkg/request/gang.go
+++ b/internal/node/request/gang.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/internal/peer/entry"
 )
 
 const (
--- a/pkg/request/request.go
+++ b/internal/node/request/request.go
@@ -10,8 +10,8 @@
 
 	"crypto/sha256"
 
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Spec is what a caller asks for.
--- a/pkg/request/resolve.go
+++ b/internal/node/request/resolve.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/entry"
+	"github.com/almondpost/almondpost/internal/peer/entry"
 )
 
 // resolve finds out what became of an attempt whose owner gave no answer or
--- a/pkg/request/resolve_test.go
+++ b/internal/node/request/resolve_test.go
@@ -11,14 +11,14 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/owner"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/retry"
-	"github.com/almondpost/almondpost/pkg/vmlist"
-	"github.com/almondpost/almondpost/pkg/worker"
+	"github.com/almondpost/almondpost/internal/decide/retry"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/owner"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/worker"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // lostOwner loses the answer of the first owner, which is then gone; the other
--- a/pkg/request/route.go
+++ b/internal/node/request/route.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // TwoChoices keeps work on the own entry VM while its workers have room, since
--- a/pkg/request/runner.go
+++ b/internal/node/request/runner.go
@@ -8,11 +8,11 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/retry"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/decide/retry"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // Target is an entry VM that owns workers.
--- a/pkg/request/runner_test.go
+++ b/internal/node/request/runner_test.go
@@ -16,17 +16,17 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/almondpost/almondpost/pkg/allocator"
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/owner"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/retry"
-	"github.com/almondpost/almondpost/pkg/seeded"
-	"github.com/almondpost/almondpost/pkg/vmlist"
-	"github.com/almondpost/almondpost/pkg/worker"
+	"github.com/almondpost/almondpost/internal/decide/allocator"
+	"github.com/almondpost/almondpost/internal/decide/retry"
+	"github.com/almondpost/almondpost/internal/emulate/seeded"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/owner"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/entry"
+	"github.com/almondpost/almondpost/internal/peer/vmlist"
+	"github.com/almondpost/almondpost/internal/peer/worker"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m, 300) }
--- a/pkg/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -9,8 +9,8 @@
 	"regexp"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/deployment/deployment.go
+++ b/internal/operate/deployment/deployment.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"io/fs"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/deployment/deployment_test.go
+++ b/internal/operate/deployment/deployment_test.go
@@ -6,8 +6,8 @@
 	"github.com/matryer/is"
 
 	"github.com/almondpost/almondpost/examples"
-	"github.com/almondpost/almondpost/pkg/deployment"
-	"github.com/almondpost/almondpost/pkg/settings"
+	"github.com/almondpost/almondpost/internal/node/settings"
+	"github.com/almondpost/almondpost/internal/operate/deployment"
 )
 
 func TestExamplesAreOfTheSizesOfTheCustomers(t *testing.T) {
@@ -31,7 +31,7 @@
 				inDomain[w.Domain]++
 			}
 			is.Equal(len(inDomain), s.domains)
-			loaded, err := settings.Load("../../examples/" + s.testName + "/entry.json")
+			loaded, err := settings.Load("../../../examples/" + s.testName + "/entry.json")
 			is.NoErr(err)
 			is.NoErr(loaded.Validate())
 		})
--- a/pkg/report/plot.go
+++ b/internal/operate/report/plot.go
@@ -8,7 +8,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"github.com/almondpost/almondpost/pkg/fault"
+	"github.com/almondpost/almondpost/internal/node/fault"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/report/report.go
+++ b/internal/operate/report/report.go
@@ -9,8 +9,8 @@
 	"sort"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/usage"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/usage"
 )
 
 // Report is the evidence over a time.
--- a/pkg/caller/gateway.go
+++ b/internal/peer/caller/gateway.go
@@ -17,10 +17,10 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
-	"github.com/almondpost/almondpost/pkg/report"
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/operate/report"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 // Service is what the gateway needs of the entry VM.
--- a/pkg/caller/gateway_test.go
+++ b/internal/peer/caller/gateway_test.go
@@ -14,10 +14,10 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/caller"
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/report"
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/operate/report"
+	"github.com/almondpost/almondpost/internal/peer/caller"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 // fakeService answers every request at once.
--- a/pkg/caller/jobs.go
+++ b/internal/peer/caller/jobs.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 func (g *Gateway) submitJob(w http.ResponseWriter, r *http.Request) {
--- a/pkg/entry/client.go
+++ b/internal/peer/entry/client.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/traffic"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/traffic"
 )
 
 // ServiceName is the net/rpc name of the service of an entry VM.
--- a/pkg/entry/client_test.go
+++ b/internal/peer/entry/client_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/entry"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/traffic"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/traffic"
+	"github.com/almondpost/almondpost/internal/peer/entry"
 )
 
 // slowHandler holds every Run until it is released.
--- a/pkg/entry/heartbeat.go
+++ b/internal/peer/entry/heartbeat.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/netip"
 
-	"github.com/almondpost/almondpost/pkg/membership"
+	"github.com/almondpost/almondpost/internal/state/membership"
 )
 
 // maxHeartbeatBytes bounds one heartbeat datagram.
--- a/pkg/entry/protocol.go
+++ b/internal/peer/entry/protocol.go
@@ -5,10 +5,10 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/resource"
-	"github.com/almondpost/almondpost/pkg/usage"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/plan"
+	"github.com/almondpost/almondpost/internal/state/resource"
+	"github.com/almondpost/almondpost/internal/state/usage"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/entry/server.go
+++ b/internal/peer/entry/server.go
@@ -6,7 +6,7 @@
 	"net/rpc"
 	"sync"
 
-	"github.com/almondpost/almondpost/pkg/traffic"
+	"github.com/almondpost/almondpost/internal/operate/traffic"
 )
 
 // Handler is what an entry VM offers to the others.
--- a/pkg/logservice/log.go
+++ b/internal/peer/logservice/log.go
@@ -10,8 +10,8 @@
 	"net/url"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/worker/client.go
+++ b/internal/peer/worker/client.go
@@ -7,8 +7,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/jsonhttp"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/jsonhttp"
 )
 
 // CallTimeout bounds every call beside the wait that it asks for.
--- a/pkg/worker/protocol.go
+++ b/internal/peer/worker/protocol.go
@@ -7,8 +7,8 @@
 	"context"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/claim/claim.go
+++ b/internal/state/claim/claim.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/claim/claim_test.go
+++ b/internal/state/claim/claim_test.go
@@ -11,10 +11,10 @@
 	"github.com/oklog/ulid/v2"
 	"pgregory.net/rapid"
 
-	"github.com/almondpost/almondpost/pkg/claim"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/seeded"
+	"github.com/almondpost/almondpost/internal/emulate/seeded"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
+	"github.com/almondpost/almondpost/internal/state/claim"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m, 1000) }
--- a/pkg/configuration/codec.go
+++ b/internal/state/configuration/codec.go
@@ -6,8 +6,8 @@
 	"encoding/json"
 	"io"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // maxRecordBytes bounds a record after decompression.
--- a/pkg/configuration/follow.go
+++ b/internal/state/configuration/follow.go
@@ -6,9 +6,9 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 const (
--- a/pkg/configuration/store.go
+++ b/internal/state/configuration/store.go
@@ -7,10 +7,10 @@
 import (
 	"sync"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/plan"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 // Stream is the log stream of configurations.
--- a/pkg/configuration/store_test.go
+++ b/internal/state/configuration/store_test.go
@@ -10,11 +10,11 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/almondpost/almondpost/pkg/configuration"
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/plan"
-	"github.com/almondpost/almondpost/pkg/seeded"
+	"github.com/almondpost/almondpost/internal/emulate/seeded"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
+	"github.com/almondpost/almondpost/internal/state/configuration"
+	"github.com/almondpost/almondpost/internal/state/plan"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m, 400) }
--- a/pkg/job/spec.go
+++ b/internal/state/job/spec.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/request"
 )
 
 // TaskID names a task of a job.
--- a/pkg/job/table.go
+++ b/internal/state/job/table.go
@@ -7,10 +7,10 @@
 	"encoding/json"
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/request"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/job/table_test.go
+++ b/internal/state/job/table_test.go
@@ -8,10 +8,10 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/almondpost/almondpost/pkg/job"
-	"github.com/almondpost/almondpost/pkg/logservice"
-	"github.com/almondpost/almondpost/pkg/request"
-	"github.com/almondpost/almondpost/pkg/seeded"
+	"github.com/almondpost/almondpost/internal/emulate/seeded"
+	"github.com/almondpost/almondpost/internal/node/request"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
+	"github.com/almondpost/almondpost/internal/state/job"
 )
 
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/pkg/membership/view_test.go
+++ b/internal/state/membership/view_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/almondpost/almondpost/pkg/membership"
+	"github.com/almondpost/almondpost/internal/state/membership"
 )
 
 var (
--- a/pkg/plan/lists.go
+++ b/internal/state/plan/lists.go
@@ -11,8 +11,8 @@
 	"io"
 	"regexp"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/resource"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/recorder/recorder.go
+++ b/internal/state/recorder/recorder.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/almondpost/almondpost/pkg/fault"
-	"github.com/almondpost/almondpost/pkg/logservice"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/logservice"
 )
 
 // Kind classifies the errors of this package.
--- a/pkg/usage/usage.go
+++ b/internal/state/usage/usage.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/pkg/invariant"
-	"github.com/almondpost/almondpost/pkg/share"
+	"github.com/almondpost/almondpost/internal/decide/share"
+	"github.com/almondpost/almondpost/internal/operate/invariant"
 )
 
 // WaitingBounds are the upper bounds of the waiting-time buckets; the last
--- a/main.go
+++ b/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/almondpost/almondpost/pkg/app"
+	"github.com/almondpost/almondpost/internal/node/app"
 )
 
 func main() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) }
