--- /dev/null
+++ b/internal/cell/scheduler/advice.go
@@ -0,0 +1,274 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+)
+
+const (
+	// mostAsked bounds the workers named in one question.
+	mostAsked = 30
+	// ticketMargin is the validity that a ticket must have left to be used: it
+	// covers the record of the start and the order's way.
+	ticketMargin = 120 * time.Millisecond
+	// askTimeout is added to the time that a question should take.
+	askTimeout = 400 * time.Millisecond
+	// adviserPause is how long a VM that failed to get advice is not asked.
+	adviserPause = 2 * time.Second
+	// askAhead is how long before a step opens its workers are asked for.
+	askAhead = 500 * time.Millisecond
+)
+
+// advice is what is known of the workers that a step may use.
+type advice struct {
+	// tickets holds the good workers; a ticket may have expired.
+	tickets map[backend.Life]ticket
+	// asked holds every worker with a known verdict, by ID.
+	asked map[string]bool
+	// pending tells that a question is waiting or on its way.
+	pending bool
+}
+
+type ticket struct {
+	text    string
+	expires time.Time
+}
+
+func (a *advice) ticket(life backend.Life) string { return a.tickets[life].text }
+
+func (a *advice) drop(life backend.Life) {
+	if t, ok := a.tickets[life]; ok {
+		t.expires = time.Time{}
+		a.tickets[life] = t
+	}
+}
+
+func (a *advice) valid(life backend.Life, now time.Time) bool {
+	t, ok := a.tickets[life]
+	return ok && t.expires.Sub(now) > ticketMargin
+}
+
+// Ask is a question that an entry VM has to put to the adviser.
+type Ask struct {
+	Number  int64
+	VM      string
+	Step    work.StepID
+	Workers []string
+	Timeout time.Duration
+}
+
+// advisers spreads questions over the entry VMs, each of which can ask one at a
+// time.
+type advisers struct {
+	vms map[string]*adviserVM
+	// waiting holds the steps with a question, sorted when it is dealt out.
+	waiting map[*step]question
+	open    map[int64]openAsk
+	number  int64
+}
+
+type adviserVM struct {
+	asking     bool
+	pauseUntil time.Time
+}
+
+type question struct {
+	workers []backend.Life
+	cost    *queue.AdviceCost
+}
+
+type openAsk struct {
+	step    *step
+	vm      string
+	lives   []backend.Life
+	expires time.Time
+}
+
+func newAdvisers() advisers {
+	return advisers{vms: map[string]*adviserVM{}, waiting: map[*step]question{}, open: map[int64]openAsk{}}
+}
+
+// SetAdvisers names the entry VMs that can ask for advice.
+func (s *Scheduler) SetAdvisers(names []string) {
+	for _, n := range names {
+		if s.advisers.vms[n] == nil {
+			s.advisers.vms[n] = &adviserVM{}
+		}
+	}
+	for n := range s.advisers.vms {
+		if !slices.Contains(names, n) {
+			delete(s.advisers.vms, n)
+		}
+	}
+	s.planNeeded = true
+}
+
+func (a *advisers) forget(st *step) { delete(a.waiting, st) }
+
+// want notes a question about a step.
+func (a *advisers) want(st *step, workers []backend.Life, cost *queue.AdviceCost) {
+	if len(workers) == 0 || st.advice.pending {
+		return
+	}
+	a.waiting[st] = question{workers: workers, cost: cost}
+}
+
+// dealQuestions hands waiting questions to idle VMs, in the order of the jobs.
+func (s *Scheduler) dealQuestions(order []*job, now time.Time) {
+	if len(s.advisers.waiting) == 0 {
+		return
+	}
+	idle := s.advisers.idle(now)
+	for _, j := range order {
+		if len(idle) == 0 {
+			return
+		}
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				q, ok := s.advisers.waiting[st]
+				if !ok || len(idle) == 0 {
+					continue
+				}
+				s.ask(st, q, idle[0], now)
+				idle = idle[1:]
+			}
+		}
+	}
+}
+
+func (a *advisers) idle(now time.Time) []string {
+	var names []string
+	for n, v := range a.vms {
+		if !v.asking && now.After(v.pauseUntil) {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *Scheduler) ask(st *step, q question, vm string, now time.Time) {
+	a := &s.advisers
+	delete(a.waiting, st)
+	a.number++
+	a.vms[vm].asking = true
+	st.advice.pending = true
+	timeout := q.cost.Of(len(q.workers)) + askTimeout
+	a.open[a.number] = openAsk{step: st, vm: vm, lives: q.workers, expires: now.Add(timeout + askTimeout)}
+	ids := make([]string, len(q.workers))
+	for i, l := range q.workers {
+		ids[i] = l.ID
+	}
+	s.Counters.Asks++
+	s.effects.Asks = append(s.effects.Asks, Ask{Number: a.number, VM: vm, Step: st.id, Workers: ids, Timeout: timeout})
+}
+
+// AdviceAnswered handles the answer to a question; failed tells that there was
+// none.
+func (s *Scheduler) AdviceAnswered(number int64, answer backend.Advice, failed bool, now time.Time) {
+	o, ok := s.advisers.open[number]
+	if !ok {
+		return
+	}
+	delete(s.advisers.open, number)
+	o.step.advice.pending = false
+	if vm := s.advisers.vms[o.vm]; vm != nil {
+		vm.asking = false
+		if failed {
+			vm.pauseUntil = now.Add(adviserPause)
+		}
+	}
+	s.planNeeded = true
+	if failed {
+		s.log.Info("advice_failed", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm)
+		return
+	}
+	a := &o.step.advice
+	if a.asked == nil {
+		a.asked, a.tickets = map[string]bool{}, map[backend.Life]ticket{}
+	}
+	for _, l := range o.lives {
+		a.asked[l.ID] = true
+		if text, good := answer.Tickets[l.ID]; good {
+			a.tickets[l] = ticket{text: text, expires: now.Add(answer.Validity)}
+		}
+	}
+	s.log.V(1).Info("advice_received", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm, "asked", len(o.lives), "good", len(answer.Tickets))
+}
+
+func (s *Scheduler) expireAsks(now time.Time) {
+	for number, o := range s.advisers.open {
+		if now.After(o.expires) {
+			s.AdviceAnswered(number, backend.Advice{}, true, now)
+		}
+	}
+}
+
+// seekAdvice asks about the workers of a step where its tickets do not suffice.
+func (s *Scheduler) seekAdvice(st *step, q *queue.Queue, now time.Time) {
+	if q.Advice == nil || st.advice.pending {
+		return
+	}
+	var stale, unknown []backend.Life
+	anyKnownFits := false
+	for _, w := range s.workers {
+		if !s.usable(w, st, q, now) {
+			continue
+		}
+		life := w.registration.Life
+		fits := st.spec.Room().Fits(w.free())
+		switch _, good := st.advice.tickets[life]; {
+		case good:
+			if fits {
+				anyKnownFits = true
+			}
+			if !st.advice.valid(life, now) {
+				stale = append(stale, life)
+			}
+		case !st.advice.asked[life.ID]:
+			unknown = append(unknown, life)
+		}
+	}
+	switch {
+	case anyKnownFits && len(stale) > 0:
+		s.advisers.want(st, s.firstByRoom(stale, st), q.Advice)
+	case len(unknown) > 0 && (!anyKnownFits || st.spec.Gang):
+		s.advisers.want(st, s.firstByRoom(unknown, st), q.Advice)
+	}
+}
+
+// firstByRoom returns the workers most likely to have room soon.
+func (s *Scheduler) firstByRoom(lives []backend.Life, st *step) []backend.Life {
+	free := func(l backend.Life) float64 {
+		w := s.workers[l]
+		score := 1 - w.used.DominantFraction(w.registration.Capacity)
+		if st.spec.Rack != "" && w.rack() == st.spec.Rack {
+			score++
+		}
+		return score
+	}
+	slices.SortFunc(lives, func(a, b backend.Life) int {
+		if x, y := free(a), free(b); x != y {
+			if x > y {
+				return -1
+			}
+			return 1
+		}
+		return compareLives(a, b)
+	})
+	return lives[:min(len(lives), mostAsked)]
+}
+
+func compareLives(a, b backend.Life) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	if a.ID > b.ID {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/cell/scheduler/worker.go
@@ -0,0 +1,353 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+// worker is one life of a worker.
+type worker struct {
+	registration backend.Registration
+	// listed tells that the worker is registered now.
+	listed bool
+	// gone tells that nothing can run there any more.
+	gone bool
+	// open tells that the caller was asked to hold the worker.
+	open bool
+	// token is the fencing token of orders from now on; heldToken is the
+	// highest under which a hold was answered.
+	token, heldToken int64
+	used             resource.Vector
+	tasks            map[work.TaskID]*task
+	// applied is the number of the last end handled; stored is the last whose
+	// handling is stored, so that it can be acknowledged.
+	applied, stored int64
+	// clock is the worker's clock at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// leaseEnd is when everything there has surely lapsed unless it is held.
+	leaseEnd time.Time
+	// answered is when the worker last answered a hold.
+	answered time.Time
+	// failures counts failed runs since the last that completed.
+	failures   int
+	avoidUntil time.Time
+}
+
+// fencing reports whether orders sent now could be refused, or whether runs may
+// exist that are not accounted for.
+func (w *worker) fencing() bool { return w.heldToken != w.token }
+
+func (w *worker) kind() string { return label(w.registration.Labels, 0) }
+func (w *worker) rack() string { return label(w.registration.Labels, 1) }
+
+func label(labels []string, i int) string {
+	if i < len(labels) {
+		return labels[i]
+	}
+	return ""
+}
+
+func (w *worker) free() resource.Vector { return w.registration.Capacity.Sub(w.used) }
+
+func (w *worker) add(t *task) {
+	w.tasks[t.id] = t
+	w.used = w.used.Add(t.step.spec.Room())
+}
+
+func (w *worker) remove(t *task) {
+	if w.tasks[t.id] != t {
+		return
+	}
+	delete(w.tasks, t.id)
+	w.used = w.used.Sub(t.step.spec.Room())
+}
+
+// deadline returns the end of a lease that is granted now, by the worker's
+// clock; 0 when its clock is not known.
+func (w *worker) deadline(now, rightEnd time.Time, timing Timing) time.Duration {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	lease := min(timing.Lease, rightEnd.Sub(now))
+	return w.clock + now.Sub(w.clockAt) + lease
+}
+
+// extend notes that a lease was granted at a time.
+func (w *worker) extend(at time.Time, timing Timing) {
+	if end := at.Add(time.Duration(float64(timing.Lease)*clockRate) + leaseMargin); end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
+// SetWorkers replaces the list of registered workers.
+func (s *Scheduler) SetWorkers(list []backend.Registration, now time.Time) {
+	listed := make(map[backend.Life]bool, len(list))
+	for i := range list {
+		listed[list[i].Life] = true
+		s.register(list[i], now)
+	}
+	for life, w := range s.workers {
+		if w.listed && !listed[life] {
+			w.listed = false
+			s.log.Info("worker_unlisted", "worker", life.ID, "tasks", len(w.tasks))
+			s.closeIdle(w, now)
+		}
+	}
+	s.planNeeded = true
+}
+
+func (s *Scheduler) register(r backend.Registration, now time.Time) {
+	if latest := s.byID[r.Life.ID]; latest != nil && latest.registration.Life.Born > r.Life.Born {
+		return
+	}
+	w := s.workers[r.Life]
+	if w == nil {
+		w = s.newWorker(r, now)
+	}
+	if old := s.byID[r.Life.ID]; old != nil && old != w {
+		s.lose(old, "restarted", now)
+	}
+	s.byID[r.Life.ID] = w
+	if r.Draining && !w.registration.Draining {
+		s.log.Info("worker_draining", "worker", r.Life.ID, "remaining_ms", r.Remaining.Milliseconds(), "tasks", len(w.tasks))
+	}
+	w.registration, w.listed = r, true
+	if !w.open && !w.gone {
+		w.open = true
+		s.effects.Opened = append(s.effects.Opened, r)
+		s.log.Info("worker_opened", "worker", r.Life.ID, "service", r.Service, "zone", r.Zone, "capacity", r.Capacity.String())
+	}
+	s.evacuate(w, now)
+}
+
+func (s *Scheduler) newWorker(r backend.Registration, now time.Time) *worker {
+	w := &worker{registration: r, token: s.epoch << epochBits, tasks: map[work.TaskID]*task{}, answered: now}
+	s.workers[r.Life] = w
+	if s.byID[r.Life.ID] == nil {
+		s.byID[r.Life.ID] = w
+	}
+	return w
+}
+
+// evacuate moves lasting tasks off a worker that is leaving; others may end
+// there in time.
+func (s *Scheduler) evacuate(w *worker, _ time.Time) {
+	if !w.registration.Draining {
+		return
+	}
+	for _, t := range w.tasks {
+		if t.step.spec.Lasting && t.phase == phaseRunning {
+			s.stop(t)
+		}
+	}
+}
+
+// lose notes that nothing runs on a worker any more.
+func (s *Scheduler) lose(w *worker, why string, now time.Time) {
+	if w.gone {
+		return
+	}
+	w.gone, w.listed = true, false
+	s.log.Info("worker_lost", "worker", w.registration.Life.ID, "reason", why, "tasks", len(w.tasks))
+	s.lapse(w, now)
+	if w.open {
+		w.open = false
+		s.effects.Closed = append(s.effects.Closed, w.registration.Life)
+	}
+	delete(s.workers, w.registration.Life)
+	if s.byID[w.registration.Life.ID] == w {
+		delete(s.byID, w.registration.Life.ID)
+	}
+}
+
+// lapse frees all tasks of a worker whose runs have ended without a report.
+func (s *Scheduler) lapse(w *worker, now time.Time) {
+	for _, t := range w.tasks {
+		s.Counters.Lapsed++
+		s.log.Info("run_lapsed", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID)
+		s.toWaiting(t, now)
+		s.breakGang(t, now)
+	}
+}
+
+// expireLeases frees the tasks of workers that were not reached for a lease.
+func (s *Scheduler) expireLeases(now time.Time) {
+	for _, w := range s.workers {
+		if now.Before(w.leaseEnd) {
+			continue
+		}
+		if len(w.tasks) > 0 {
+			s.lapse(w, now)
+		}
+		if w.heldToken != 0 && now.Sub(w.answered) > s.timing.Lease {
+			// Runs from before may be listed when it answers again.
+			w.heldToken = 0
+		}
+		s.closeIdle(w, now)
+	}
+}
+
+// closeIdle leaves a worker that is not registered and runs nothing.
+func (s *Scheduler) closeIdle(w *worker, now time.Time) {
+	if !w.listed && len(w.tasks) == 0 {
+		s.lose(w, "unregistered", now)
+	}
+}
+
+// HoldRequest returns the next hold for a worker, and a ticket for its answer.
+// ok is false when the worker is to be left.
+func (s *Scheduler) HoldRequest(life backend.Life, now time.Time) (hold backend.Hold, sent HoldSent, ok bool) {
+	w := s.workers[life]
+	if w == nil {
+		return hold, sent, false
+	}
+	s.sequence++
+	hold = backend.Hold{Token: w.token, Acknowledged: w.stored, Deadline: max(w.deadline(now, s.rightEnd(), s.timing), 0)}
+	if !w.fencing() && w.applied == w.stored {
+		hold.Wait = s.timing.HoldWait
+	}
+	if hold.Deadline > 0 {
+		w.extend(now, s.timing)
+	}
+	return hold, HoldSent{sequence: s.sequence, token: w.token, at: now}, true
+}
+
+// HoldSent remembers when a hold was sent, against the answers of starts.
+type HoldSent struct {
+	sequence int64
+	token    int64
+	at       time.Time
+}
+
+// HoldFailed handles a hold without an answer, or one that was refused.
+func (s *Scheduler) HoldFailed(life backend.Life, kind backend.Kind, now time.Time) {
+	w := s.workers[life]
+	if w == nil {
+		return
+	}
+	switch kind {
+	case backend.KindOtherLife:
+		s.lose(w, "address is in use by another worker", now)
+	case backend.KindFenced:
+		s.log.Info("hold_fenced", "worker", life.ID, "token", w.token)
+		s.supersede(w)
+	default:
+	}
+}
+
+// HoldAnswered handles a worker's report.
+func (s *Scheduler) HoldAnswered(life backend.Life, sent HoldSent, r *backend.Report, now time.Time) {
+	w := s.workers[life]
+	if w == nil {
+		return
+	}
+	if r.Life.Born != 0 && r.Life.Born != life.Born {
+		s.lose(w, "another life answered", now)
+		return
+	}
+	w.answered = now
+	w.setClock(r.Clock, now)
+	for i := range r.Ended {
+		if e := &r.Ended[i]; e.Number > w.applied {
+			w.applied = e.Number
+			s.applyEnd(w, e, now)
+		}
+	}
+	running := make(map[work.TaskID]*backend.Run, len(r.Running))
+	for i := range r.Running {
+		running[r.Running[i].Task] = &r.Running[i]
+		s.applyRun(w, &r.Running[i], sent, now)
+	}
+	s.settleMissing(w, running, sent, r.Truncated, now)
+	if w.heldToken < sent.token {
+		w.heldToken = sent.token
+		s.planNeeded = true
+	}
+	s.paceFillers(w)
+	s.closeIdle(w, now)
+}
+
+func (w *worker) setClock(clock time.Duration, now time.Time) {
+	if clock > 0 {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+// applyRun handles one row of the list of runs.
+func (s *Scheduler) applyRun(w *worker, r *backend.Run, sent HoldSent, now time.Time) {
+	t := s.task(r.Task)
+	if t == nil || t.worker != w || t.run != r.Run {
+		if t != nil && t.worker == w && t.run > r.Run {
+			return // An older run of the same task that is being replaced there.
+		}
+		s.sendStop(w, r.Task, r.Run)
+		return
+	}
+	if r.Checkpoint != "" {
+		t.checkpoint = r.Checkpoint
+	}
+	if r.Percent > t.percent {
+		t.progressed = now
+	}
+	t.percent, t.figure = r.Percent, r.Figure
+	switch t.phase {
+	case phaseOrdered:
+		s.confirmRun(t, now)
+	case phaseStopping:
+		t.settled = true
+		if sent.sequence > t.sequence {
+			t.sequence = s.sequence
+			s.sendStop(w, t.id, t.run)
+		}
+	case phaseWaiting, phaseRecorded, phaseRunning, phaseDone:
+	}
+	if t.step.job.state.Ended() && t.phase == phaseRunning {
+		s.stop(t)
+	}
+}
+
+// confirmRun notes that a run was seen to have started.
+func (s *Scheduler) confirmRun(t *task, now time.Time) {
+	t.phase, t.settled, t.sequence = phaseRunning, true, s.sequence
+	if t.begun.IsZero() {
+		t.begun = now
+	}
+	if t.step.job.state.Ended() {
+		s.stop(t)
+	}
+}
+
+// settleMissing frees the tasks that a report proves not to run.
+func (s *Scheduler) settleMissing(w *worker, running map[work.TaskID]*backend.Run, sent HoldSent, truncated bool, now time.Time) {
+	for _, t := range w.tasks {
+		if r := running[t.id]; r != nil && r.Run == t.run {
+			continue
+		}
+		switch {
+		case t.phase == phaseRecorded:
+			continue
+		case !t.settled && t.token >= sent.token:
+			continue // The order may be on its way.
+		case t.settled && t.sequence >= sent.sequence:
+			continue // The report may be older than the run.
+		}
+		if truncated {
+			continue // Its end may be listed later.
+		}
+		s.Counters.Vanished++
+		s.log.Info("run_absent", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID, "token", t.token, "hold_token", sent.token)
+		s.toWaiting(t, now)
+		s.breakGang(t, now)
+	}
+}
+
+// supersede raises the token of a worker: when a hold with it is answered, no
+// order sent before can still be carried out.
+func (s *Scheduler) supersede(w *worker) {
+	w.token++
+	s.effects.Wake = append(s.effects.Wake, w.registration.Life)
+}
--- /dev/null
+++ b/internal/node/entryvm/election.go
@@ -0,0 +1,254 @@
+package entryvm
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/almondpost/almondpost/internal/peer/link"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+const (
+	// heartbeatInterval is the pause between a leader's heartbeats.
+	heartbeatInterval = 350 * time.Millisecond
+	// leaderSilence is how long a leader must be silent before another VM tries
+	// to lead: three heartbeats and some delay.
+	leaderSilence = 1200 * time.Millisecond
+	// rankPause is added for each VM that tries first, so that two seldom try
+	// at once.
+	rankPause = 250 * time.Millisecond
+	// electionPoll is the pause between checks of the leader.
+	electionPoll = 100 * time.Millisecond
+	// askTimeout bounds the question to other VMs whether they hear the leader.
+	askTimeout = 300 * time.Millisecond
+	// claimKey is the key of the claim in its topic.
+	claimKey = "leader"
+)
+
+// claim tells who leads. A higher epoch replaces a lower one.
+type claim struct {
+	Epoch   int64          `json:"epoch"`
+	Name    string         `json:"name"`
+	Address netip.AddrPort `json:"address"`
+	// Process tells lives of a VM apart: its start in Unix nanoseconds.
+	Process int64 `json:"process"`
+}
+
+// election finds out who leads, and tries to lead when nobody does.
+type election struct {
+	node    *Node
+	process int64
+	mutex   sync.Mutex
+	claim   claim
+	// end is where the topic of claims ends; -1 while it is not known.
+	end     int64
+	heardAt time.Time
+	invited chan struct{}
+}
+
+func newElection(n *Node) *election {
+	return &election{node: n, process: now().UnixNano(), end: -1, heardAt: now(), invited: make(chan struct{}, 1)}
+}
+
+func (e *election) run(ctx context.Context) {
+	go follow(ctx, e.node, store.Claims, followWait, e.apply)
+	for pause(ctx, electionPoll) {
+		select {
+		case <-e.invited:
+			if !e.node.isLeaving() {
+				e.lead(ctx, "invited")
+			}
+			continue
+		default:
+		}
+		if e.shouldTry(ctx) {
+			e.lead(ctx, "no leader is heard")
+		}
+	}
+}
+
+// apply notes the claims that were recorded.
+func (e *election) apply(records []store.Record) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.end = max(e.end, 0)
+	for i := range records {
+		r := &records[i]
+		e.end = max(e.end, r.Offset+1)
+		var c claim
+		if err := json.Unmarshal(r.Value, &c); err != nil {
+			e.node.log.Info("claim_unreadable", "key", r.Key)
+			continue
+		}
+		if c.Epoch > e.claim.Epoch {
+			e.claim, e.heardAt = c, now()
+			e.node.log.Info("leader_learned", "leader", c.Name, "epoch", c.Epoch)
+		}
+	}
+}
+
+// heard notes a heartbeat and returns the highest epoch known.
+func (e *election) heard(a HeartbeatArgs) int64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if a.Epoch >= e.claim.Epoch {
+		if a.Epoch > e.claim.Epoch {
+			m, _ := e.node.members.find(a.Leader)
+			e.claim = claim{Epoch: a.Epoch, Name: a.Leader, Address: m.Address}
+			e.node.log.Info("leader_heard", "leader", a.Leader, "epoch", a.Epoch)
+		}
+		e.heardAt = now()
+	}
+	return e.claim.Epoch
+}
+
+func (e *election) lastHeard() HeardReply {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return HeardReply{Epoch: e.claim.Epoch, Ago: now().Sub(e.heardAt)}
+}
+
+// leader returns who leads, as far as is known.
+func (e *election) leader() (claim, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.claim, e.claim.Name != ""
+}
+
+func (e *election) invite() {
+	select {
+	case e.invited <- struct{}{}:
+	default:
+	}
+}
+
+// rank is the place of this VM among those that may follow the leader.
+func (e *election) rank(epoch int64, leader string) int {
+	names := []string{e.node.settings.Name}
+	for _, m := range e.node.members.others() {
+		if m.Name != leader {
+			names = append(names, m.Name)
+		}
+	}
+	order := func(name string) uint64 { return xxhash.Sum64String(name) ^ uint64(epoch) }
+	slices.SortFunc(names, func(a, b string) int {
+		if order(a) < order(b) {
+			return -1
+		}
+		return 1
+	})
+	return slices.Index(names, e.node.settings.Name)
+}
+
+// shouldTry reports whether this VM should try to lead: it has heard no leader
+// for a while, and no VM that it reaches has.
+func (e *election) shouldTry(ctx context.Context) bool {
+	e.mutex.Lock()
+	c, end, silence := e.claim, e.end, now().Sub(e.heardAt)
+	e.mutex.Unlock()
+	if end < 0 || e.node.isLeaving() || e.node.leading() != nil {
+		return false
+	}
+	wait := leaderSilence
+	if c.Epoch == 0 {
+		wait = 0
+	}
+	if silence < wait+time.Duration(e.rank(c.Epoch, c.Name))*rankPause {
+		return false
+	}
+	if c.Epoch > 0 && e.othersHear(ctx, c.Epoch) {
+		e.mutex.Lock()
+		e.heardAt = now().Add(-leaderSilence / 2)
+		e.mutex.Unlock()
+		return false
+	}
+	return true
+}
+
+// othersHear reports whether another VM has heard the leader lately.
+func (e *election) othersHear(ctx context.Context, epoch int64) bool {
+	others := e.node.members.others()
+	heard := make(chan bool, len(others))
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, m := range others {
+		go func() {
+			r, err := link.Call[Nothing, HeardReply](call, e.node.client, m.Address, "Heard", Nothing{})
+			heard <- err == nil && r.Epoch >= epoch && r.Ago < leaderSilence
+		}()
+	}
+	for range others {
+		if <-heard {
+			return true
+		}
+	}
+	return false
+}
+
+// lead claims the cell and begins to lead it.
+func (e *election) lead(ctx context.Context, why string) {
+	if e.node.leading() != nil {
+		return
+	}
+	e.mutex.Lock()
+	c := claim{Epoch: e.claim.Epoch + 1, Name: e.node.settings.Name, Address: e.node.settings.Peers, Process: e.process}
+	end := e.end
+	e.mutex.Unlock()
+	value, _ := json.Marshal(c)
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := e.node.store.Append(call, store.Append{
+		Topic: store.Claims, Records: []store.Record{{Key: claimKey, Value: value}}, Condition: store.Condition{Set: true, End: end},
+	})
+	if err != nil {
+		e.node.log.Info("claim_failed", "epoch", c.Epoch, "reason", why, "error", err.Error())
+		// The claim may be stored all the same; the topic tells.
+		if batch, err := e.node.store.Read(call, store.Read{Topic: store.Claims, From: end}); err == nil {
+			e.apply(batch.Records)
+		}
+		if known, _ := e.leader(); known.Process != e.process {
+			return
+		}
+	}
+	e.mutex.Lock()
+	if c.Epoch >= e.claim.Epoch {
+		e.claim, e.end = c, max(e.end, end+1)
+	}
+	e.heardAt = now()
+	e.mutex.Unlock()
+	e.node.log.Info("claim_gained", "epoch", c.Epoch, "reason", why)
+	l := newLeader(e.node, c.Epoch)
+	e.node.setLead(nil, l)
+	go l.run(ctx)
+}
+
+// handOver asks another VM to lead, in another failure domain if there is one.
+func (e *election) handOver(ctx context.Context) {
+	others := e.node.members.others()
+	slices.SortStableFunc(others, func(a, b member) int {
+		inA, inB := a.Domain == e.node.settings.Domain, b.Domain == e.node.settings.Domain
+		switch {
+		case inA == inB:
+			return 0
+		case inA:
+			return 1
+		}
+		return -1
+	})
+	for _, m := range others {
+		call, cancel := context.WithTimeout(ctx, askTimeout)
+		_, err := link.Call[Nothing, Nothing](call, e.node.client, m.Address, "TakeOver", Nothing{})
+		cancel()
+		if err == nil {
+			e.node.log.Info("cell_handed_over", "vm", m.Name)
+			return
+		}
+	}
+	e.node.log.Info("cell_not_handed_over", "asked", len(others))
+}
--- /dev/null
+++ b/internal/node/entryvm/jobs.go
@@ -0,0 +1,95 @@
+package entryvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/link"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+const (
+	// stateTimeout bounds one question to the leader.
+	stateTimeout = 500 * time.Millisecond
+	// leaderPause is the wait before a question to the leader is repeated.
+	leaderPause = 100 * time.Millisecond
+)
+
+// Submit stores a job. It returns KindNotStored only when the job is not stored
+// and never will be.
+func (n *Node) Submit(ctx context.Context, j *work.Job) error {
+	return n.storeJob(ctx, store.Record{Key: j.ID, Value: work.Encode(j)})
+}
+
+// Cancel stores the cancellation of a job.
+func (n *Node) Cancel(ctx context.Context, id string) error {
+	return n.storeJob(ctx, store.Record{Key: id + cancelSuffix, Value: []byte{1}})
+}
+
+// storeJob appends a record until the store says that it has it, or ctx ends.
+func (n *Node) storeJob(ctx context.Context, r store.Record) error {
+	uncertain := false
+	for {
+		_, err := n.store.Append(ctx, store.Append{Topic: store.Jobs, Records: []store.Record{r}})
+		if err == nil {
+			return nil
+		}
+		uncertain = uncertain || kindOf(err) != store.KindRefused
+		if ctx.Err() != nil || !pause(ctx, leaderPause) {
+			kind := KindNotStored
+			if uncertain {
+				kind = KindUnknown
+			}
+			return fault.New("store_job", kind, err)
+		}
+	}
+}
+
+// State returns the state of a job; known is false when there is no such job.
+func (n *Node) State(ctx context.Context, id string) (state work.State, known bool, err error) {
+	for {
+		r, err := n.askLeader(ctx, id)
+		if err == nil && r.Leading && (r.Known || r.Fresh) {
+			return r.State, r.Known, nil
+		}
+		if !pause(ctx, leaderPause) {
+			return "", false, fault.Newf("state", KindNoLeader, "no leader answers")
+		}
+	}
+}
+
+func (n *Node) askLeader(ctx context.Context, id string) (StateReply, error) {
+	if l := n.leading(); l != nil {
+		return l.status(id), nil
+	}
+	c, ok := n.election.leader()
+	if !ok {
+		return StateReply{}, nil
+	}
+	call, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	return link.Call[JobArgs, StateReply](call, n.client, c.Address, "State", JobArgs{ID: id})
+}
+
+// Pending counts the jobs of a queue that have not started.
+func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	for {
+		if l := n.leading(); l != nil {
+			if count, ok := l.pending(queue); ok {
+				return count, nil
+			}
+		} else if c, ok := n.election.leader(); ok {
+			call, cancel := context.WithTimeout(ctx, stateTimeout)
+			r, err := link.Call[PendingArgs, PendingReply](call, n.client, c.Address, "Pending", PendingArgs{Queue: queue})
+			cancel()
+			if err == nil && r.Leading {
+				return r.Pending, nil
+			}
+		}
+		if !pause(ctx, leaderPause) {
+			return 0, fault.Newf("pending", KindNoLeader, "no leader answers")
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/entryvm/leader.go
@@ -0,0 +1,524 @@
+package entryvm
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/peer/link"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+const (
+	// producerName is the producer of progress records; its epoch is that of
+	// the claim.
+	producerName = "leader"
+	// planInterval is the least pause between two plans.
+	planInterval = 4 * time.Millisecond
+	// tickInterval is the pause between looks at the clock.
+	tickInterval = 100 * time.Millisecond
+	// tailWait is how long the store may hold a read of new jobs. An answer
+	// proves that every job accepted before is known.
+	tailWait = time.Second
+	// freshness is the age of that proof up to which a job that is not known is
+	// said not to exist.
+	freshness = 2 * time.Second
+	// workersInterval is the pause between reads of what workers register.
+	workersInterval = 350 * time.Millisecond
+	// renewInterval is the longest pause between appends that prove the right
+	// to lead.
+	renewInterval = time.Second
+	// renewalKey is the key of records that only prove the claim.
+	renewalKey = "renewal"
+	// cancelSuffix marks the record that cancels a job.
+	cancelSuffix = "/cancel"
+)
+
+// leader runs the cell while this VM holds the claim.
+type leader struct {
+	node   *Node
+	epoch  int64
+	ctx    context.Context
+	stop   context.CancelFunc
+	dirty  chan struct{}
+	replan chan struct{}
+
+	mutex    sync.Mutex
+	state    *scheduler.Scheduler
+	sessions map[backend.Life]*session
+	// stored is closed and replaced with each commit.
+	stored chan struct{}
+	// tailed is when the newest job was last known to be read.
+	tailed time.Time
+	// serving is false until the stored state is restored.
+	serving bool
+	// sequence is that of the last append as producer.
+	sequence int64
+
+	registrations map[string]backend.Registration
+}
+
+func newLeader(n *Node, epoch int64) *leader {
+	return &leader{
+		node: n, epoch: epoch,
+		dirty: make(chan struct{}, 1), replan: make(chan struct{}, 1),
+		state:    scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
+		sessions: map[backend.Life]*session{}, stored: make(chan struct{}),
+		registrations: map[string]backend.Registration{},
+	}
+}
+
+// run leads until the claim is lost.
+func (l *leader) run(ctx context.Context) {
+	l.ctx, l.stop = context.WithCancel(ctx)
+	defer l.retire()
+	go l.beat()
+	jobsFrom, err := l.restore()
+	if err != nil {
+		l.node.log.Info("take_over_failed", "epoch", l.epoch, "error", err.Error())
+		return
+	}
+	if t := l.node.tables.current(); t != nil {
+		l.setTable(t)
+	}
+	go l.tailJobs(jobsFrom)
+	go l.tailWorkers()
+	go l.planLoop()
+	go l.tickLoop()
+	l.commitLoop()
+}
+
+// retire gives everything up that the claim allowed.
+func (l *leader) retire() {
+	l.stop()
+	l.node.setLead(l, nil)
+	l.mutex.Lock()
+	for _, s := range l.sessions {
+		s.close()
+	}
+	l.mutex.Unlock()
+	l.node.log.Info("leader_retired", "epoch", l.epoch)
+}
+
+// update changes the state and carries out what follows from it.
+func (l *leader) update(change func(s *scheduler.Scheduler, at time.Time)) {
+	l.mutex.Lock()
+	if l.ctx.Err() != nil {
+		l.mutex.Unlock()
+		return
+	}
+	change(l.state, now())
+	e := l.state.Take()
+	needsPlan := l.state.NeedsPlan()
+	l.carryOut(&e)
+	l.mutex.Unlock()
+	signal(l.dirty)
+	if needsPlan {
+		signal(l.replan)
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// carryOut starts what the scheduler wants done. The caller holds the lock.
+func (l *leader) carryOut(e *scheduler.Effects) {
+	for i := range e.Opened {
+		r := e.Opened[i]
+		s := newSession(l, r)
+		l.sessions[r.Life] = s
+		go s.run()
+	}
+	for _, life := range e.Closed {
+		if s := l.sessions[life]; s != nil {
+			s.close()
+			delete(l.sessions, life)
+		}
+	}
+	for i := range e.Starts {
+		if s := l.sessions[e.Starts[i].Worker]; s != nil {
+			go s.start(e.Starts[i].Order)
+		}
+	}
+	for i := range e.Stops {
+		if s := l.sessions[e.Stops[i].Worker]; s != nil {
+			go s.stopRun(e.Stops[i].Order)
+		}
+	}
+	for i := range e.Paces {
+		if s := l.sessions[e.Paces[i].Worker]; s != nil {
+			go s.pace(e.Paces[i].Order)
+		}
+	}
+	for _, life := range e.Wake {
+		if s := l.sessions[life]; s != nil {
+			s.wake()
+		}
+	}
+	for i := range e.Asks {
+		go l.ask(e.Asks[i])
+	}
+	if len(e.Dropped) > 0 {
+		go l.drop(e.Dropped)
+	}
+}
+
+// restore fences the last leader and reads what it has stored. It returns where
+// to go on reading jobs.
+func (l *leader) restore() (int64, error) {
+	begun := now()
+	if err := l.appendProgress(l.renewal()); err != nil {
+		return 0, err
+	}
+	progress, err := l.snapshot(store.Progress)
+	if err != nil {
+		return 0, err
+	}
+	jobs, err := l.snapshot(store.Jobs)
+	if err != nil {
+		return 0, err
+	}
+	workers, err := l.snapshot(store.Workers)
+	if err != nil {
+		return 0, err
+	}
+	done := make(map[string]*work.Progress, len(progress.Records))
+	for i := range progress.Records {
+		r := &progress.Records[i]
+		p, err := work.Decode[work.Progress](r.Value)
+		if err != nil {
+			l.node.log.Error(err, "progress_unreadable", "job", r.Key)
+			continue
+		}
+		done[r.Key] = p
+	}
+	l.update(func(s *scheduler.Scheduler, at time.Time) {
+		s.Confirmed(begun)
+		l.applyWorkers(workers.Records)
+		s.SetWorkers(l.listed(), at)
+		l.applyJobs(s, jobs.Records, done, at)
+		l.tailed, l.serving = at, true
+	})
+	l.node.log.Info("take_over_done", "epoch", l.epoch, "jobs", len(jobs.Records), "progress", len(progress.Records), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
+	return jobs.End, nil
+}
+
+func (l *leader) snapshot(t store.Topic) (store.Snapshot, error) {
+	for {
+		call, cancel := context.WithTimeout(l.ctx, storeTimeout)
+		s, err := l.node.store.Newest(call, t)
+		cancel()
+		if err == nil || l.ctx.Err() != nil {
+			return s, err
+		}
+		pause(l.ctx, retryPause)
+	}
+}
+
+// applyJobs hands job records to the scheduler.
+func (l *leader) applyJobs(s *scheduler.Scheduler, records []store.Record, done map[string]*work.Progress, at time.Time) {
+	var cancelled []string
+	for i := range records {
+		r := &records[i]
+		if id, ok := strings.CutSuffix(r.Key, cancelSuffix); ok {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		if len(r.Value) == 0 {
+			continue
+		}
+		spec, err := work.Decode[work.Job](r.Value)
+		if err != nil {
+			l.node.log.Error(err, "job_unreadable", "job", r.Key)
+			continue
+		}
+		if done != nil {
+			s.Restore(spec, done[spec.ID], at)
+		} else {
+			s.Submit(spec, at)
+		}
+	}
+	for _, id := range cancelled {
+		s.Cancel(id, at)
+	}
+}
+
+// tailJobs reads the jobs that entry VMs store.
+func (l *leader) tailJobs(from int64) {
+	for l.ctx.Err() == nil {
+		asked := now()
+		records, next, err := readOn(l.ctx, l.node.store, store.Jobs, from, tailWait)
+		if err != nil {
+			if kindOf(err) == store.KindDropped {
+				from = -1
+				continue
+			}
+			pause(l.ctx, retryPause)
+			continue
+		}
+		from = next
+		l.update(func(s *scheduler.Scheduler, at time.Time) {
+			l.applyJobs(s, records, nil, at)
+			l.tailed = asked
+		})
+	}
+}
+
+// tailWorkers reads what workers register.
+func (l *leader) tailWorkers() {
+	from := int64(-1)
+	for pause(l.ctx, workersInterval) {
+		records, next, err := readOn(l.ctx, l.node.store, store.Workers, from, 0)
+		if err != nil {
+			if kindOf(err) == store.KindDropped {
+				from = -1
+			}
+			continue
+		}
+		whole := from < 0
+		from = next
+		if len(records) == 0 && !whole {
+			continue
+		}
+		l.update(func(s *scheduler.Scheduler, at time.Time) {
+			if whole {
+				clear(l.registrations)
+			}
+			if l.applyWorkers(records) || whole {
+				s.SetWorkers(l.listed(), at)
+			}
+		})
+	}
+}
+
+// applyWorkers notes registrations; it reports whether one has changed in a way
+// that matters.
+func (l *leader) applyWorkers(records []store.Record) bool {
+	newest := map[string]*store.Record{}
+	for i := range records {
+		newest[records[i].Key] = &records[i]
+	}
+	changed := false
+	for id, r := range newest {
+		old, known := l.registrations[id]
+		if len(r.Value) == 0 {
+			delete(l.registrations, id)
+			changed = changed || known
+			continue
+		}
+		v, err := l.node.peers.DecodeRegistration(id, r.Value)
+		if err != nil {
+			l.node.log.V(1).Info("registration_unreadable", "worker", id, "error", err.Error())
+			delete(l.registrations, id)
+			changed = changed || known
+			continue
+		}
+		l.registrations[id] = v
+		changed = changed || !known || old.Life != v.Life || old.Draining != v.Draining || old.Service != v.Service || old.Address != v.Address
+	}
+	return changed
+}
+
+func (l *leader) listed() []backend.Registration {
+	list := make([]backend.Registration, 0, len(l.registrations))
+	for _, r := range l.registrations {
+		list = append(list, r)
+	}
+	return list
+}
+
+func (l *leader) setTable(t *queue.Table) {
+	l.update(func(s *scheduler.Scheduler, _ time.Time) { s.SetTable(t) })
+}
+
+// planLoop places waiting tasks when something has changed.
+func (l *leader) planLoop() {
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.replan:
+		}
+		l.update(func(s *scheduler.Scheduler, at time.Time) { s.Plan(at) })
+		pause(l.ctx, planInterval)
+	}
+}
+
+func (l *leader) tickLoop() {
+	for pause(l.ctx, tickInterval) {
+		l.update(func(s *scheduler.Scheduler, at time.Time) {
+			s.Tick(at)
+			names := []string{l.node.settings.Name}
+			for _, m := range l.node.members.others() {
+				names = append(names, m.Name)
+			}
+			s.SetAdvisers(names)
+		})
+	}
+}
+
+// commitLoop stores the progress of jobs, one append at a time.
+func (l *leader) commitLoop() {
+	renewal := time.NewTimer(renewInterval)
+	for {
+		renew := false
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.dirty:
+		case <-renewal.C:
+			renew = true
+		}
+		renewal.Reset(renewInterval)
+		l.mutex.Lock()
+		commit := l.state.NextCommit(now())
+		l.mutex.Unlock()
+		if commit == nil && !renew {
+			continue
+		}
+		begun := now()
+		var records []store.Record
+		if commit != nil {
+			records = commit.Records
+		}
+		if len(records) == 0 && renew {
+			records = l.renewal()
+		}
+		if len(records) > 0 {
+			if err := l.appendProgress(records); err != nil {
+				l.node.log.Info("claim_lost", "epoch", l.epoch, "error", err.Error())
+				return
+			}
+		}
+		l.update(func(s *scheduler.Scheduler, at time.Time) {
+			if commit != nil {
+				s.Committed(commit, at)
+			} else {
+				s.Confirmed(begun)
+			}
+			close(l.stored)
+			l.stored = make(chan struct{})
+		})
+	}
+}
+
+// renewal is a record that changes nothing; storing it proves the claim.
+func (l *leader) renewal() []store.Record {
+	return []store.Record{{Key: renewalKey, Value: work.Encode(&work.Progress{})}}
+}
+
+// appendProgress appends as the producer of this epoch. An append without an
+// answer is repeated as it is: the store repeats its first answer. It returns an
+// error only when the claim is lost.
+func (l *leader) appendProgress(records []store.Record) error {
+	a := store.Append{Topic: store.Progress, Records: records, Producer: &store.Producer{Name: producerName, Epoch: l.epoch, Sequence: l.sequence}}
+	l.sequence++
+	for {
+		call, cancel := context.WithTimeout(l.ctx, directTimeout+relayTries*relayTimeout)
+		_, err := l.node.store.Append(call, a)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if l.ctx.Err() != nil {
+			return l.ctx.Err()
+		}
+		switch kindOf(err) {
+		case store.KindRefused, store.KindUnknown:
+			l.node.log.Info("progress_not_stored", "epoch", l.epoch, "records", len(records), "error", err.Error())
+			pause(l.ctx, appendPause)
+		default:
+			return err
+		}
+	}
+}
+
+// appendPause is the wait before an append is repeated.
+const appendPause = 50 * time.Millisecond
+
+// ask has an entry VM put a question to the adviser.
+func (l *leader) ask(a scheduler.Ask) {
+	ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
+	defer cancel()
+	var answer backend.Advice
+	var err error
+	if a.VM == l.node.settings.Name {
+		answer, err = l.node.peers.Adviser.Advise(ctx, a.Step, a.Workers)
+	} else if m, ok := l.node.members.find(a.VM); ok {
+		answer, err = link.Call[AdviceArgs, backend.Advice](ctx, l.node.client, m.Address, "Advise", AdviceArgs{Step: a.Step, Workers: a.Workers, Timeout: a.Timeout})
+	} else {
+		err = fault.Newf("ask", KindNoLeader, "entry VM %s is not known", a.VM)
+	}
+	if err != nil && l.ctx.Err() == nil {
+		l.node.log.Info("advice_not_received", "vm", a.VM, "job", a.Step.Job, "error", err.Error())
+	}
+	l.update(func(s *scheduler.Scheduler, at time.Time) { s.AdviceAnswered(a.Number, answer, err != nil, at) })
+}
+
+// drop deletes the records of jobs that ended long ago.
+func (l *leader) drop(ids []string) {
+	var jobs []store.Record
+	for _, id := range ids {
+		jobs = append(jobs, store.Record{Key: id}, store.Record{Key: id + cancelSuffix})
+	}
+	call, cancel := context.WithTimeout(l.ctx, storeTimeout)
+	defer cancel()
+	if _, err := l.node.store.Append(call, store.Append{Topic: store.Jobs, Records: jobs}); err != nil {
+		l.node.log.Info("jobs_not_dropped", "jobs", len(ids), "error", err.Error())
+	}
+}
+
+// beat tells the other entry VMs that this one leads.
+func (l *leader) beat() {
+	for {
+		for _, m := range l.node.members.others() {
+			go l.beatTo(m)
+		}
+		l.node.election.heard(HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name})
+		if !pause(l.ctx, heartbeatInterval) {
+			return
+		}
+	}
+}
+
+func (l *leader) beatTo(m member) {
+	ctx, cancel := context.WithTimeout(l.ctx, leaderSilence)
+	defer cancel()
+	table := l.node.tables.current()
+	args := HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name, Version: l.node.tables.version()}
+	r, err := link.Call[HeartbeatArgs, HeartbeatReply](ctx, l.node.client, m.Address, "Heartbeat", args)
+	if err != nil || table == nil || r.Version >= args.Version {
+		return
+	}
+	if _, err := link.Call[TableArgs, Nothing](ctx, l.node.client, m.Address, "Table", TableArgs{Version: table.Version, Text: table.Text}); err != nil {
+		l.node.log.V(1).Info("configuration_not_told", "vm", m.Name, "version", table.Version, "error", err.Error())
+	}
+}
+
+// status answers a question about a job.
+func (l *leader) status(id string) StateReply {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.serving || l.ctx.Err() != nil {
+		return StateReply{}
+	}
+	state, known := l.state.Status(id)
+	return StateReply{Leading: true, Known: known, State: state, Fresh: now().Sub(l.tailed) < freshness}
+}
+
+// pending counts the jobs of a queue that have not started.
+func (l *leader) pending(queue string) (int, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.Pending(queue), l.serving && l.ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/node/entryvm/protocol.go
@@ -0,0 +1,182 @@
+package entryvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+// serviceName is the name of the service between entry VMs.
+const serviceName = "EntryVM"
+
+// Nothing is an empty message.
+type Nothing struct{}
+
+// HeartbeatArgs tell that a leader lives.
+type HeartbeatArgs struct {
+	Epoch  int64
+	Leader string
+	// Version is the leader's version of the configuration.
+	Version int64
+}
+
+// HeartbeatReply is the answer of a follower.
+type HeartbeatReply struct {
+	// Epoch is the highest that the follower knows.
+	Epoch int64
+	// Version is the follower's version of the configuration.
+	Version int64
+}
+
+// HeardReply tells when a VM last heard of a leader.
+type HeardReply struct {
+	Epoch int64
+	// Ago is the time since the last heartbeat, or since the claim was read.
+	Ago time.Duration
+}
+
+// JobArgs name a job.
+type JobArgs struct{ ID string }
+
+// StateReply is the state of a job.
+type StateReply struct {
+	// Leading is false when the VM does not lead; the rest is then empty.
+	Leading bool
+	// Fresh tells that every job accepted before the question is known.
+	Fresh bool
+	Known bool
+	State work.State
+}
+
+// PendingArgs name a queue.
+type PendingArgs struct{ Queue string }
+
+// PendingReply counts the jobs of a queue that have not started.
+type PendingReply struct {
+	Leading bool
+	Pending int
+}
+
+// AdviceArgs ask a VM to get advice.
+type AdviceArgs struct {
+	Step    work.StepID
+	Workers []string
+	Timeout time.Duration
+}
+
+// TableArgs carry a configuration as published.
+type TableArgs struct {
+	Version int64
+	Text    []byte
+}
+
+// AppendArgs ask a VM to append to the store.
+type AppendArgs struct {
+	Append  store.Append
+	Timeout time.Duration
+}
+
+// ReadArgs ask a VM to read from the store; From is -1 for a snapshot.
+type ReadArgs struct {
+	Read     store.Read
+	Snapshot bool
+	Timeout  time.Duration
+}
+
+// StoreReply is the answer of the store, or its error.
+type StoreReply struct {
+	End     int64
+	Records []store.Record
+	// Kind is empty on success.
+	Kind    store.Kind
+	Message string
+}
+
+// handler answers the calls of other entry VMs.
+type handler struct{ node *Node }
+
+// Heartbeat notes that a leader lives.
+func (h *handler) Heartbeat(a HeartbeatArgs, r *HeartbeatReply) error {
+	*r = HeartbeatReply{Epoch: h.node.election.heard(a), Version: h.node.tables.version()}
+	return nil
+}
+
+// Heard tells when this VM last heard of a leader.
+func (h *handler) Heard(_ Nothing, r *HeardReply) error {
+	*r = h.node.election.lastHeard()
+	return nil
+}
+
+// TakeOver asks this VM to lead.
+func (h *handler) TakeOver(_ Nothing, _ *Nothing) error {
+	h.node.election.invite()
+	return nil
+}
+
+// State tells the state of a job.
+func (h *handler) State(a JobArgs, r *StateReply) error {
+	if l := h.node.leading(); l != nil {
+		*r = l.status(a.ID)
+	}
+	return nil
+}
+
+// Pending counts the jobs of a queue that have not started.
+func (h *handler) Pending(a PendingArgs, r *PendingReply) error {
+	if l := h.node.leading(); l != nil {
+		r.Pending, r.Leading = l.pending(a.Queue)
+	}
+	return nil
+}
+
+// Advise gets advice.
+func (h *handler) Advise(a AdviceArgs, r *backend.Advice) error {
+	ctx, cancel := context.WithTimeout(h.node.run, a.Timeout)
+	defer cancel()
+	advice, err := h.node.peers.Adviser.Advise(ctx, a.Step, a.Workers)
+	*r = advice
+	return err
+}
+
+// Table takes a configuration from another VM.
+func (h *handler) Table(a TableArgs, _ *Nothing) error {
+	if a.Version > h.node.tables.version() {
+		h.node.tables.accept(a.Text, "peer")
+	}
+	return nil
+}
+
+// Append makes an append for a VM that can not reach the store.
+func (h *handler) Append(a AppendArgs, r *StoreReply) error {
+	ctx, cancel := context.WithTimeout(h.node.run, a.Timeout)
+	defer cancel()
+	end, err := h.node.store.direct.Append(ctx, a.Append)
+	r.End = end
+	r.setError(err)
+	return nil
+}
+
+// Read reads for a VM that can not reach the store.
+func (h *handler) Read(a ReadArgs, r *StoreReply) error {
+	ctx, cancel := context.WithTimeout(h.node.run, a.Timeout)
+	defer cancel()
+	if a.Snapshot {
+		snapshot, err := h.node.store.direct.Newest(ctx, a.Read.Topic)
+		r.Records, r.End = snapshot.Records, snapshot.End
+		r.setError(err)
+		return nil
+	}
+	batch, err := h.node.store.direct.Read(ctx, a.Read)
+	r.Records, r.End = batch.Records, batch.Next
+	r.setError(err)
+	return nil
+}
+
+func (r *StoreReply) setError(err error) {
+	if err != nil {
+		r.Kind, r.Message = kindOf(err), err.Error()
+	}
+}
