--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -145,7 +145,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				s.abandon(t, now)
+				s.abandon(t)
 			}
 			s.advisers.forget(st)
 		}
@@ -282,7 +282,7 @@
 }
 
 // abandon ends a task of a job that has ended.
-func (s *Scheduler) abandon(t *task, now time.Time) {
+func (s *Scheduler) abandon(t *task) {
 	switch t.phase {
 	case phaseWaiting:
 		t.phase = phaseDone
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -41,7 +41,6 @@
 // exist that are not accounted for.
 func (w *worker) fencing() bool { return w.heldToken != w.token }
 
-func (w *worker) kind() string { return label(w.registration.Labels, 0) }
 func (w *worker) rack() string { return label(w.registration.Labels, 1) }
 
 func label(labels []string, i int) string {
--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -47,13 +47,16 @@
 	mutex   sync.Mutex
 	claim   claim
 	// end is where the topic of claims ends; -1 while it is not known.
-	end     int64
-	heardAt time.Time
-	invited chan struct{}
+	end int64
+	// beatAt is when the leader's last heartbeat arrived.
+	beatAt time.Time
+	// waitFrom is when the wait for a sign of the leader began.
+	waitFrom time.Time
+	invited  chan struct{}
 }
 
 func newElection(n *Node) *election {
-	return &election{node: n, process: now().UnixNano(), end: -1, heardAt: now(), invited: make(chan struct{}, 1)}
+	return &election{node: n, process: now().UnixNano(), end: -1, waitFrom: now(), invited: make(chan struct{}, 1)}
 }
 
 func (e *election) run(ctx context.Context) {
@@ -87,7 +90,7 @@
 			continue
 		}
 		if c.Epoch > e.claim.Epoch {
-			e.claim, e.heardAt = c, now()
+			e.claim, e.waitFrom = c, now()
 			e.node.log.Info("leader_learned", "leader", c.Name, "epoch", c.Epoch)
 		}
 	}
@@ -103,7 +106,8 @@
 			e.claim = claim{Epoch: a.Epoch, Name: a.Leader, Address: m.Address}
 			e.node.log.Info("leader_heard", "leader", a.Leader, "epoch", a.Epoch)
 		}
-		e.heardAt = now()
+		e.beatAt = now()
+		e.waitFrom = e.beatAt
 	}
 	return e.claim.Epoch
 }
@@ -111,7 +115,7 @@
 func (e *election) lastHeard() HeardReply {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return HeardReply{Epoch: e.claim.Epoch, Ago: now().Sub(e.heardAt)}
+	return HeardReply{Epoch: e.claim.Epoch, Ago: now().Sub(e.beatAt)}
 }
 
 // leader returns who leads, as far as is known.
@@ -150,7 +154,7 @@
 // for a while, and no VM that it reaches has.
 func (e *election) shouldTry(ctx context.Context) bool {
 	e.mutex.Lock()
-	c, end, silence := e.claim, e.end, now().Sub(e.heardAt)
+	c, end, silence := e.claim, e.end, now().Sub(e.waitFrom)
 	e.mutex.Unlock()
 	if end < 0 || e.node.isLeaving() || e.node.leading() != nil {
 		return false
@@ -163,9 +167,7 @@
 		return false
 	}
 	if c.Epoch > 0 && e.othersHear(ctx, c.Epoch) {
-		e.mutex.Lock()
-		e.heardAt = now().Add(-leaderSilence / 2)
-		e.mutex.Unlock()
+		e.waitAgain()
 		return false
 	}
 	return true
@@ -212,7 +214,8 @@
 		if batch, err := e.node.store.Read(call, store.Read{Topic: store.Claims, From: end}); err == nil {
 			e.apply(batch.Records)
 		}
-		if known, _ := e.leader(); known.Process != e.process {
+		e.waitAgain()
+		if known, _ := e.leader(); known.Process != e.process || known.Epoch != c.Epoch {
 			return
 		}
 	}
@@ -220,7 +223,7 @@
 	if c.Epoch >= e.claim.Epoch {
 		e.claim, e.end = c, max(e.end, end+1)
 	}
-	e.heardAt = now()
+	e.waitFrom = now()
 	e.mutex.Unlock()
 	e.node.log.Info("claim_gained", "epoch", c.Epoch, "reason", why)
 	l := newLeader(e.node, c.Epoch)
@@ -228,6 +231,13 @@
 	go l.run(ctx)
 }
 
+// waitAgain puts the next try to lead off.
+func (e *election) waitAgain() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.waitFrom = now().Add(-leaderSilence / 2)
+}
+
 // handOver asks another VM to lead, in another failure domain if there is one.
 func (e *election) handOver(ctx context.Context) {
 	others := e.node.members.others()
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -13,6 +13,8 @@
 const (
 	// stateTimeout bounds one question to the leader.
 	stateTimeout = 500 * time.Millisecond
+	// leaderWait bounds the wait for a leader; callers can ask again.
+	leaderWait = 1500 * time.Millisecond
 	// leaderPause is the wait before a question to the leader is repeated.
 	leaderPause = 100 * time.Millisecond
 )
@@ -49,6 +51,8 @@
 
 // State returns the state of a job; known is false when there is no such job.
 func (n *Node) State(ctx context.Context, id string) (state work.State, known bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
 	for {
 		r, err := n.askLeader(ctx, id)
 		if err == nil && r.Leading && (r.Known || r.Fresh) {
@@ -75,6 +79,8 @@
 
 // Pending counts the jobs of a queue that have not started.
 func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
 	for {
 		if l := n.leading(); l != nil {
 			if count, ok := l.pending(queue); ok {
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
@@ -112,6 +113,9 @@
 
 // TakeOver asks this VM to lead.
 func (h *handler) TakeOver(_ Nothing, _ *Nothing) error {
+	if h.node.isLeaving() {
+		return fault.Newf("take_over", KindNoLeader, "this VM is leaving")
+	}
 	h.node.election.invite()
 	return nil
 }
