Test the scheduler against emulated workers; ask restarted workers anew

Cause: a worker that restarts under its old name was never asked about again, so a step whose only good workers had restarted waited for ever (found by TestScheduler/workers_restart_under_their_old_name, seed 0x2). Verdicts belong to a life of a worker now. Orders of records and lapses are fixed, so that a seed gives the same run.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,8 +29,8 @@
 type advice struct {
 	// tickets holds the good workers; a ticket may have expired.
 	tickets map[backend.Life]ticket
-	// asked holds every worker with a known verdict, by ID.
-	asked map[string]bool
+	// asked holds every life of a worker with a known verdict.
+	asked map[backend.Life]bool
 	// pending tells that a question is waiting or on its way.
 	pending bool
 }
@@ -189,10 +191,10 @@
 	}
 	a := &o.step.advice
 	if a.asked == nil {
-		a.asked, a.tickets = map[string]bool{}, map[backend.Life]ticket{}
+		a.asked, a.tickets = map[backend.Life]bool{}, map[backend.Life]ticket{}
 	}
 	for _, l := range o.lives {
-		a.asked[l.ID] = true
+		a.asked[l] = true
 		if text, good := answer.Tickets[l.ID]; good {
 			a.tickets[l] = ticket{text: text, expires: now.Add(answer.Validity)}
 		}
@@ -201,8 +203,8 @@
 }
 
 func (s *Scheduler) expireAsks(now time.Time) {
-	for number, o := range s.advisers.open {
-		if now.After(o.expires) {
+	for _, number := range slices.Sorted(maps.Keys(s.advisers.open)) {
+		if o := s.advisers.open[number]; now.After(o.expires) {
 			s.AdviceAnswered(number, backend.Advice{}, true, now)
 		}
 	}
@@ -229,7 +231,7 @@
 			if !st.advice.valid(life, now) {
 				stale = append(stale, life)
 			}
-		case !st.advice.asked[life.ID]:
+		case !st.advice.asked[life]:
 			unknown = append(unknown, life)
 		}
 	}
@@ -264,11 +266,5 @@
 }
 
 func compareLives(a, b backend.Life) int {
-	if a.ID < b.ID {
-		return -1
-	}
-	if a.ID > b.ID {
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
 }
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
@@ -21,7 +23,8 @@
 // stores one commit at a time, in order.
 func (s *Scheduler) NextCommit(now time.Time) *Commit {
 	c := &Commit{begun: now, ends: map[*worker]int64{}, shown: map[*job]work.State{}}
-	for id, j := range s.dirty {
+	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
+		j := s.dirty[id]
 		c.Records = append(c.Records, store.Record{Key: id, Value: work.Encode(j.progress())})
 		c.shown[j] = j.state
 		for _, t := range j.recorded() {
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -394,11 +395,7 @@
 	return lastingHorizon
 }
 
-// Workers lists the lives of the workers that are held.
+// Workers lists the lives of the workers that are held, in a fixed order.
 func (s *Scheduler) Workers() []backend.Life {
-	lives := make([]backend.Life, 0, len(s.workers))
-	for l := range s.workers {
-		lives = append(lives, l)
-	}
-	return lives
+	return slices.SortedFunc(maps.Keys(s.workers), compareLives)
 }
--- /dev/null
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -0,0 +1,185 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+var (
+	workerSize = resource.Vector{Milliprocessors: 8000, MemoryMebibytes: 8000}
+	taskSize   = resource.Vector{Milliprocessors: 2500, MemoryMebibytes: 1000}
+)
+
+// jobs returns jobs of several shapes.
+func (w *world) addJobs(n int) {
+	for i := range n {
+		j := &work.Job{ID: fmt.Sprintf("job-%d", i), Queue: "urgent", Steps: []work.Step{
+			{Count: 1 + w.random.IntN(4), Size: taskSize, Estimate: 700 * time.Millisecond},
+		}}
+		if w.chance(0.5) {
+			j.Steps = append(j.Steps, work.Step{Count: 2, Size: taskSize, Estimate: 500 * time.Millisecond, After: []int{0}})
+		}
+		if w.chance(0.3) {
+			j.Queue = "advised"
+		}
+		if w.chance(0.2) {
+			j.Steps[0].MostPerWorker = 1
+		}
+		demand := fleet.Demand{RunTime: w.between(100*time.Millisecond, 3*time.Second)}
+		w.after(w.between(0, 5*time.Second), func() { w.submit(j, demand) })
+	}
+}
+
+func TestScheduler(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		faults   faults
+		prepare  func(w *world)
+	}{
+		{"calm", faults{}, func(*world) {}},
+		{"answers are lost and orders carried out late", faults{lost: 0.1, late: 0.05}, func(*world) {}},
+		{"the leader freezes and its successor takes over", faults{late: 0.03}, func(w *world) {
+			for i := range 3 {
+				w.after(time.Duration(i+1)*2*time.Second, func() {
+					old := w.leaders[len(w.leaders)-1]
+					old.frozen = true
+					w.after(w.between(100*time.Millisecond, 5*time.Second), func() { old.frozen = false })
+					w.after(w.between(0, 2*time.Second), func() { w.elect() })
+				})
+			}
+		}},
+		{"workers are cut off and run on", faults{}, func(w *world) {
+			w.after(2*time.Second, func() {
+				for _, life := range w.lives() {
+					if w.chance(0.5) {
+						w.cut[life] = true
+					}
+				}
+				w.after(w.between(time.Second, 9*time.Second), func() { clear(w.cut) })
+			})
+		}},
+		{"workers restart under their old name", faults{lost: 0.05}, func(w *world) {
+			for i := range 3 {
+				w.after(time.Duration(i+1)*time.Second, func() {
+					for _, life := range w.lives() {
+						if w.chance(0.3) {
+							w.restart(life)
+						}
+					}
+				})
+			}
+		}},
+		{"a cut zone and a new leader", faults{lost: 0.02, late: 0.02}, func(w *world) {
+			w.after(2*time.Second, func() {
+				for _, life := range w.lives() {
+					w.cut[life] = w.workers[life].Registration.Zone == "zone-1"
+				}
+				w.after(500*time.Millisecond, func() { w.elect() })
+				w.after(w.between(time.Second, 8*time.Second), func() { clear(w.cut) })
+			})
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) {
+				seed := rapid.Uint64().Draw(rt, "seed")
+				w := newWorld(seed, s.faults)
+				w.addWorkers(6, workerSize)
+				w.elect()
+				w.addJobs(12)
+				s.prepare(w)
+				w.run(20 * time.Second)
+				w.faults = faults{}
+				clear(w.cut)
+				w.run(40 * time.Second)
+				for _, p := range w.problems {
+					rt.Errorf("%s", p)
+				}
+				last := w.leaders[len(w.leaders)-1]
+				for _, j := range w.jobs {
+					if state, _ := last.state.Status(j.ID); state != work.Completed {
+						rt.Errorf("job %s is %s", j.ID, state)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(2, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 4, Size: taskSize}}}, fleet.Demand{RunTime: time.Minute})
+	w.run(time.Second)
+	is.Equal(w.starts, 4)
+	w.cancel("job")
+	w.run(time.Second)
+	for _, v := range w.workers {
+		is.Equal(len(v.Running()), 0)
+	}
+	state, _ := w.leaders[0].state.Status("job")
+	is.Equal(state, work.Cancelled)
+}
+
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(3, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize}}}, fleet.Demand{RunTime: 10 * time.Millisecond, Fails: true})
+	w.run(20 * time.Second)
+	is.Equal(w.starts, 4)
+	state, _ := w.leaders[0].state.Status("job")
+	is.Equal(state, work.Failed)
+}
+
+func TestLastingTaskReturns(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(2, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 2, Size: taskSize, Lasting: true}}}, fleet.Demand{})
+	w.run(time.Second)
+	is.Equal(w.starts, 2)
+	for _, life := range w.lives() {
+		w.restart(life)
+	}
+	w.run(2 * time.Second)
+	is.Equal(w.starts, 4)
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(1, workerSize)
+	w.elect()
+	for life, v := range w.workers {
+		is.Equal(life, v.Registration.Life)
+		v.Registration.Draining = true
+	}
+	w.run(time.Second)
+	w.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize}}}, fleet.Demand{RunTime: time.Second})
+	w.run(time.Second)
+	is.Equal(w.starts, 0)
+}
+
+func TestUnknownJob(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	l := w.elect()
+	_, known := l.state.Status("nobody")
+	is.True(!known)
+	l.state.Cancel("nobody", w.now)
+	l.state.HoldFailed(backend.Life{ID: "nobody"}, backend.KindUnknown, w.now)
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
@@ -65,6 +67,11 @@
 	w.used = w.used.Sub(t.step.spec.Room())
 }
 
+// sortedTasks lists the tasks on the worker in a fixed order.
+func (w *worker) sortedTasks() []*task {
+	return slices.SortedFunc(maps.Values(w.tasks), func(a, b *task) int { return a.id.Compare(b.id) })
+}
+
 // deadline returns the end of a lease that is granted now, by the worker's
 // clock; 0 when its clock is not known.
 func (w *worker) deadline(now, rightEnd time.Time, timing Timing) time.Duration {
@@ -89,8 +96,8 @@
 		listed[list[i].Life] = true
 		s.register(list[i], now)
 	}
-	for life, w := range s.workers {
-		if w.listed && !listed[life] {
+	for _, life := range s.Workers() {
+		if w := s.workers[life]; w.listed && !listed[life] {
 			w.listed = false
 			s.log.Info("worker_unlisted", "worker", life.ID, "tasks", len(w.tasks))
 			s.closeIdle(w, now)
@@ -138,7 +145,7 @@
 	if !w.registration.Draining {
 		return
 	}
-	for _, t := range w.tasks {
+	for _, t := range w.sortedTasks() {
 		if t.step.spec.Lasting && t.phase == phaseRunning {
 			s.stop(t)
 		}
@@ -165,7 +172,7 @@
 
 // lapse frees all tasks of a worker whose runs have ended without a report.
 func (s *Scheduler) lapse(w *worker, now time.Time) {
-	for _, t := range w.tasks {
+	for _, t := range w.sortedTasks() {
 		s.Counters.Lapsed++
 		s.log.Info("run_lapsed", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID)
 		s.toWaiting(t, now)
@@ -175,7 +182,8 @@
 
 // expireLeases frees the tasks of workers that were not reached for a lease.
 func (s *Scheduler) expireLeases(now time.Time) {
-	for _, w := range s.workers {
+	for _, life := range s.Workers() {
+		w := s.workers[life]
 		if now.Before(w.leaseEnd) {
 			continue
 		}
@@ -322,7 +330,7 @@
 
 // settleMissing frees the tasks that a report proves not to run.
 func (s *Scheduler) settleMissing(w *worker, running map[work.TaskID]*backend.Run, sent HoldSent, truncated bool, now time.Time) {
-	for _, t := range w.tasks {
+	for _, t := range w.sortedTasks() {
 		if r := running[t.id]; r != nil && r.Run == t.run {
 			continue
 		}
--- a/internal/cell/work/job.go
+++ b/internal/cell/work/job.go
@@ -3,6 +3,7 @@
 package work
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -186,6 +187,11 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// Compare orders tasks by name.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // State is what callers are told of a job.
 type State string
 
