--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -111,6 +111,12 @@
 		return
 	}
 	j := s.add(spec, now)
+	defer func() {
+		if _, ok := s.cancelledEarly[spec.ID]; ok {
+			delete(s.cancelledEarly, spec.ID)
+			s.Cancel(spec.ID, now)
+		}
+	}()
 	s.Counters.Submitted++
 	s.log.Info("job_received", "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "age_ms", now.Sub(j.arrived).Milliseconds())
 	s.openDue(now)
@@ -130,7 +136,11 @@
 // Cancel ends a job on behalf of its caller. The cancellation is stored.
 func (s *Scheduler) Cancel(id string, now time.Time) {
 	j := s.jobs[id]
-	if j == nil || j.state.Ended() {
+	if j == nil {
+		s.cancelledEarly[id] = now
+		return
+	}
+	if j.state.Ended() {
 		return
 	}
 	s.log.Info("job_cancelled", "job", id, "running", j.running, "waiting", j.waiting)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -82,6 +82,9 @@
 	jobs map[string]*job
 	// active holds the jobs that have not ended.
 	active map[string]*job
+	// cancelledEarly holds cancellations that were read before their job, with
+	// the time.
+	cancelledEarly map[string]time.Time
 	// dirty holds the jobs whose progress must be stored.
 	dirty   map[string]*job
 	workers map[backend.Life]*worker
@@ -109,14 +112,15 @@
 func New(timing Timing, epoch int64, now, wall time.Time, log logr.Logger) *Scheduler {
 	return &Scheduler{
 		log: log, timing: timing, epoch: epoch, started: now, wall: wall, confirmed: now,
-		table:    &queue.Table{},
-		jobs:     map[string]*job{},
-		active:   map[string]*job{},
-		dirty:    map[string]*job{},
-		workers:  map[backend.Life]*worker{},
-		byID:     map[string]*worker{},
-		advisers: newAdvisers(),
-		runTimes: newRunTimes(),
+		table:          &queue.Table{},
+		jobs:           map[string]*job{},
+		active:         map[string]*job{},
+		dirty:          map[string]*job{},
+		cancelledEarly: map[string]time.Time{},
+		workers:        map[backend.Life]*worker{},
+		byID:           map[string]*worker{},
+		advisers:       newAdvisers(),
+		runTimes:       newRunTimes(),
 	}
 }
 
@@ -169,6 +173,11 @@
 const sweepInterval = 2 * time.Second
 
 func (s *Scheduler) sweep(now time.Time) {
+	for id, at := range s.cancelledEarly {
+		if now.Sub(at) > s.timing.Retention {
+			delete(s.cancelledEarly, id)
+		}
+	}
 	for id, j := range s.jobs {
 		if j.shown.Ended() && now.Sub(j.ended) > s.timing.Retention && j.running == 0 {
 			delete(s.jobs, id)
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -22,31 +22,12 @@
 // Submit stores a job. It returns KindNotStored only when the job is not stored
 // and never will be.
 func (n *Node) Submit(ctx context.Context, j *work.Job) error {
-	return n.storeJob(ctx, store.Record{Key: j.ID, Value: work.Encode(j)})
+	return n.writer.write(ctx, store.Record{Key: j.ID, Value: work.Encode(j)})
 }
 
 // Cancel stores the cancellation of a job.
 func (n *Node) Cancel(ctx context.Context, id string) error {
-	return n.storeJob(ctx, store.Record{Key: id + cancelSuffix, Value: []byte{1}})
-}
-
-// storeJob appends a record until the store says that it has it, or ctx ends.
-func (n *Node) storeJob(ctx context.Context, r store.Record) error {
-	uncertain := false
-	for {
-		_, err := n.store.Append(ctx, store.Append{Topic: store.Jobs, Records: []store.Record{r}})
-		if err == nil {
-			return nil
-		}
-		uncertain = uncertain || kindOf(err) != store.KindRefused
-		if ctx.Err() != nil || !pause(ctx, leaderPause) {
-			kind := KindNotStored
-			if uncertain {
-				kind = KindUnknown
-			}
-			return fault.New("store_job", kind, err)
-		}
-	}
+	return n.writer.write(ctx, store.Record{Key: id + cancelSuffix, Value: []byte{1}})
 }
 
 // State returns the state of a job; known is false when there is no such job.
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -23,9 +23,10 @@
 	planInterval = 4 * time.Millisecond
 	// tickInterval is the pause between looks at the clock.
 	tickInterval = 100 * time.Millisecond
-	// tailWait is how long the store may hold a read of new jobs. An answer
-	// proves that every job accepted before is known.
-	tailWait = time.Second
+	// tailInterval is the pause between reads of new jobs, of which the VMs that
+	// store them tell the leader too. A read proves that every job accepted
+	// before is known.
+	tailInterval = 500 * time.Millisecond
 	// freshness is the age of that proof up to which a job that is not known is
 	// said not to exist.
 	freshness = 2 * time.Second
@@ -38,6 +39,9 @@
 	renewalKey = "renewal"
 	// cancelSuffix marks the record that cancels a job.
 	cancelSuffix = "/cancel"
+	// jobPartitions spreads the jobs that entry VMs store: a partition takes one
+	// append at a time, and each VM writes to one.
+	jobPartitions = 4
 )
 
 // leader runs the cell while this VM holds the claim.
@@ -54,8 +58,8 @@
 	sessions map[backend.Life]*session
 	// stored is closed and replaced with each commit.
 	stored chan struct{}
-	// tailed is when the newest job was last known to be read.
-	tailed time.Time
+	// tailed is when each partition of jobs was last read to its end.
+	tailed [jobPartitions]time.Time
 	// serving is false until the stored state is restored.
 	serving bool
 	// sequence is that of the last append as producer.
@@ -87,7 +91,9 @@
 	if t := l.node.tables.current(); t != nil {
 		l.setTable(t)
 	}
-	go l.tailJobs(jobsFrom)
+	for part, from := range jobsFrom {
+		go l.tailJobs(part, from)
+	}
 	go l.tailWorkers()
 	go l.planLoop()
 	go l.tickLoop()
@@ -175,22 +181,28 @@
 
 // restore fences the last leader and reads what it has stored. It returns where
 // to go on reading jobs.
-func (l *leader) restore() (int64, error) {
+func (l *leader) restore() ([jobPartitions]int64, error) {
+	var ends [jobPartitions]int64
 	begun := now()
 	if err := l.appendProgress(l.renewal()); err != nil {
-		return 0, err
+		return ends, err
 	}
-	progress, err := l.snapshot(store.Progress)
+	progress, err := l.snapshot(store.Progress, 0)
 	if err != nil {
-		return 0, err
+		return ends, err
 	}
-	jobs, err := l.snapshot(store.Jobs)
-	if err != nil {
-		return 0, err
+	var jobs []store.Record
+	for part := range ends {
+		snapshot, err := l.snapshot(store.Jobs, part)
+		if err != nil {
+			return ends, err
+		}
+		ends[part] = snapshot.End
+		jobs = append(jobs, snapshot.Records...)
 	}
-	workers, err := l.snapshot(store.Workers)
+	workers, err := l.snapshot(store.Workers, 0)
 	if err != nil {
-		return 0, err
+		return ends, err
 	}
 	done := make(map[string]*work.Progress, len(progress.Records))
 	for i := range progress.Records {
@@ -206,17 +218,20 @@
 		s.Confirmed(begun)
 		l.applyWorkers(workers.Records)
 		s.SetWorkers(l.listed(), at)
-		l.applyJobs(s, jobs.Records, done, at)
-		l.tailed, l.serving = at, true
+		l.applyJobs(s, jobs, done, at)
+		for part := range l.tailed {
+			l.tailed[part] = begun
+		}
+		l.serving = true
 	})
-	l.node.log.Info("take_over_done", "epoch", l.epoch, "jobs", len(jobs.Records), "progress", len(progress.Records), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
-	return jobs.End, nil
+	l.node.log.Info("take_over_done", "epoch", l.epoch, "jobs", len(jobs), "progress", len(progress.Records), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
+	return ends, nil
 }
 
-func (l *leader) snapshot(t store.Topic) (store.Snapshot, error) {
+func (l *leader) snapshot(t store.Topic, part int) (store.Snapshot, error) {
 	for {
 		call, cancel := context.WithTimeout(l.ctx, storeTimeout)
-		s, err := l.node.store.Newest(call, t)
+		s, err := l.node.store.Newest(call, t, part)
 		cancel()
 		if err == nil || l.ctx.Err() != nil {
 			return s, err
@@ -254,31 +269,39 @@
 }
 
 // tailJobs reads the jobs that entry VMs store.
-func (l *leader) tailJobs(from int64) {
-	for l.ctx.Err() == nil {
+func (l *leader) tailJobs(part int, from int64) {
+	for pause(l.ctx, tailInterval) {
 		asked := now()
-		records, next, err := readOn(l.ctx, l.node.store, store.Jobs, from, tailWait)
+		records, next, err := readOn(l.ctx, l.node.store, store.Read{Topic: store.Jobs, Part: part, From: from})
 		if err != nil {
 			if kindOf(err) == store.KindDropped {
 				from = -1
-				continue
 			}
-			pause(l.ctx, retryPause)
 			continue
 		}
 		from = next
 		l.update(func(s *scheduler.Scheduler, at time.Time) {
 			l.applyJobs(s, records, nil, at)
-			l.tailed = asked
+			l.tailed[part] = asked
 		})
 	}
 }
 
+// takeJobs hands job records to the scheduler that another VM has stored.
+func (l *leader) takeJobs(records []store.Record) {
+	l.mutex.Lock()
+	serving := l.serving
+	l.mutex.Unlock()
+	if serving {
+		l.update(func(s *scheduler.Scheduler, at time.Time) { l.applyJobs(s, records, nil, at) })
+	}
+}
+
 // tailWorkers reads what workers register.
 func (l *leader) tailWorkers() {
 	from := int64(-1)
 	for pause(l.ctx, workersInterval) {
-		records, next, err := readOn(l.ctx, l.node.store, store.Workers, from, 0)
+		records, next, err := readOn(l.ctx, l.node.store, store.Read{Topic: store.Workers, From: from})
 		if err != nil {
 			if kindOf(err) == store.KindDropped {
 				from = -1
@@ -471,10 +494,13 @@
 	for _, id := range ids {
 		jobs = append(jobs, store.Record{Key: id}, store.Record{Key: id + cancelSuffix})
 	}
-	call, cancel := context.WithTimeout(l.ctx, storeTimeout)
-	defer cancel()
-	if _, err := l.node.store.Append(call, store.Append{Topic: store.Jobs, Records: jobs}); err != nil {
-		l.node.log.Info("jobs_not_dropped", "jobs", len(ids), "error", err.Error())
+	for part := range jobPartitions {
+		call, cancel := context.WithTimeout(l.ctx, storeTimeout)
+		_, err := l.node.store.Append(call, store.Append{Topic: store.Jobs, Part: part, Records: jobs})
+		cancel()
+		if err != nil {
+			l.node.log.Info("jobs_not_dropped", "jobs", len(ids), "partition", part, "error", err.Error())
+		}
 	}
 }
 
@@ -513,7 +539,18 @@
 		return StateReply{}
 	}
 	state, known := l.state.Status(id)
-	return StateReply{Leading: true, Known: known, State: state, Fresh: now().Sub(l.tailed) < freshness}
+	return StateReply{Leading: true, Known: known, State: state, Fresh: l.fresh()}
+}
+
+// fresh reports whether every job accepted a while ago is known. The caller holds
+// the lock.
+func (l *leader) fresh() bool {
+	for _, t := range l.tailed {
+		if now().Sub(t) >= freshness {
+			return false
+		}
+	}
+	return true
 }
 
 // pending counts the jobs of a queue that have not started.
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -104,7 +104,7 @@
 func follow(ctx context.Context, n *Node, topic store.Topic, wait time.Duration, apply func([]store.Record)) {
 	from := int64(-1)
 	for ctx.Err() == nil {
-		records, next, err := readOn(ctx, n.store, topic, from, wait)
+		records, next, err := readOn(ctx, n.store, store.Read{Topic: topic, From: from, Wait: wait})
 		if err != nil {
 			if kindOf(err) == store.KindDropped {
 				from = -1
@@ -124,13 +124,13 @@
 }
 
 // readOn reads the records from an offset on, or a snapshot for -1.
-func readOn(ctx context.Context, s store.Store, topic store.Topic, from int64, wait time.Duration) ([]store.Record, int64, error) {
-	call, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+func readOn(ctx context.Context, s store.Store, r store.Read) ([]store.Record, int64, error) {
+	call, cancel := context.WithTimeout(ctx, r.Wait+storeTimeout)
 	defer cancel()
-	if from < 0 {
-		snapshot, err := s.Newest(call, topic)
+	if r.From < 0 {
+		snapshot, err := s.Newest(call, r.Topic, r.Part)
 		return snapshot.Records, snapshot.End, err
 	}
-	batch, err := s.Read(call, store.Read{Topic: topic, From: from, Wait: wait})
+	batch, err := s.Read(call, r)
 	return batch.Records, batch.Next, err
 }
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -72,6 +72,7 @@
 	run      context.Context
 	stop     context.CancelFunc
 	members  *members
+	writer   *jobWriter
 	tables   *tables
 	election *election
 
@@ -94,6 +95,7 @@
 	n.members = newMembers(n)
 	n.store = newRelayedStore(p.Store, n)
 	n.tables = newTables(n)
+	n.writer = newJobWriter(n)
 	n.election = newElection(n)
 	go func() {
 		if err := link.Serve(l, serviceName, &handler{n}); err != nil {
@@ -101,6 +103,7 @@
 		}
 	}()
 	go n.members.run(ctx)
+	go n.writer.run(ctx)
 	go n.tables.run(ctx)
 	go n.election.run(ctx)
 	log.Info("started", "domain", s.Domain, "peer_address", s.Peers.String())
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -61,6 +61,9 @@
 	Pending int
 }
 
+// JobsArgs carry job records that are stored.
+type JobsArgs struct{ Records []store.Record }
+
 // AdviceArgs ask a VM to get advice.
 type AdviceArgs struct {
 	Step    work.StepID
@@ -136,6 +139,14 @@
 	return nil
 }
 
+// Jobs takes job records that are stored, ahead of reading them there.
+func (h *handler) Jobs(a JobsArgs, _ *Nothing) error {
+	if l := h.node.leading(); l != nil {
+		l.takeJobs(a.Records)
+	}
+	return nil
+}
+
 // Advise gets advice.
 func (h *handler) Advise(a AdviceArgs, r *backend.Advice) error {
 	ctx, cancel := context.WithTimeout(h.node.run, a.Timeout)
@@ -168,7 +179,7 @@
 	ctx, cancel := context.WithTimeout(h.node.run, a.Timeout)
 	defer cancel()
 	if a.Snapshot {
-		snapshot, err := h.node.store.direct.Newest(ctx, a.Read.Topic)
+		snapshot, err := h.node.store.direct.Newest(ctx, a.Read.Topic, a.Read.Part)
 		r.Records, r.End = snapshot.Records, snapshot.End
 		r.setError(err)
 		return nil
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -109,7 +109,7 @@
 		}
 	}
 	reply, err := s.relay(ctx, "Read", func(ctx context.Context, m member) (StoreReply, error) {
-		return link.Call[ReadArgs, StoreReply](ctx, s.node.client, m.Address, "Read", ReadArgs{Read: store.Read{Topic: r.Topic, From: r.From}, Timeout: relayTimeout})
+		return link.Call[ReadArgs, StoreReply](ctx, s.node.client, m.Address, "Read", ReadArgs{Read: store.Read{Topic: r.Topic, Part: r.Part, From: r.From}, Timeout: relayTimeout})
 	})
 	if err == nil && len(reply.Records) == 0 {
 		pause(ctx, min(r.Wait, relayReadPause))
@@ -118,16 +118,16 @@
 }
 
 // Newest implements store.Store.
-func (s *relayedStore) Newest(ctx context.Context, t store.Topic) (store.Snapshot, error) {
+func (s *relayedStore) Newest(ctx context.Context, t store.Topic, part int) (store.Snapshot, error) {
 	if !s.skipsDirect() {
-		snapshot, err := s.direct.Newest(ctx, t)
+		snapshot, err := s.direct.Newest(ctx, t, part)
 		s.note(ctx, err)
 		if !unreachable(err) {
 			return snapshot, err
 		}
 	}
 	reply, err := s.relay(ctx, "Newest", func(ctx context.Context, m member) (StoreReply, error) {
-		return link.Call[ReadArgs, StoreReply](ctx, s.node.client, m.Address, "Read", ReadArgs{Read: store.Read{Topic: t}, Snapshot: true, Timeout: relayTimeout})
+		return link.Call[ReadArgs, StoreReply](ctx, s.node.client, m.Address, "Read", ReadArgs{Read: store.Read{Topic: t, Part: part}, Snapshot: true, Timeout: relayTimeout})
 	})
 	return store.Snapshot{Records: reply.Records, End: reply.End}, err
 }
--- /dev/null
+++ b/internal/node/entryvm/writer.go
@@ -0,0 +1,166 @@
+package entryvm
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/link"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+const (
+	// writePause is the wait after an append that failed.
+	writePause = 60 * time.Millisecond
+	// mostWrites bounds the records of one append.
+	mostWrites = 200
+)
+
+// jobWriter stores job records, all that wait in one append. It writes to one
+// partition and moves to the next when that one fails: the leader reads all of
+// them and ignores a record that it knows.
+type jobWriter struct {
+	node  *Node
+	wake  chan struct{}
+	mutex sync.Mutex
+	// waiting holds the records that are not stored, oldest first.
+	waiting   []*jobWrite
+	partition int
+}
+
+// jobWrite is a record on its way to the store.
+type jobWrite struct {
+	record store.Record
+	stored chan struct{}
+	// inFlight tells that an append with the record has no answer yet.
+	inFlight bool
+	// uncertain tells that an append may have stored the record.
+	uncertain bool
+}
+
+func newJobWriter(n *Node) *jobWriter {
+	return &jobWriter{node: n, wake: make(chan struct{}, 1), partition: int(xxhash.Sum64String(n.settings.Name) % jobPartitions)}
+}
+
+// write stores a record. It returns KindNotStored only when the record is not
+// stored and never will be.
+func (w *jobWriter) write(ctx context.Context, r store.Record) error {
+	v := &jobWrite{record: r, stored: make(chan struct{})}
+	w.mutex.Lock()
+	w.waiting = append(w.waiting, v)
+	w.mutex.Unlock()
+	signal(w.wake)
+	select {
+	case <-v.stored:
+		return nil
+	case <-ctx.Done():
+		return w.giveUp(v)
+	}
+}
+
+// giveUp takes a record back.
+func (w *jobWriter) giveUp(v *jobWrite) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	select {
+	case <-v.stored:
+		return nil
+	default:
+	}
+	for i := range w.waiting {
+		if w.waiting[i] == v {
+			w.waiting = append(w.waiting[:i:i], w.waiting[i+1:]...)
+			break
+		}
+	}
+	if v.inFlight || v.uncertain {
+		return fault.Newf("store_job", KindUnknown, "the store has not answered")
+	}
+	return fault.Newf("store_job", KindNotStored, "the store takes nothing")
+}
+
+func (w *jobWriter) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		for ctx.Err() == nil {
+			batch := w.next()
+			if len(batch) == 0 {
+				break
+			}
+			if !w.append(ctx, batch) {
+				pause(ctx, writePause)
+			}
+		}
+	}
+}
+
+// next returns the records of the next append.
+func (w *jobWriter) next() []*jobWrite {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	batch := append([]*jobWrite(nil), w.waiting[:min(len(w.waiting), mostWrites)]...)
+	for _, v := range batch {
+		v.inFlight = true
+	}
+	return batch
+}
+
+// append stores a batch and tells the leader; it reports whether it is stored.
+func (w *jobWriter) append(ctx context.Context, batch []*jobWrite) bool {
+	records := make([]store.Record, len(batch))
+	for i, v := range batch {
+		records[i] = v.record
+	}
+	call, cancel := context.WithTimeout(ctx, directTimeout+relayTries*relayTimeout)
+	_, err := w.node.store.Append(call, store.Append{Topic: store.Jobs, Part: w.partition, Records: records})
+	cancel()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, v := range batch {
+		v.inFlight = false
+		v.uncertain = v.uncertain || (err != nil && kindOf(err) != store.KindRefused)
+	}
+	if err != nil {
+		w.node.log.Info("jobs_not_stored", "records", len(batch), "partition", w.partition, "error", err.Error())
+		w.partition = (w.partition + 1) % jobPartitions
+		return false
+	}
+	for _, v := range batch {
+		close(v.stored)
+	}
+	kept := w.waiting[:0]
+	for _, v := range w.waiting {
+		select {
+		case <-v.stored:
+		default:
+			kept = append(kept, v)
+		}
+	}
+	w.waiting = kept
+	go w.tell(records)
+	return true
+}
+
+// tell hands stored records to the leader, which would read them a little later.
+func (w *jobWriter) tell(records []store.Record) {
+	if l := w.node.leading(); l != nil {
+		l.takeJobs(records)
+		return
+	}
+	c, ok := w.node.election.leader()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.node.run, stateTimeout)
+	defer cancel()
+	if _, err := link.Call[JobsArgs, Nothing](ctx, w.node.client, c.Address, "Jobs", JobsArgs{Records: records}); err != nil {
+		w.node.log.Info("leader_not_told", "leader", c.Name, "records", len(records), "error", err.Error())
+	}
+}
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -33,8 +33,7 @@
 
 // The topics of the scheduler.
 const (
-	// Jobs holds submissions under the job ID and cancellations under
-	// CancelKey.
+	// Jobs holds submissions and cancellations, in several partitions.
 	Jobs Topic = "jobs"
 	// Progress holds the progress of each job under its ID; only the leader
 	// writes here, as a producer with its epoch.
@@ -66,7 +65,9 @@
 
 // Append is one atomic append.
 type Append struct {
-	Topic   Topic
+	Topic Topic
+	// Part is the partition; a producer's epoch holds within one.
+	Part    int
 	Records []Record
 	// Producer is nil for an append that may safely be carried out twice.
 	Producer *Producer
@@ -103,6 +104,6 @@
 	// Read returns the records from an offset; it waits for one for a time
 	// that is part of ctx's deadline and at most wait.
 	Read(ctx context.Context, r Read) (Batch, error)
-	// Newest reads the newest record of each key.
-	Newest(ctx context.Context, t Topic) (Snapshot, error)
+	// Newest reads the newest record of each key of a partition.
+	Newest(ctx context.Context, t Topic, part int) (Snapshot, error)
 }
