Place first what can be on time; read stored state at once at take-over

Cause: in the order of due times alone, every job of an overloaded pool waits until it is late (imaging pool: photo jobs started 10 s after hand-in at the median). Take-over read six partitions one after the other: 0.76 s while the store was slow.

--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -30,18 +30,32 @@
 	s.dealQuestions(order, now)
 }
 
+// prospect tells what a job can still be worth to its caller.
+type prospect int
+
+const (
+	// onTime jobs can still complete when their caller wants them to.
+	onTime prospect = iota
+	// late jobs are past that, and still of some worth.
+	late
+	// hopeless jobs are past the time in which a result has worth.
+	hopeless
+)
+
 // rank orders waiting jobs.
 type rank struct {
-	job *job
-	// hopeless jobs are past the time in which a result has worth.
-	hopeless bool
+	job      *job
+	prospect prospect
 	priority int
 	due      time.Time
 }
 
-// waitingOrder returns the active jobs with something to place or to ask, first
-// those that go first: by priority, then by when their caller wants them
-// completed; jobs that can not count any more come last.
+// waitingOrder returns the active jobs with something to place or to ask, in the
+// order in which they go: first what can still be on time, then what is late, then
+// the rest; of these by priority, then by when the caller wants them completed.
+//
+// It answers a load above the capacity: in the order of due times alone, each job
+// waits until it is late, and all of them are.
 func (s *Scheduler) waitingOrder(now time.Time) []*job {
 	ranks := make([]rank, 0, len(s.active))
 	for _, j := range s.active {
@@ -59,11 +73,11 @@
 		allowance := q.Allowance(chain)
 		ranks = append(ranks, rank{
 			job: j, priority: q.Priority, due: j.arrived.Add(allowance),
-			hopeless: j.spec.Repeat == nil && !j.lasting() && now.Sub(j.arrived) > queue.LateFactor*allowance,
+			prospect: s.prospectOf(j, allowance, now),
 		})
 	}
 	slices.SortFunc(ranks, func(a, b rank) int {
-		return cmp.Or(compareBool(a.hopeless, b.hopeless), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
+		return cmp.Or(cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
 	order := make([]*job, len(ranks))
 	for i := range ranks {
@@ -72,14 +86,38 @@
 	return order
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
+// prospectOf compares the work that is left of a job with the time it has.
+func (s *Scheduler) prospectOf(j *job, allowance time.Duration, now time.Time) prospect {
+	if j.spec.Repeat != nil || j.lasting() {
+		return onTime
+	}
+	left := s.chainLeft(j)
+	switch end := now.Add(left); {
+	case !end.After(j.arrived.Add(allowance)):
+		return onTime
+	case !end.After(j.arrived.Add(queue.LateFactor * allowance)):
+		return late
+	}
+	return hopeless
+}
+
+// chainLeft returns the expected time of the longest chain of steps that are not
+// completed.
+func (s *Scheduler) chainLeft(j *job) time.Duration {
+	longest := time.Duration(0)
+	for _, o := range j.occurrences {
+		chain := make([]time.Duration, len(o.steps))
+		for i, st := range o.steps {
+			for _, a := range st.spec.After {
+				chain[i] = max(chain[i], chain[a])
+			}
+			if st.left > 0 {
+				chain[i] += s.runTimes.expect(st)
+			}
+			longest = max(longest, chain[i])
+		}
 	}
-	return -1
+	return longest
 }
 
 func (j *job) lasting() bool {
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -99,6 +99,7 @@
 	confirmed time.Time
 	sequence  int64
 	lastSweep time.Time
+	lastLoad  time.Time
 	Counters  Counters
 }
 
@@ -158,6 +159,7 @@
 		s.sweep(now)
 	}
 	s.planNeeded = s.planNeeded || s.anyWaiting()
+	s.logLoad(now)
 }
 
 func (s *Scheduler) anyWaiting() bool {
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
@@ -179,34 +182,26 @@
 	}
 }
 
+// stored is what the store holds of the cell.
+type stored struct {
+	progress []store.Record
+	jobs     []store.Record
+	// jobsEnd is where to go on reading each partition of jobs.
+	jobsEnd [jobPartitions]int64
+	workers []store.Record
+}
+
 // restore fences the last leader and reads what it has stored. It returns where
 // to go on reading jobs.
 func (l *leader) restore() ([jobPartitions]int64, error) {
-	var ends [jobPartitions]int64
 	begun := now()
-	if err := l.appendProgress(l.renewal()); err != nil {
-		return ends, err
-	}
-	progress, err := l.snapshot(store.Progress, 0)
-	if err != nil {
-		return ends, err
-	}
-	var jobs []store.Record
-	for part := range ends {
-		snapshot, err := l.snapshot(store.Jobs, part)
-		if err != nil {
-			return ends, err
-		}
-		ends[part] = snapshot.End
-		jobs = append(jobs, snapshot.Records...)
-	}
-	workers, err := l.snapshot(store.Workers, 0)
+	v, err := l.readStored()
 	if err != nil {
-		return ends, err
+		return v.jobsEnd, err
 	}
-	done := make(map[string]*work.Progress, len(progress.Records))
-	for i := range progress.Records {
-		r := &progress.Records[i]
+	done := make(map[string]*work.Progress, len(v.progress))
+	for i := range v.progress {
+		r := &v.progress[i]
 		p, err := work.Decode[work.Progress](r.Value)
 		if err != nil {
 			l.node.log.Error(err, "progress_unreadable", "job", r.Key)
@@ -216,16 +211,47 @@
 	}
 	l.update(func(s *scheduler.Scheduler, at time.Time) {
 		s.Confirmed(begun)
-		l.applyWorkers(workers.Records)
+		l.applyWorkers(v.workers)
 		s.SetWorkers(l.listed(), at)
-		l.applyJobs(s, jobs, done, at)
+		l.applyJobs(s, v.jobs, done, at)
 		for part := range l.tailed {
 			l.tailed[part] = begun
 		}
 		l.serving = true
 	})
-	l.node.log.Info("take_over_done", "epoch", l.epoch, "jobs", len(jobs), "progress", len(progress.Records), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
-	return ends, nil
+	l.node.log.Info("take_over_done", "epoch", l.epoch, "jobs", len(v.jobs), "progress", len(v.progress), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
+	return v.jobsEnd, nil
+}
+
+// readStored reads everything at once; progress only after the last leader is
+// fenced, since it could write until then.
+func (l *leader) readStored() (stored, error) {
+	var v stored
+	var jobs [jobPartitions][]store.Record
+	var g errgroup.Group
+	g.Go(func() error {
+		if err := l.appendProgress(l.renewal()); err != nil {
+			return err
+		}
+		s, err := l.snapshot(store.Progress, 0)
+		v.progress = s.Records
+		return err
+	})
+	for part := range jobs {
+		g.Go(func() error {
+			s, err := l.snapshot(store.Jobs, part)
+			jobs[part], v.jobsEnd[part] = s.Records, s.End
+			return err
+		})
+	}
+	g.Go(func() error {
+		s, err := l.snapshot(store.Workers, 0)
+		v.workers = s.Records
+		return err
+	})
+	err := g.Wait()
+	v.jobs = slices.Concat(jobs[:]...)
+	return v, err
 }
 
 func (l *leader) snapshot(t store.Topic, part int) (store.Snapshot, error) {
