--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -100,6 +100,8 @@
 	// avoid is the worker on which the task failed last.
 	avoid     string
 	notBefore time.Time
+	// stopSent is when a stop was last ordered.
+	stopSent time.Time
 }
 
 // onWorker reports whether the task takes room on a worker.
@@ -155,7 +157,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				s.abandon(t)
+				s.abandon(t, now)
 			}
 			s.advisers.forget(st)
 		}
@@ -292,7 +294,7 @@
 }
 
 // abandon ends a task of a job that has ended.
-func (s *Scheduler) abandon(t *task) {
+func (s *Scheduler) abandon(t *task, now time.Time) {
 	switch t.phase {
 	case phaseWaiting:
 		t.phase = phaseDone
@@ -300,17 +302,17 @@
 		s.leave(t)
 		t.phase = phaseDone
 	case phaseOrdered, phaseRunning:
-		s.stop(t)
+		s.stop(t, now)
 	case phaseStopping, phaseDone:
 	}
 }
 
 // stop orders the end of a run.
-func (s *Scheduler) stop(t *task) {
+func (s *Scheduler) stop(t *task, now time.Time) {
 	if t.phase == phaseOrdered && t.token == 0 {
 		return // A run of an earlier leader; the first hold settles it.
 	}
-	t.phase = phaseStopping
+	t.phase, t.stopSent = phaseStopping, now
 	s.sendStop(t.worker, t.id, t.run)
 }
 
--- a/internal/cell/scheduler/order.go
+++ b/internal/cell/scheduler/order.go
@@ -110,7 +110,7 @@
 	}
 	if t.phase == phaseOrdered || t.phase == phaseRunning {
 		t.doneBefore = true
-		s.stop(t)
+		s.stop(t, now)
 		return
 	}
 	if t.phase == phaseWaiting {
@@ -182,7 +182,7 @@
 		case phaseRecorded:
 			s.toWaiting(member, now)
 		case phaseOrdered, phaseRunning:
-			s.stop(member)
+			s.stop(member, now)
 		case phaseWaiting, phaseStopping, phaseDone:
 		}
 	}
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -264,8 +264,9 @@
 	return w.listed && !w.gone && r.Service == q.Service && !r.Draining && r.HasLabel(st.spec.Label) && st.spec.Room().Fits(r.Capacity)
 }
 
-// answerAge is the silence after which a worker gets no new work.
-const answerAge = 2500 * time.Millisecond
+// answerAge is the silence after which a worker gets no new work: a hold and its
+// answer take a little over a second.
+const answerAge = 1400 * time.Millisecond
 
 // choose returns the best worker for a task, or nil. racks counts the members of
 // its gang that have a place.
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -86,7 +86,7 @@
 		w = s.newWorker(backend.Registration{Life: life}, now)
 	}
 	// The last leader may have held the worker until its right ended.
-	if end := now.Add(s.timing.Right + time.Duration(float64(s.timing.Lease)*clockRate) + leaseMargin); end.After(w.leaseEnd) {
+	if end := now.Add(time.Duration(float64(s.timing.Right)*clockRate) + leaseMargin); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
 	t.phase, t.worker, t.token = phaseOrdered, w, 0
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -34,6 +34,7 @@
 		if w.chance(0.2) {
 			j.Steps[0].MostPerWorker = 1
 		}
+		j.Steps[0].Speculative = w.chance(0.4)
 		demand := fleet.Demand{RunTime: w.between(100*time.Millisecond, 3*time.Second)}
 		w.after(w.between(0, 5*time.Second), func() { w.submit(j, demand) })
 	}
@@ -183,3 +184,26 @@
 	l.state.Cancel("nobody", w.now)
 	l.state.HoldFailed(backend.Life{ID: "nobody"}, backend.KindUnknown, w.now)
 }
+
+func TestCopiedTaskKeepsItsRoom(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(3, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "first", Queue: "urgent", Steps: []work.Step{{Count: 6, Size: taskSize, Speculative: true}}}, fleet.Demand{RunTime: 5 * time.Second})
+	w.run(500 * time.Millisecond)
+	is.Equal(w.starts, 6)
+	lives := w.lives()
+	w.cut[lives[0]] = true
+	w.run(2500 * time.Millisecond)
+	is.Equal(w.starts, 9) // The three tasks there have copies.
+	w.submit(&work.Job{ID: "second", Queue: "urgent", Steps: []work.Step{{Count: 3, Size: taskSize}}}, fleet.Demand{RunTime: 5 * time.Second})
+	w.run(500 * time.Millisecond)
+	clear(w.cut)
+	w.run(30 * time.Second)
+	is.Equal(w.problems, nil)
+	for _, id := range []string{"first", "second"} {
+		state, _ := w.leaders[0].state.Status(id)
+		is.Equal(state, work.Completed)
+	}
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -24,6 +24,9 @@
 	token, heldToken int64
 	used             resource.Vector
 	tasks            map[work.TaskID]*task
+	// left holds the runs that may still be there although their task was placed
+	// elsewhere; they take room until a report or the end of the lease.
+	left map[leftRun]leftRoom
 	// applied is the number of the last end handled; stored is the last whose
 	// handling is stored, so that it can be acknowledged.
 	applied, stored int64
@@ -39,6 +42,19 @@
 	avoidUntil time.Time
 }
 
+// leftRun names a run that was given up.
+type leftRun struct {
+	task work.TaskID
+	run  int64
+}
+
+// leftRoom is what a run that was given up takes.
+type leftRoom struct {
+	room resource.Vector
+	// sequence is that of the last hold sent before the run was given up.
+	sequence int64
+}
+
 // fencing reports whether orders sent now could be refused, or whether runs may
 // exist that are not accounted for.
 func (w *worker) fencing() bool { return w.heldToken != w.token }
@@ -72,6 +88,31 @@
 	return slices.SortedFunc(maps.Values(w.tasks), func(a, b *task) int { return a.id.Compare(b.id) })
 }
 
+// leave notes that a task is placed elsewhere while its run may go on here.
+func (w *worker) leave(t *task, sequence int64) {
+	room := t.step.spec.Room()
+	w.left[leftRun{t.id, t.run}] = leftRoom{room, sequence}
+	w.used = w.used.Add(room)
+}
+
+// settleLeft frees the room of runs that have ended.
+func (w *worker) settleLeft(running map[work.TaskID]*backend.Run, sent HoldSent) {
+	for v, r := range w.left {
+		if row := running[v.task]; (row == nil || row.Run != v.run) && sent.sequence > r.sequence {
+			delete(w.left, v)
+			w.used = w.used.Sub(r.room)
+		}
+	}
+}
+
+// lapseLeft frees the room of all runs that were given up.
+func (w *worker) lapseLeft() {
+	for v, r := range w.left {
+		delete(w.left, v)
+		w.used = w.used.Sub(r.room)
+	}
+}
+
 // deadline returns the end of a lease that is granted now, by the worker's
 // clock; 0 when its clock is not known.
 func (w *worker) deadline(now, rightEnd time.Time, timing Timing) time.Duration {
@@ -131,7 +172,7 @@
 }
 
 func (s *Scheduler) newWorker(r backend.Registration, now time.Time) *worker {
-	w := &worker{registration: r, token: s.epoch << epochBits, tasks: map[work.TaskID]*task{}, answered: now}
+	w := &worker{registration: r, token: s.epoch << epochBits, tasks: map[work.TaskID]*task{}, left: map[leftRun]leftRoom{}, answered: now}
 	s.workers[r.Life] = w
 	if s.byID[r.Life.ID] == nil {
 		s.byID[r.Life.ID] = w
@@ -141,13 +182,13 @@
 
 // evacuate moves lasting tasks off a worker that is leaving; others may end
 // there in time.
-func (s *Scheduler) evacuate(w *worker, _ time.Time) {
+func (s *Scheduler) evacuate(w *worker, now time.Time) {
 	if !w.registration.Draining {
 		return
 	}
 	for _, t := range w.sortedTasks() {
 		if t.step.spec.Lasting && t.phase == phaseRunning {
-			s.stop(t)
+			s.stop(t, now)
 		}
 	}
 }
@@ -172,6 +213,7 @@
 
 // lapse frees all tasks of a worker whose runs have ended without a report.
 func (s *Scheduler) lapse(w *worker, now time.Time) {
+	w.lapseLeft()
 	for _, t := range w.sortedTasks() {
 		s.Counters.Lapsed++
 		s.log.Info("run_lapsed", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID)
@@ -180,14 +222,38 @@
 	}
 }
 
+// stopRetry is when a stop is ordered again that has had no effect: longer than a
+// worker takes to end a run.
+const stopRetry = 1500 * time.Millisecond
+
+// silence is how long a worker must not answer before its speculative tasks are
+// placed elsewhere too.
+const silence = 1800 * time.Millisecond
+
+// copySpeculative places the speculative tasks of a silent worker elsewhere; the
+// copy that ends first counts.
+func (s *Scheduler) copySpeculative(w *worker, now time.Time) {
+	if now.Sub(w.answered) < silence {
+		return
+	}
+	for _, t := range w.sortedTasks() {
+		if t.step.spec.Speculative && t.phase == phaseRunning {
+			s.log.Info("run_copied", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID, "silent_ms", now.Sub(w.answered).Milliseconds())
+			w.leave(t, s.sequence)
+			s.toWaiting(t, now)
+		}
+	}
+}
+
 // expireLeases frees the tasks of workers that were not reached for a lease.
 func (s *Scheduler) expireLeases(now time.Time) {
 	for _, life := range s.Workers() {
 		w := s.workers[life]
+		s.copySpeculative(w, now)
 		if now.Before(w.leaseEnd) {
 			continue
 		}
-		if len(w.tasks) > 0 {
+		if len(w.tasks) > 0 || len(w.left) > 0 {
 			s.lapse(w, now)
 		}
 		if w.heldToken != 0 && now.Sub(w.answered) > s.timing.Lease {
@@ -200,7 +266,7 @@
 
 // closeIdle leaves a worker that is not registered and runs nothing.
 func (s *Scheduler) closeIdle(w *worker, now time.Time) {
-	if !w.listed && len(w.tasks) == 0 {
+	if !w.listed && len(w.tasks) == 0 && len(w.left) == 0 {
 		s.lose(w, "unregistered", now)
 	}
 }
@@ -270,6 +336,9 @@
 		s.applyRun(w, &r.Running[i], sent, now)
 	}
 	s.settleMissing(w, running, sent, r.Truncated, now)
+	if !r.Truncated {
+		w.settleLeft(running, sent)
+	}
 	if w.heldToken < sent.token {
 		w.heldToken = sent.token
 		s.planNeeded = true
@@ -306,14 +375,14 @@
 		s.confirmRun(t, now)
 	case phaseStopping:
 		t.settled = true
-		if sent.sequence > t.sequence {
-			t.sequence = s.sequence
+		if now.Sub(t.stopSent) > stopRetry {
+			t.stopSent = now
 			s.sendStop(w, t.id, t.run)
 		}
 	case phaseWaiting, phaseRecorded, phaseRunning, phaseDone:
 	}
 	if t.step.job.state.Ended() && t.phase == phaseRunning {
-		s.stop(t)
+		s.stop(t, now)
 	}
 }
 
@@ -324,7 +393,7 @@
 		t.begun = now
 	}
 	if t.step.job.state.Ended() {
-		s.stop(t)
+		s.stop(t, now)
 	}
 }
 
--- a/internal/emulate/fleet/worker.go
+++ b/internal/emulate/fleet/worker.go
@@ -20,6 +20,8 @@
 	// RunTime is the work of the task; a lasting task has none.
 	RunTime time.Duration
 	Lasting bool
+	// Speculative tasks may run in several copies.
+	Speculative bool
 	// Fails makes the run end as failed.
 	Fails bool
 	// Members is the size of the task's gang; 0 outside of gangs.
@@ -36,11 +38,12 @@
 
 // run is a task at work.
 type run struct {
-	task    work.TaskID
-	number  int64
-	demand  Demand
-	begun   time.Time
-	stopped bool
+	task   work.TaskID
+	number int64
+	demand Demand
+	begun  time.Time
+	// stopped is when a stop was ordered; zero while it was not.
+	stopped time.Time
 }
 
 // Worker is one life of an emulated worker.
@@ -61,6 +64,9 @@
 	observer Observer
 }
 
+// stopTime is how long a run takes to end once it was told to.
+const stopTime = 400 * time.Millisecond
+
 // maxLease is the longest lease that a worker grants.
 const maxLease = 6 * time.Second
 
@@ -96,7 +102,7 @@
 	}
 	for _, r := range w.sorted() {
 		switch {
-		case r.stopped:
+		case !r.stopped.IsZero() && now.Sub(r.stopped) >= stopTime:
 			w.end(r, backend.Stopped, now)
 		case r.demand.Lasting || now.Sub(r.begun) < r.demand.RunTime:
 		case r.demand.Fails:
@@ -155,8 +161,8 @@
 	}
 	w.token = s.Token
 	w.highest[s.Task] = max(w.highest[s.Task], s.Run)
-	if r := w.running[s.Task]; r != nil && r.number <= s.Run {
-		r.stopped = true
+	if r := w.running[s.Task]; r != nil && r.number <= s.Run && r.stopped.IsZero() {
+		r.stopped = now
 	}
 	return ""
 }
