--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -21,6 +21,9 @@
 	askTimeout = 400 * time.Millisecond
 	// adviserPause is how long a VM that failed to get advice is not asked.
 	adviserPause = 2 * time.Second
+	// askedAhead bounds the steps without room that are asked about, for each
+	// service.
+	askedAhead = 6
 	// askAhead is how long before a step opens its workers are asked for.
 	askAhead = 500 * time.Millisecond
 )
@@ -67,8 +70,8 @@
 // time.
 type advisers struct {
 	vms map[string]*adviserVM
-	// waiting holds the steps with a question, sorted when it is dealt out.
-	waiting map[*step]question
+	// waiting holds the steps that lack tickets, as of the last plan.
+	waiting map[*step]*queue.Queue
 	open    map[int64]openAsk
 	number  int64
 }
@@ -87,11 +90,12 @@
 	step    *step
 	vm      string
 	lives   []backend.Life
+	sent    time.Time
 	expires time.Time
 }
 
 func newAdvisers() advisers {
-	return advisers{vms: map[string]*adviserVM{}, waiting: map[*step]question{}, open: map[int64]openAsk{}}
+	return advisers{vms: map[string]*adviserVM{}, waiting: map[*step]*queue.Queue{}, open: map[int64]openAsk{}}
 }
 
 // SetAdvisers names the entry VMs that can ask for advice.
@@ -111,12 +115,11 @@
 
 func (a *advisers) forget(st *step) { delete(a.waiting, st) }
 
-// want notes a question about a step.
-func (a *advisers) want(st *step, workers []backend.Life, cost *queue.AdviceCost) {
-	if len(workers) == 0 || st.advice.pending {
-		return
+// want notes that a step lacks tickets.
+func (a *advisers) want(st *step, q *queue.Queue) {
+	if q.Advice != nil && !st.advice.pending {
+		a.waiting[st] = q
 	}
-	a.waiting[st] = question{workers: workers, cost: cost}
 }
 
 // dealQuestions hands waiting questions to idle VMs, in the order of the jobs.
@@ -125,23 +128,40 @@
 		return
 	}
 	idle := s.advisers.idle(now)
+	ahead := map[string]int{}
 	for _, j := range order {
 		if len(idle) == 0 {
 			return
 		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
-				q, ok := s.advisers.waiting[st]
-				if !ok || len(idle) == 0 {
+				q := s.advisers.waiting[st]
+				if q == nil || len(idle) == 0 || (st.open && !s.worthAsking(st, q, ahead)) {
 					continue
 				}
-				s.ask(st, q, idle[0], now)
-				idle = idle[1:]
+				if lives := s.toAsk(st, q, now); len(lives) > 0 {
+					s.ask(st, question{lives, q.Advice}, idle[0], now)
+					idle = idle[1:]
+				}
 			}
 		}
 	}
 }
 
+// worthAsking reports whether tickets could be used before they expire: there is
+// room, or the step is among the first that wait for it. ahead counts those by
+// service.
+//
+// It answers a backlog: tickets for steps far behind would expire unused, while
+// the steps in front wait for an adviser.
+func (s *Scheduler) worthAsking(st *step, q *queue.Queue, ahead map[string]int) bool {
+	if st.spec.Room().Fits(s.poolOf(q.Service).free) {
+		return true
+	}
+	ahead[q.Service]++
+	return len(st.advice.asked) == 0 && ahead[q.Service] <= askedAhead
+}
+
 func (a *advisers) idle(now time.Time) []string {
 	var names []string
 	for n, v := range a.vms {
@@ -160,7 +180,7 @@
 	a.vms[vm].asking = true
 	st.advice.pending = true
 	timeout := q.cost.Of(len(q.workers)) + askTimeout
-	a.open[a.number] = openAsk{step: st, vm: vm, lives: q.workers, expires: now.Add(timeout + askTimeout)}
+	a.open[a.number] = openAsk{step: st, vm: vm, lives: q.workers, sent: now, expires: now.Add(timeout + askTimeout)}
 	ids := make([]string, len(q.workers))
 	for i, l := range q.workers {
 		ids[i] = l.ID
@@ -199,7 +219,7 @@
 			a.tickets[l] = ticket{text: text, expires: now.Add(answer.Validity)}
 		}
 	}
-	s.log.V(1).Info("advice_received", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm, "asked", len(o.lives), "good", len(answer.Tickets))
+	s.log.Info("advice_received", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm, "asked", len(o.lives), "good", len(answer.Tickets), "took_ms", now.Sub(o.sent).Milliseconds())
 }
 
 func (s *Scheduler) expireAsks(now time.Time) {
@@ -210,24 +230,16 @@
 	}
 }
 
-// seekAdvice asks about the workers of a step where its tickets do not suffice.
-func (s *Scheduler) seekAdvice(st *step, q *queue.Queue, now time.Time) {
-	if q.Advice == nil || st.advice.pending {
-		return
-	}
+// toAsk returns the workers to ask about where the tickets of a step do not
+// suffice.
+func (s *Scheduler) toAsk(st *step, q *queue.Queue, now time.Time) []backend.Life {
 	var stale, unknown []backend.Life
 	anyKnownFits := false
-	for _, w := range s.workers {
-		if !s.usable(w, st, q, now) {
-			continue
-		}
+	for _, w := range s.candidates(st, q.Service) {
 		life := w.registration.Life
-		fits := st.spec.Room().Fits(w.free())
 		switch _, good := st.advice.tickets[life]; {
 		case good:
-			if fits {
-				anyKnownFits = true
-			}
+			anyKnownFits = anyKnownFits || st.spec.Room().Fits(w.free())
 			if !st.advice.valid(life, now) {
 				stale = append(stale, life)
 			}
@@ -237,10 +249,11 @@
 	}
 	switch {
 	case anyKnownFits && len(stale) > 0:
-		s.advisers.want(st, s.firstByRoom(stale, st), q.Advice)
+		return s.firstByRoom(stale, st)
 	case len(unknown) > 0 && (!anyKnownFits || st.spec.Gang):
-		s.advisers.want(st, s.firstByRoom(unknown, st), q.Advice)
+		return s.firstByRoom(unknown, st)
 	}
+	return nil
 }
 
 // firstByRoom returns the workers most likely to have room soon.
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -16,6 +16,11 @@
 	s.planNeeded = false
 	order := s.waitingOrder(now)
 	reserved := newReservations()
+	clear(s.advisers.waiting)
+	s.poolOf("")
+	for _, p := range s.pools {
+		p.measure()
+	}
 	for _, j := range order {
 		q := s.table.Queue(j.spec.Queue)
 		if q == nil || j.state.Ended() {
@@ -133,7 +138,7 @@
 	}
 	if !st.open {
 		if q.Advice != nil && s.opensWithin(st, askAhead+q.Advice.Of(mostAsked), now) {
-			s.seekAdvice(st, q, now)
+			s.advisers.want(st, q)
 		}
 		return
 	}
@@ -141,7 +146,9 @@
 		return
 	}
 	placed := false
-	if st.spec.Gang {
+	if !st.spec.Room().Fits(s.poolOf(q.Service).free) {
+		// No worker has room; advice and reservations still count.
+	} else if st.spec.Gang {
 		placed = s.placeGang(st, q, reserved, now)
 	} else {
 		placed = s.placeTasks(st, q, reserved, now)
@@ -149,7 +156,7 @@
 	if placed || !st.anyWaiting(now) {
 		return
 	}
-	s.seekAdvice(st, q, now)
+	s.advisers.want(st, q)
 	s.reserve(st, q, reserved, now)
 }
 
@@ -259,9 +266,8 @@
 }
 
 // usable reports whether a worker could run tasks of a step at all.
-func (s *Scheduler) usable(w *worker, st *step, q *queue.Queue, _ time.Time) bool {
-	r := &w.registration
-	return w.listed && !w.gone && r.Service == q.Service && !r.Draining && r.HasLabel(st.spec.Label) && st.spec.Room().Fits(r.Capacity)
+func usable(w *worker, st *step) bool {
+	return w.registration.HasLabel(st.spec.Label) && st.spec.Room().Fits(w.registration.Capacity)
 }
 
 // answerAge is the silence after which a worker gets no new work: a hold and its
@@ -274,8 +280,8 @@
 	var best *worker
 	bestScore := 0.0
 	room := st.spec.Room()
-	for _, w := range s.workers {
-		if !s.usable(w, st, q, now) || w.fencing() || !room.Fits(w.free()) || now.Before(w.avoidUntil) || now.Sub(w.answered) > answerAge || w.clockAt.IsZero() {
+	for _, w := range s.poolOf(q.Service).workers {
+		if w.fencing() || !room.Fits(w.free()) || now.Before(w.avoidUntil) || now.Sub(w.answered) > answerAge || w.clockAt.IsZero() || !w.registration.HasLabel(st.spec.Label) {
 			continue
 		}
 		if q.Advice != nil && !st.advice.valid(w.registration.Life, now) {
@@ -285,7 +291,7 @@
 			continue
 		}
 		score := s.score(w, st, t, racks)
-		if best == nil || score > bestScore || (score == bestScore && compareLives(w.registration.Life, best.registration.Life) < 0) {
+		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -380,21 +386,19 @@
 		worker *worker
 		wait   time.Duration
 	}
+	if !st.spec.Gang && st.spec.Room().DominantFraction(s.poolOf(q.Service).largest) < largeFraction {
+		return
+	}
 	var candidates []candidate
-	large := st.spec.Gang
-	for _, w := range s.workers {
-		if !s.usable(w, st, q, now) || r.blocks(w, st.job) {
+	for _, w := range s.candidates(st, q.Service) {
+		if r.blocks(w, st.job) {
 			continue
 		}
 		if _, good := st.advice.tickets[w.registration.Life]; q.Advice != nil && !good {
 			continue
 		}
-		large = large || st.spec.Room().DominantFraction(w.registration.Capacity) >= largeFraction
 		candidates = append(candidates, candidate{w, s.roomIn(w, st, now)})
 	}
-	if !large {
-		return
-	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.wait, b.wait), compareLives(a.worker.registration.Life, b.worker.registration.Life))
 	})
--- /dev/null
+++ b/internal/cell/scheduler/pool.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+// pool holds the workers of one service that may get new work, in a fixed order.
+type pool struct {
+	workers []*worker
+	// largest is the largest capacity of each resource.
+	largest resource.Vector
+	// free is at least the room that any worker has, of each resource. It is
+	// computed at the start of a plan; room only shrinks while one is made.
+	free resource.Vector
+}
+
+// poolOf returns the workers of a service.
+func (s *Scheduler) poolOf(service string) *pool {
+	if s.pools == nil {
+		s.buildPools()
+	}
+	if p := s.pools[service]; p != nil {
+		return p
+	}
+	return &pool{}
+}
+
+// buildPools sorts the workers by service.
+func (s *Scheduler) buildPools() {
+	s.pools = map[string]*pool{}
+	for _, life := range s.Workers() {
+		w := s.workers[life]
+		if !w.listed || w.gone || w.registration.Draining {
+			continue
+		}
+		p := s.pools[w.registration.Service]
+		if p == nil {
+			p = &pool{}
+			s.pools[w.registration.Service] = p
+		}
+		p.workers = append(p.workers, w)
+		p.largest = p.largest.Max(w.registration.Capacity)
+	}
+}
+
+// measure notes the room that there is at the start of a plan.
+func (p *pool) measure() {
+	p.free = resource.Vector{}
+	for _, w := range p.workers {
+		p.free = p.free.Max(w.free())
+	}
+}
+
+// candidates returns the workers of a service that could run tasks of a step.
+func (s *Scheduler) candidates(st *step, service string) []*worker {
+	p := s.poolOf(service)
+	if st.spec.Label == "" && st.spec.Room().Fits(smallest(p.workers)) {
+		return p.workers
+	}
+	return slices.DeleteFunc(slices.Clone(p.workers), func(w *worker) bool { return !usable(w, st) })
+}
+
+// smallest returns the smallest capacity of each resource.
+func smallest(workers []*worker) resource.Vector {
+	if len(workers) == 0 {
+		return resource.Vector{}
+	}
+	least := workers[0].registration.Capacity
+	for _, w := range workers[1:] {
+		c := w.registration.Capacity
+		least.Milliprocessors = min(least.Milliprocessors, c.Milliprocessors)
+		least.MemoryMebibytes = min(least.MemoryMebibytes, c.MemoryMebibytes)
+		least.Accelerators = min(least.Accelerators, c.Accelerators)
+	}
+	return least
+}
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -89,7 +89,9 @@
 	dirty   map[string]*job
 	workers map[backend.Life]*worker
 	// byID holds the latest life of each worker.
-	byID     map[string]*worker
+	byID map[string]*worker
+	// pools is nil when it has to be built again from workers.
+	pools    map[string]*pool
 	advisers advisers
 	runTimes runTimes
 	effects  Effects
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -140,6 +140,7 @@
 	for _, life := range s.Workers() {
 		if w := s.workers[life]; w.listed && !listed[life] {
 			w.listed = false
+			s.pools = nil
 			s.log.Info("worker_unlisted", "worker", life.ID, "tasks", len(w.tasks))
 			s.closeIdle(w, now)
 		}
@@ -163,6 +164,7 @@
 		s.log.Info("worker_draining", "worker", r.Life.ID, "remaining_ms", r.Remaining.Milliseconds(), "tasks", len(w.tasks))
 	}
 	w.registration, w.listed = r, true
+	s.pools = nil
 	if !w.open && !w.gone {
 		w.open = true
 		s.effects.Opened = append(s.effects.Opened, r)
@@ -174,6 +176,7 @@
 func (s *Scheduler) newWorker(r backend.Registration, now time.Time) *worker {
 	w := &worker{registration: r, token: s.epoch << epochBits, tasks: map[work.TaskID]*task{}, left: map[leftRun]leftRoom{}, answered: now}
 	s.workers[r.Life] = w
+	s.pools = nil
 	if s.byID[r.Life.ID] == nil {
 		s.byID[r.Life.ID] = w
 	}
@@ -199,6 +202,7 @@
 		return
 	}
 	w.gone, w.listed = true, false
+	s.pools = nil
 	s.log.Info("worker_lost", "worker", w.registration.Life.ID, "reason", why, "tasks", len(w.tasks))
 	s.lapse(w, now)
 	if w.open {
