Probe a lost store in the background and relay meanwhile

A VM now relays until a probe succeeds, relays only while it reaches the store itself, and gives an append a time that follows the store's answers. Questions go to VMs that answer heartbeats.

--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -69,6 +69,8 @@
 	sequence int64
 
 	registrations map[string]backend.Registration
+	// answered is when each entry VM last answered a heartbeat.
+	answered map[string]time.Time
 }
 
 func newLeader(n *Node, epoch int64) *leader {
@@ -77,7 +79,7 @@
 		dirty: make(chan struct{}, 1), replan: make(chan struct{}, 1),
 		state:    scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions: map[backend.Life]*session{}, stored: make(chan struct{}),
-		registrations: map[string]backend.Registration{},
+		registrations: map[string]backend.Registration{}, answered: map[string]time.Time{},
 	}
 }
 
@@ -407,15 +409,22 @@
 	for pause(l.ctx, tickInterval) {
 		l.update(func(s *scheduler.Scheduler, at time.Time) {
 			s.Tick(at)
-			names := []string{l.node.settings.Name}
-			for _, m := range l.node.members.others() {
-				names = append(names, m.Name)
-			}
-			s.SetAdvisers(names)
+			s.SetAdvisers(l.reachable(at))
 		})
 	}
 }
 
+// reachable lists the entry VMs that answer. The caller holds the lock.
+func (l *leader) reachable(at time.Time) []string {
+	names := []string{l.node.settings.Name}
+	for name, answered := range l.answered {
+		if at.Sub(answered) < leaderSilence {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // commitLoop stores the progress of jobs, one append at a time.
 func (l *leader) commitLoop() {
 	renewal := time.NewTimer(renewInterval)
@@ -473,7 +482,7 @@
 	a := store.Append{Topic: store.Progress, Records: records, Producer: &store.Producer{Name: producerName, Epoch: l.epoch, Sequence: l.sequence}}
 	l.sequence++
 	for {
-		call, cancel := context.WithTimeout(l.ctx, directTimeout+relayTries*relayTimeout)
+		call, cancel := context.WithTimeout(l.ctx, mostPatience+relayTries*relayTimeout)
 		_, err := l.node.store.Append(call, a)
 		cancel()
 		if err == nil {
@@ -549,7 +558,13 @@
 	table := l.node.tables.current()
 	args := HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name, Version: l.node.tables.version()}
 	r, err := link.Call[HeartbeatArgs, HeartbeatReply](ctx, l.node.client, m.Address, "Heartbeat", args)
-	if err != nil || table == nil || r.Version >= args.Version {
+	if err != nil {
+		return
+	}
+	l.mutex.Lock()
+	l.answered[m.Name] = now()
+	l.mutex.Unlock()
+	if table == nil || r.Version >= args.Version {
 		return
 	}
 	if _, err := link.Call[TableArgs, Nothing](ctx, l.node.client, m.Address, "Table", TableArgs{Version: table.Version, Text: table.Text}); err != nil {
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -99,6 +99,9 @@
 	Message string
 }
 
+// errStoreDown refuses to relay.
+var errStoreDown = fault.Newf("relay", store.KindRefused, "this VM does not reach the store either")
+
 // handler answers the calls of other entry VMs.
 type handler struct{ node *Node }
 
@@ -166,6 +169,10 @@
 
 // Append makes an append for a VM that can not reach the store.
 func (h *handler) Append(a AppendArgs, r *StoreReply) error {
+	if h.node.store.down.Load() {
+		r.setError(errStoreDown)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(h.node.run, a.Timeout)
 	defer cancel()
 	end, err := h.node.store.direct.Append(ctx, a.Append)
@@ -176,6 +183,10 @@
 
 // Read reads for a VM that can not reach the store.
 func (h *handler) Read(a ReadArgs, r *StoreReply) error {
+	if h.node.store.down.Load() {
+		r.setError(errStoreDown)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(h.node.run, a.Timeout)
 	defer cancel()
 	if a.Snapshot {
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -12,27 +12,34 @@
 )
 
 const (
-	// directTimeout bounds a direct call before another VM is asked; it leaves
-	// time for a store that answers slowly.
-	directTimeout = 700 * time.Millisecond
+	// leastPatience and mostPatience bound the time that a direct append gets;
+	// in between it follows the store's answers, times patienceFactor.
+	leastPatience  = 200 * time.Millisecond
+	mostPatience   = 1500 * time.Millisecond
+	patienceFactor = 5
 	// relayTimeout bounds a call through another VM.
 	relayTimeout = 800 * time.Millisecond
-	// directPause is how long calls go through other VMs after a direct one
-	// failed.
-	directPause = 500 * time.Millisecond
+	// probeInterval is the pause between tries to reach the store directly.
+	probeInterval = 300 * time.Millisecond
+	// failuresUntilDown is how many direct calls in a row must have no answer
+	// before calls go through other VMs; one alone may be a lost answer.
+	failuresUntilDown = 2
 	// relayReadPause takes the place of the store's own wait for a record.
 	relayReadPause = 300 * time.Millisecond
 	// relayTries bounds the VMs that are asked for one call.
 	relayTries = 2
 )
 
-// relayedStore reaches the store, through another entry VM when this one can
+// relayedStore reaches the store, through other entry VMs while this one can
 // not.
 type relayedStore struct {
 	direct store.Store
 	node   *Node
-	// failedAt is when a direct call last failed, in Unix nanoseconds.
-	failedAt atomic.Int64
+	// down tells that the store is not reached directly.
+	down     atomic.Bool
+	failures atomic.Int32
+	// latency is a moving average of the answers to appends, in nanoseconds.
+	latency atomic.Int64
 }
 
 func newRelayedStore(direct store.Store, n *Node) *relayedStore {
@@ -49,64 +56,71 @@
 	return err != nil && (k == store.KindRefused || k == store.KindUnknown)
 }
 
-func (s *relayedStore) skipsDirect() bool {
-	return now().Sub(time.Unix(0, s.failedAt.Load())) < directPause
+// patience is how long a direct append may take before it is given up.
+func (s *relayedStore) patience() time.Duration {
+	return min(max(patienceFactor*time.Duration(s.latency.Load()), leastPatience), mostPatience)
 }
 
-func (s *relayedStore) note(ctx context.Context, err error) {
+// note learns from a direct call that took a time.
+func (s *relayedStore) note(ctx context.Context, err error, took time.Duration) {
+	if ctx.Err() == context.Canceled {
+		return
+	}
 	if !unreachable(err) {
-		if s.failedAt.Swap(0) != 0 {
-			s.node.log.Info("store_regained")
-		}
+		s.failures.Store(0)
+		s.latency.Store((s.latency.Load() + int64(took)) / 2)
 		return
 	}
-	if ctx.Err() == context.Canceled {
+	if kindOf(err) == store.KindUnknown && took >= leastPatience {
+		s.latency.Store(min(2*max(s.latency.Load(), int64(leastPatience/patienceFactor)), int64(mostPatience/patienceFactor)))
+	}
+	if s.failures.Add(1) < failuresUntilDown && kindOf(err) == store.KindUnknown {
 		return
 	}
-	if s.failedAt.Swap(now().UnixNano()) == 0 {
+	if !s.down.Swap(true) {
 		s.node.log.Info("store_lost", "error", err.Error())
+		go s.probe()
 	}
 }
 
-// Append implements store.Store. An append that may have been carried out is
-// repeated as it is; the caller gives it a producer where that matters.
-func (s *relayedStore) Append(ctx context.Context, a store.Append) (int64, error) {
-	uncertain := false
-	var end int64
-	var err error
-	if !s.skipsDirect() {
-		call, cancel := context.WithTimeout(ctx, directTimeout)
-		end, err = s.direct.Append(call, a)
+// probe waits until the store is reached directly.
+func (s *relayedStore) probe() {
+	for pause(s.node.run, probeInterval) {
+		ctx, cancel := context.WithTimeout(s.node.run, mostPatience)
+		_, err := s.direct.Read(ctx, store.Read{Topic: store.Claims})
 		cancel()
-		s.note(ctx, err)
 		if !unreachable(err) {
-			return end, err
+			s.failures.Store(0)
+			s.down.Store(false)
+			s.node.log.Info("store_regained")
+			return
 		}
-		uncertain = kindOf(err) == store.KindUnknown
 	}
-	if a.Condition.Set && uncertain {
-		return 0, err // A repeat would conflict with itself.
+}
+
+// Append implements store.Store. An append that may have been carried out is
+// not repeated here; the caller knows whether that is safe.
+func (s *relayedStore) Append(ctx context.Context, a store.Append) (int64, error) {
+	if !s.down.Load() {
+		call, cancel := context.WithTimeout(ctx, s.patience())
+		defer cancel()
+		begun := now()
+		end, err := s.direct.Append(call, a)
+		s.note(ctx, err, now().Sub(begun))
+		if kindOf(err) != store.KindRefused || err == nil {
+			return end, err
+		}
 	}
-	reply, relayed := s.relay(ctx, "Append", func(ctx context.Context, m member) (StoreReply, error) {
+	reply, err := s.relay(ctx, "Append", func(ctx context.Context, m member) (StoreReply, error) {
 		return link.Call[AppendArgs, StoreReply](ctx, s.node.client, m.Address, "Append", AppendArgs{Append: a, Timeout: relayTimeout})
 	})
-	if relayed == nil {
-		return reply.End, nil
-	}
-	if uncertain || (unreachable(relayed) && err == nil && kindOf(relayed) == store.KindUnknown) {
-		return 0, fault.New("append", store.KindUnknown, relayed)
-	}
-	return 0, relayed
+	return reply.End, err
 }
 
 // Read implements store.Store.
 func (s *relayedStore) Read(ctx context.Context, r store.Read) (store.Batch, error) {
-	if !s.skipsDirect() {
-		batch, err := s.direct.Read(ctx, r)
-		s.note(ctx, err)
-		if !unreachable(err) {
-			return batch, err
-		}
+	if !s.down.Load() {
+		return s.direct.Read(ctx, r)
 	}
 	reply, err := s.relay(ctx, "Read", func(ctx context.Context, m member) (StoreReply, error) {
 		return link.Call[ReadArgs, StoreReply](ctx, s.node.client, m.Address, "Read", ReadArgs{Read: store.Read{Topic: r.Topic, Part: r.Part, From: r.From}, Timeout: relayTimeout})
@@ -119,12 +133,8 @@
 
 // Newest implements store.Store.
 func (s *relayedStore) Newest(ctx context.Context, t store.Topic, part int) (store.Snapshot, error) {
-	if !s.skipsDirect() {
-		snapshot, err := s.direct.Newest(ctx, t, part)
-		s.note(ctx, err)
-		if !unreachable(err) {
-			return snapshot, err
-		}
+	if !s.down.Load() {
+		return s.direct.Newest(ctx, t, part)
 	}
 	reply, err := s.relay(ctx, "Newest", func(ctx context.Context, m member) (StoreReply, error) {
 		return link.Call[ReadArgs, StoreReply](ctx, s.node.client, m.Address, "Read", ReadArgs{Read: store.Read{Topic: t, Part: part}, Snapshot: true, Timeout: relayTimeout})
--- a/internal/node/entryvm/writer.go
+++ b/internal/node/entryvm/writer.go
@@ -118,7 +118,7 @@
 	for i, v := range batch {
 		records[i] = v.record
 	}
-	call, cancel := context.WithTimeout(ctx, directTimeout+relayTries*relayTimeout)
+	call, cancel := context.WithTimeout(ctx, mostPatience+relayTries*relayTimeout)
 	_, err := w.node.store.Append(call, store.Append{Topic: store.Jobs, Part: w.partition, Records: records})
 	cancel()
 	w.mutex.Lock()
