--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -9,6 +9,7 @@
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 const (
@@ -21,6 +22,9 @@
 	askTimeout = 400 * time.Millisecond
 	// adviserPause is how long a VM that failed to get advice is not asked.
 	adviserPause = 2 * time.Second
+	// adviserShare is the largest share of the VMs that ask for one service, so
+	// that its slow questions do not hold up those of another.
+	adviserShare = 0.7
 	// askedAhead bounds the steps without room that are asked about, for each
 	// service.
 	askedAhead = 6
@@ -129,6 +133,8 @@
 	}
 	idle := s.advisers.idle(now)
 	ahead := map[string]int{}
+	open := s.openByService()
+	most := max(int(adviserShare*float64(len(s.advisers.vms))), 1)
 	for _, j := range order {
 		if len(idle) == 0 {
 			return
@@ -136,18 +142,30 @@
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				q := s.advisers.waiting[st]
-				if q == nil || len(idle) == 0 || (st.open && !s.worthAsking(st, q, ahead)) {
+				if q == nil || len(idle) == 0 || open[q.Service] >= most || (st.open && !s.worthAsking(st, q, ahead)) {
 					continue
 				}
 				if lives := s.toAsk(st, q, now); len(lives) > 0 {
 					s.ask(st, question{lives, q.Advice}, idle[0], now)
 					idle = idle[1:]
+					open[q.Service]++
 				}
 			}
 		}
 	}
 }
 
+// openByService counts the questions on their way.
+func (s *Scheduler) openByService() map[string]int {
+	open := map[string]int{}
+	for _, o := range s.advisers.open {
+		if q := s.table.Queue(o.step.job.spec.Queue); q != nil {
+			open[q.Service]++
+		}
+	}
+	return open
+}
+
 // worthAsking reports whether tickets could be used before they expire: there is
 // room, or the step is among the first that wait for it. ahead counts those by
 // service.
@@ -234,12 +252,12 @@
 // suffice.
 func (s *Scheduler) toAsk(st *step, q *queue.Queue, now time.Time) []backend.Life {
 	var stale, unknown []backend.Life
-	anyKnownFits := false
+	places := 0
 	for _, w := range s.candidates(st, q.Service) {
 		life := w.registration.Life
 		switch _, good := st.advice.tickets[life]; {
 		case good:
-			anyKnownFits = anyKnownFits || st.spec.Room().Fits(w.free())
+			places += placesFor(st.spec.Room(), w.free())
 			if !st.advice.valid(life, now) {
 				stale = append(stale, life)
 			}
@@ -247,15 +265,31 @@
 			unknown = append(unknown, life)
 		}
 	}
+	need := 1
+	if st.spec.Gang {
+		need = st.spec.Count
+	}
 	switch {
-	case anyKnownFits && len(stale) > 0:
+	case places >= need && len(stale) > 0:
 		return s.firstByRoom(stale, st)
-	case len(unknown) > 0 && (!anyKnownFits || st.spec.Gang):
+	case places < need && len(unknown) > 0:
 		return s.firstByRoom(unknown, st)
 	}
 	return nil
 }
 
+// placesFor returns how many times a task fits into free room.
+func placesFor(room, free resource.Vector) int {
+	places := int64(work.MaxTasks)
+	sizes, left := room.Amounts(), free.Amounts()
+	for i := range sizes {
+		if sizes[i] > 0 {
+			places = min(places, max(left[i], 0)/sizes[i])
+		}
+	}
+	return int(places)
+}
+
 // firstByRoom returns the workers most likely to have room soon.
 func (s *Scheduler) firstByRoom(lives []backend.Life, st *step) []backend.Life {
 	free := func(l backend.Life) float64 {
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -311,11 +311,15 @@
 		s.lose(w, "address is in use by another worker", now)
 	case backend.KindFenced:
 		s.log.Info("hold_fenced", "worker", life.ID, "token", w.token)
-		s.supersede(w)
+		w.token += fencedStep
 	default:
 	}
 }
 
+// fencedStep raises the token past those of orders that this leader gave the
+// worker before it was left and opened again.
+const fencedStep = 64
+
 // HoldAnswered handles a worker's report.
 func (s *Scheduler) HoldAnswered(life backend.Life, sent HoldSent, r *backend.Report, now time.Time) {
 	w := s.workers[life]
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -55,6 +55,8 @@
 	stop   context.CancelFunc
 	dirty  chan struct{}
 	replan chan struct{}
+	// doubt asks for a renewal of the claim at once.
+	doubt chan struct{}
 
 	mutex    sync.Mutex
 	state    *scheduler.Scheduler
@@ -76,7 +78,7 @@
 func newLeader(n *Node, epoch int64) *leader {
 	return &leader{
 		node: n, epoch: epoch,
-		dirty: make(chan struct{}, 1), replan: make(chan struct{}, 1),
+		dirty: make(chan struct{}, 1), replan: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
 		state:    scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions: map[backend.Life]*session{}, stored: make(chan struct{}),
 		registrations: map[string]backend.Registration{}, answered: map[string]time.Time{},
@@ -425,6 +427,9 @@
 	return names
 }
 
+// verify renews the claim at once: a worker has seen a higher token.
+func (l *leader) verify() { signal(l.doubt) }
+
 // commitLoop stores the progress of jobs, one append at a time.
 func (l *leader) commitLoop() {
 	renewal := time.NewTimer(renewInterval)
@@ -436,6 +441,8 @@
 		case <-l.dirty:
 		case <-renewal.C:
 			renew = true
+		case <-l.doubt:
+			renew = true
 		}
 		renewal.Reset(renewInterval)
 		l.mutex.Lock()
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -18,6 +18,9 @@
 	holdTimeout = 600 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 100 * time.Millisecond
+	// fencedPause is the pause after a hold that was refused for its token, in
+	// which the claim is verified.
+	fencedPause = 300 * time.Millisecond
 	// storedWait bounds the wait for ends to be stored before the lease is
 	// extended all the same.
 	storedWait = 400 * time.Millisecond
@@ -96,7 +99,10 @@
 			s.leader.node.log.Info("hold_failed", "worker", s.life.ID, "kind", string(kind), "error", err.Error())
 		}
 		s.leader.update(func(c *scheduler.Scheduler, at time.Time) { c.HoldFailed(s.life, kind, at) })
-		if !s.wasWoken() {
+		if kind == backend.KindFenced {
+			s.leader.verify()
+			pause(s.ctx, fencedPause)
+		} else if !s.wasWoken() {
 			pause(s.ctx, holdRetry)
 		}
 		return true
