--- /dev/null
+++ b/internal/emulate/memory/store.go
@@ -0,0 +1,212 @@
+// Package memory emulates the platform's store in process, with the faults that
+// tests ask for.
+package memory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+// Store holds topics in memory.
+type Store struct {
+	mutex      sync.Mutex
+	partitions map[partition]*log
+	// changed is closed and replaced with each append.
+	changed chan struct{}
+}
+
+type partition struct {
+	topic store.Topic
+	part  int
+}
+
+type log struct {
+	records []store.Record
+	// first is the offset of the oldest record kept.
+	first     int64
+	producers map[string]producer
+}
+
+type producer struct {
+	epoch, sequence int64
+	// end is the answer to the last append.
+	end int64
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{partitions: map[partition]*log{}, changed: make(chan struct{})}
+}
+
+func (s *Store) log(t store.Topic, part int) *log {
+	p := partition{t, part}
+	if s.partitions[p] == nil {
+		s.partitions[p] = &log{producers: map[string]producer{}}
+	}
+	return s.partitions[p]
+}
+
+func (l *log) end() int64 { return l.first + int64(len(l.records)) }
+
+// Append appends as the platform does.
+func (s *Store) Append(a store.Append) (int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l := s.log(a.Topic, a.Part)
+	if a.Condition.Set && l.end() != a.Condition.End {
+		return 0, fault.Newf("append", store.KindConflict, "the topic ends at %d", l.end())
+	}
+	if p := a.Producer; p != nil {
+		last, known := l.producers[p.Name]
+		switch {
+		case known && p.Epoch < last.epoch:
+			return 0, fault.Newf("append", store.KindFenced, "epoch %d", last.epoch)
+		case known && p.Epoch == last.epoch && p.Sequence == last.sequence:
+			return last.end, nil
+		case known && p.Epoch == last.epoch && p.Sequence != last.sequence+1:
+			return 0, fault.Newf("append", store.KindConflict, "sequence %d is next", last.sequence+1)
+		}
+	}
+	for _, r := range a.Records {
+		r.Offset = l.end()
+		l.records = append(l.records, r)
+	}
+	if p := a.Producer; p != nil {
+		l.producers[p.Name] = producer{p.Epoch, p.Sequence, l.end()}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return l.end(), nil
+}
+
+// Drop deletes all but the newest record of each key.
+func (s *Store) Drop(t store.Topic, part int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l := s.log(t, part)
+	l.first, l.records = l.end(), nil
+}
+
+// Records returns the records of a topic that are kept.
+func (s *Store) Records(t store.Topic, part int) []store.Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]store.Record(nil), s.log(t, part).records...)
+}
+
+func (s *Store) read(r store.Read) (store.Batch, chan struct{}, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l := s.log(r.Topic, r.Part)
+	if r.From < l.first {
+		return store.Batch{}, nil, fault.Newf("read", store.KindDropped, "the topic begins at %d", l.first)
+	}
+	from := min(r.From-l.first, int64(len(l.records)))
+	return store.Batch{Records: append([]store.Record(nil), l.records[from:]...), Next: l.end()}, s.changed, nil
+}
+
+// Link is the way of one VM to a store.
+type Link struct {
+	Store *Store
+	mutex sync.Mutex
+	// refuse answers every call with an error that means that nothing was done.
+	refuse bool
+	// lose is how many answers to appends are lost from now on.
+	lose int
+}
+
+// NewLink returns a way without faults.
+func NewLink(s *Store) *Link { return &Link{Store: s} }
+
+// Refuse makes the store refuse all calls of this VM, or none.
+func (l *Link) Refuse(on bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.refuse = on
+}
+
+// Lose loses the answers to the next appends, which are carried out.
+func (l *Link) Lose(n int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lose = n
+}
+
+func (l *Link) check(operation string) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.refuse {
+		return fault.Newf(operation, store.KindRefused, "the store is away")
+	}
+	return nil
+}
+
+// Append implements store.Store.
+func (l *Link) Append(ctx context.Context, a store.Append) (int64, error) {
+	if err := l.check("append"); err != nil {
+		return 0, err
+	}
+	end, err := l.Store.Append(a)
+	l.mutex.Lock()
+	lost := l.lose > 0
+	if lost {
+		l.lose--
+	}
+	l.mutex.Unlock()
+	if lost {
+		<-ctx.Done()
+		return 0, fault.New("append", store.KindUnknown, ctx.Err())
+	}
+	return end, err
+}
+
+// Read implements store.Store.
+func (l *Link) Read(ctx context.Context, r store.Read) (store.Batch, error) {
+	deadline := time.Now().Add(r.Wait)
+	for {
+		if err := l.check("read"); err != nil {
+			return store.Batch{}, err
+		}
+		batch, changed, err := l.Store.read(r)
+		left := time.Until(deadline)
+		if err != nil || len(batch.Records) > 0 || left <= 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-time.After(left):
+		case <-ctx.Done():
+			return store.Batch{}, fault.New("read", store.KindUnknown, ctx.Err())
+		}
+	}
+}
+
+// Newest implements store.Store. Records that were dropped are left out, which
+// the platform would keep; tests drop only what is written again.
+func (l *Link) Newest(_ context.Context, t store.Topic, part int) (store.Snapshot, error) {
+	if err := l.check("newest"); err != nil {
+		return store.Snapshot{}, err
+	}
+	newest := map[string]store.Record{}
+	var order []string
+	records := l.Store.Records(t, part)
+	for _, r := range records {
+		if _, known := newest[r.Key]; !known {
+			order = append(order, r.Key)
+		}
+		newest[r.Key] = r
+	}
+	l.Store.mutex.Lock()
+	s := store.Snapshot{End: l.Store.log(t, part).end()}
+	l.Store.mutex.Unlock()
+	for _, key := range order {
+		if r := newest[key]; len(r.Value) > 0 {
+			s.Records = append(s.Records, r)
+		}
+	}
+	return s, nil
+}
