--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -227,6 +227,7 @@
 		s.log.Info("advice_failed", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm)
 		return
 	}
+	s.observe("advice", o.step.job, now.Sub(o.sent))
 	a := &o.step.advice
 	if a.asked == nil {
 		a.asked, a.tickets = map[backend.Life]bool{}, map[backend.Life]ticket{}
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -83,6 +83,10 @@
 	t.phase, t.token, t.begun, t.progressed = phaseOrdered, w.token, now, now
 	w.extend(begun, s.timing)
 	s.Counters.Starts++
+	if j := t.step.job; !j.ordered {
+		j.ordered = true
+		s.observe("first_start", j, now.Sub(j.arrived))
+	}
 	s.log.Info("start_ordered", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID, "token", t.token, "waited_ms", now.Sub(t.step.opened).Milliseconds())
 	s.effects.Starts = append(s.effects.Starts, Order[backend.Start]{Worker: w.registration.Life, Order: backend.Start{
 		Task: t.id, Run: t.run, Payload: t.step.job.spec.Payload, Deadline: t.deadline, Token: t.token,
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -13,8 +13,8 @@
 	// state is what the events say; shown is what is stored and may be told.
 	state work.State
 	shown work.State
-	// begun tells that a task was ordered.
-	begun bool
+	// begun tells that a task has a place; ordered that an order has left.
+	begun, ordered bool
 	// arrived is when the caller handed the job in.
 	arrived time.Time
 	// ended is when state became final.
@@ -290,6 +290,7 @@
 		}
 	}
 	s.log.Info("job_completed", "job", j.spec.ID, "queue", j.spec.Queue, "took_ms", now.Sub(j.arrived).Milliseconds())
+	s.observe("completed", j, now.Sub(j.arrived))
 	s.end(j, work.Completed, now)
 }
 
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -17,7 +17,7 @@
 	if p == nil {
 		return
 	}
-	j.begun = p.Started
+	j.begun, j.ordered = p.Started, p.Started
 	j.state, j.shown = p.State, p.State
 	if p.State.Ended() {
 		j.ended = now
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -57,10 +57,20 @@
 	Stops  []Order[backend.Stop]
 	Paces  []Order[backend.Pace]
 	Asks   []Ask
+	// Observations are times to record.
+	Observations []Observation
 	// Dropped are jobs whose records can be deleted.
 	Dropped []string
 }
 
+// Observation is a time that callers care about.
+type Observation struct {
+	// Name is "first_start", "completed" or "advice".
+	Name  string
+	Queue string
+	Took  time.Duration
+}
+
 // Order is an order for one worker.
 type Order[T any] struct {
 	Worker backend.Life
@@ -127,6 +137,10 @@
 	}
 }
 
+func (s *Scheduler) observe(name string, j *job, took time.Duration) {
+	s.effects.Observations = append(s.effects.Observations, Observation{name, j.spec.Queue, took})
+}
+
 // Take returns the effects since the last call.
 func (s *Scheduler) Take() Effects {
 	e := s.effects
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -293,6 +293,12 @@
 	return hold, HoldSent{sequence: s.sequence, token: w.token, at: now}, true
 }
 
+// EndsStored reports whether every end that a worker has listed is stored.
+func (s *Scheduler) EndsStored(life backend.Life) bool {
+	w := s.workers[life]
+	return w == nil || w.applied == w.stored
+}
+
 // HoldSent remembers when a hold was sent, against the answers of starts.
 type HoldSent struct {
 	sequence int64
--- a/internal/node/app/app.go
+++ b/internal/node/app/app.go
@@ -52,6 +52,7 @@
 		"publish":    {"publish the two lists", runPublish},
 		"report":     {"print the evidence that sharing pays", runReport},
 		"jobs":       {"show or cancel a job", runJobs},
+		"explain":    {"print the life of a job from log files", runExplain},
 		"quickstart": {"run the whole path with embedded stand-ins", runQuickstart},
 	}
 }
--- /dev/null
+++ b/internal/node/app/explain.go
@@ -0,0 +1,32 @@
+package app
+
+import (
+	"io"
+	"os"
+
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/explain"
+)
+
+// runExplain prints the life of one job from log files.
+func runExplain(c *invocation) error {
+	if err := c.flags.Parse(c.args); err != nil {
+		return err
+	}
+	if c.flags.NArg() < 2 {
+		return fault.Newf("explain", KindUsage, "usage: almondpost explain ID FILE...")
+	}
+	var logs []io.Reader
+	for _, name := range c.flags.Args()[1:] {
+		f, err := os.Open(name)
+		if err != nil {
+			return fault.New("explain", KindUsage, err)
+		}
+		defer func() { _ = f.Close() }()
+		logs = append(logs, f)
+	}
+	if err := explain.Job(c.stdout, c.flags.Arg(0), logs); err != nil {
+		return fault.New("explain", KindFailed, err)
+	}
+	return nil
+}
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -13,6 +13,7 @@
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/peer/link"
 	"github.com/almondpost/almondpost/internal/peer/store"
@@ -35,6 +36,8 @@
 	freshness = 2 * time.Second
 	// workersInterval is the pause between reads of what workers register.
 	workersInterval = 350 * time.Millisecond
+	// commitPause is the pause between two commits, in which more changes gather.
+	commitPause = 6 * time.Millisecond
 	// renewInterval is the longest pause between appends that prove the right
 	// to lead.
 	renewInterval = time.Second
@@ -181,6 +184,9 @@
 	for i := range e.Asks {
 		go l.ask(e.Asks[i])
 	}
+	for _, o := range e.Observations {
+		l.node.measures.Observe(measure.Key{Name: o.Name, Of: o.Queue}, o.Took)
+	}
 	if len(e.Dropped) > 0 {
 		go l.drop(e.Dropped)
 	}
@@ -223,6 +229,7 @@
 		}
 		l.serving = true
 	})
+	l.node.measures.Observe(measure.Key{Name: "take_over"}, now().Sub(begun))
 	l.node.log.Info("take_over_done", "epoch", l.epoch, "jobs", len(v.jobs), "progress", len(v.progress), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
 	return v.jobsEnd, nil
 }
@@ -416,6 +423,14 @@
 	}
 }
 
+// endsStored reports whether the ends of a worker are stored, and otherwise which
+// channel the next commit closes.
+func (l *leader) endsStored(life backend.Life) (bool, chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.EndsStored(life), l.stored
+}
+
 // reachable lists the entry VMs that answer. The caller holds the lock.
 func (l *leader) reachable(at time.Time) []string {
 	names := []string{l.node.settings.Name}
@@ -474,6 +489,7 @@
 			close(l.stored)
 			l.stored = make(chan struct{})
 		})
+		pause(l.ctx, commitPause)
 	}
 }
 
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -16,6 +16,7 @@
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/node/clock"
 	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/peer/link"
 	"github.com/almondpost/almondpost/internal/peer/store"
@@ -64,6 +65,7 @@
 // Node is one entry VM.
 type Node struct {
 	log      logr.Logger
+	measures *measure.Set
 	settings Settings
 	peers    Peers
 	store    *relayedStore
@@ -84,14 +86,14 @@
 }
 
 // New starts an entry VM.
-func New(s Settings, p Peers, log logr.Logger) (*Node, error) {
+func New(s Settings, p Peers, measures *measure.Set, log logr.Logger) (*Node, error) {
 	l, err := net.Listen("tcp", s.Peers.String())
 	if err != nil {
 		return nil, oops.In("entryvm").With("address", s.Peers).Wrapf(err, "listen for entry VMs")
 	}
 	s.Peers = l.Addr().(*net.TCPAddr).AddrPort()
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{log: log, settings: s, peers: p, client: link.NewClient(serviceName), listener: l, run: ctx, stop: cancel}
+	n := &Node{log: log, measures: measures, settings: s, peers: p, client: link.NewClient(serviceName), listener: l, run: ctx, stop: cancel}
 	n.members = newMembers(n)
 	n.store = newRelayedStore(p.Store, n)
 	n.tables = newTables(n)
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -17,6 +17,7 @@
 	"github.com/almondpost/almondpost/internal/emulate/memory"
 	"github.com/almondpost/almondpost/internal/node/entryvm"
 	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/peer/store"
 	"github.com/almondpost/almondpost/internal/state/resource"
@@ -49,7 +50,7 @@
 			Timing: scheduler.Timing{Lease: 6 * time.Second, Right: 8 * time.Second, HoldWait: 200 * time.Millisecond, Retention: time.Hour},
 		}, entryvm.Peers{
 			Store: link, Adviser: f.fleet, Dial: f.fleet.Dial, DecodeTable: decodeTable, DecodeRegistration: memory.DecodeRegistration,
-		}, logr.Discard())
+		}, measure.New(), logr.Discard())
 		f.is.NoErr(err)
 		t.Cleanup(n.Close)
 		f.nodes, f.links = append(f.nodes, n), append(f.links, link)
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/link"
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
@@ -50,6 +51,14 @@
 // nothing of what was done.
 func kindOf(err error) store.Kind { return fault.KindOr(err, store.KindUnknown) }
 
+// kindOrStored names the outcome of an append.
+func kindOrStored(err error) store.Kind {
+	if err == nil {
+		return "stored"
+	}
+	return kindOf(err)
+}
+
 // unreachable reports whether another VM may have more luck.
 func unreachable(err error) bool {
 	k := kindOf(err)
@@ -66,6 +75,7 @@
 	if ctx.Err() == context.Canceled {
 		return
 	}
+	s.node.measures.Observe(measure.Key{Name: "store_append", Of: string(kindOrStored(err))}, took)
 	if !unreachable(err) {
 		s.failures.Store(0)
 		s.latency.Store((s.latency.Load() + int64(took)) / 2)
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 )
 
@@ -79,10 +80,8 @@
 	var hold backend.Hold
 	var sent scheduler.HoldSent
 	ok := false
-	var stored chan struct{}
 	s.leader.update(func(c *scheduler.Scheduler, at time.Time) {
 		hold, sent, ok = c.HoldRequest(s.life, at)
-		stored = s.leader.stored
 	})
 	if !ok {
 		return false
@@ -109,20 +108,28 @@
 	}
 	s.leader.update(func(c *scheduler.Scheduler, at time.Time) { c.HoldAnswered(s.life, sent, &report, at) })
 	if len(report.Ended) > 0 {
-		s.awaitStored(stored)
+		s.awaitStored()
 	}
 	return true
 }
 
 // awaitStored waits until the ends of a report are stored, so that the next hold
 // can acknowledge them.
-func (s *session) awaitStored(stored chan struct{}) {
+func (s *session) awaitStored() {
 	timer := time.NewTimer(storedWait)
 	defer timer.Stop()
-	select {
-	case <-stored:
-	case <-timer.C:
-	case <-s.ctx.Done():
+	for {
+		done, next := s.leader.endsStored(s.life)
+		if done {
+			return
+		}
+		select {
+		case <-next:
+		case <-timer.C:
+			return
+		case <-s.ctx.Done():
+			return
+		}
 	}
 }
 
@@ -135,7 +142,9 @@
 func (s *session) start(o backend.Start) {
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
+	begun := now()
 	clock, err := s.worker.Start(ctx, o)
+	s.leader.node.measures.Observe(measure.Key{Name: "start_order"}, now().Sub(begun))
 	var kind backend.Kind
 	if err != nil {
 		kind = fault.KindOr(err, backend.KindUnknown)
--- /dev/null
+++ b/internal/operate/measure/measure.go
@@ -0,0 +1,91 @@
+// Package measure keeps counters and latency histograms by name and prints them
+// as text.
+package measure
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Times from 1 ms to 10 min are kept with two significant digits.
+const (
+	lowestMilliseconds  = 1
+	highestMilliseconds = int64(10 * time.Minute / time.Millisecond)
+	digits              = 2
+)
+
+// Key names a measure; Of tells the queue, store topic or kind, or is empty.
+type Key struct {
+	Name string
+	Of   string
+}
+
+func (k Key) String() string {
+	if k.Of == "" {
+		return k.Name
+	}
+	return k.Name + "{" + k.Of + "}"
+}
+
+// Set holds the measures of one process.
+type Set struct {
+	mutex      sync.Mutex
+	counters   map[Key]int64
+	histograms map[Key]*hdrhistogram.Histogram
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{counters: map[Key]int64{}, histograms: map[Key]*hdrhistogram.Histogram{}}
+}
+
+// Count adds one to a counter.
+func (s *Set) Count(k Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counters[k]++
+}
+
+// Observe adds a time to a histogram. Times beyond its range count as its end.
+func (s *Set) Observe(k Key, d time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	h := s.histograms[k]
+	if h == nil {
+		h = hdrhistogram.New(lowestMilliseconds, highestMilliseconds, digits)
+		s.histograms[k] = h
+	}
+	ms := min(max(d.Milliseconds(), lowestMilliseconds), highestMilliseconds)
+	_ = h.RecordValue(ms) // The value is within the range.
+}
+
+// quantiles are printed of each histogram.
+var quantiles = []float64{50, 95, 99}
+
+// Write prints one line for each counter and several for each histogram.
+func (s *Set) Write(w io.Writer) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var lines []string
+	for k, v := range s.counters {
+		lines = append(lines, fmt.Sprintf("%s %d\n", k, v))
+	}
+	for k, h := range s.histograms {
+		lines = append(lines, fmt.Sprintf("%s_count %d\n", k, h.TotalCount()))
+		for _, q := range quantiles {
+			lines = append(lines, fmt.Sprintf("%s_p%g_milliseconds %d\n", k, q, h.ValueAtQuantile(q)))
+		}
+	}
+	slices.Sort(lines)
+	for _, l := range lines {
+		if _, err := io.WriteString(w, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
