--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -378,6 +378,7 @@
 }
 
 // reserve keeps the workers that will have room for the tasks of a step first.
+// Workers that can never take them stay free for others.
 func (s *Scheduler) reserve(st *step, q *queue.Queue, r *reservations, now time.Time) {
 	if r.steps >= mostReservations {
 		return
@@ -390,14 +391,21 @@
 		return
 	}
 	var candidates []candidate
+	places := 0
 	for _, w := range s.candidates(st, q.Service) {
-		if r.blocks(w, st.job) {
+		if r.blocks(w, st.job) || !s.keepsApart(w, st) {
 			continue
 		}
 		if _, good := st.advice.tickets[w.registration.Life]; q.Advice != nil && !good {
 			continue
 		}
-		candidates = append(candidates, candidate{w, s.roomIn(w, st, now)})
+		places += placesFor(st.spec.Room(), w.registration.Capacity)
+		if wait := s.roomIn(w, st, now); wait < lastingHorizon {
+			candidates = append(candidates, candidate{w, wait})
+		}
+	}
+	if st.spec.Gang && places < st.spec.Count {
+		return // The gang does not fit, however long it waits.
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.wait, b.wait), compareLives(a.worker.registration.Life, b.worker.registration.Life))
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -207,3 +207,30 @@
 		is.Equal(state, work.Completed)
 	}
 }
+
+func TestImpossibleTasksKeepNothing(t *testing.T) {
+	whole := resource.Vector{Milliprocessors: 8000, MemoryMebibytes: 8000}
+	scenarios := []struct {
+		testName string
+		step     work.Step
+	}{
+		{"a gang larger than the fleet", work.Step{Count: 3, Size: whole, Gang: true, Estimate: 10 * time.Second}},
+		{"more tasks than workers may take", work.Step{Count: 4, Size: resource.Vector{Milliprocessors: 5000}, MostPerWorker: 1, Lasting: true}},
+		{"a task larger than any worker", work.Step{Count: 1, Size: resource.Vector{Milliprocessors: 9000}}},
+		{"a label that no worker has", work.Step{Count: 1, Size: whole, Label: "nowhere"}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, faults{})
+			w.addWorkers(2, workerSize)
+			w.elect()
+			w.submit(&work.Job{ID: "first", Queue: "urgent", Steps: []work.Step{s.step}}, fleet.Demand{RunTime: time.Hour})
+			w.run(500 * time.Millisecond)
+			w.submit(&work.Job{ID: "second", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: 30 * time.Second}}}, fleet.Demand{RunTime: 100 * time.Millisecond})
+			w.run(2 * time.Second)
+			state, _ := w.leaders[0].state.Status("second")
+			is.Equal(state, work.Completed)
+		})
+	}
+}
