Tell callers in time that nothing is stored; relay only through VMs that answer

A record is not tried again when there is no time for the answer, and silent VMs relay nothing. The cell goes to the VM that was started last: in a rolling replacement it went to one whose turn came next.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -250,19 +251,11 @@
 	e.waitFrom = now().Add(-leaderSilence / 2)
 }
 
-// handOver asks another VM to lead, in another failure domain if there is one.
+// handOver asks another VM to lead, first the one that was started last: VMs are
+// often replaced in turn, and that one has had its turn.
 func (e *election) handOver(ctx context.Context) {
 	others := e.node.members.others()
-	slices.SortStableFunc(others, func(a, b member) int {
-		inA, inB := a.Domain == e.node.settings.Domain, b.Domain == e.node.settings.Domain
-		switch {
-		case inA == inB:
-			return 0
-		case inA:
-			return 1
-		}
-		return -1
-	})
+	slices.SortStableFunc(others, func(a, b member) int { return cmp.Compare(b.Started, a.Started) })
 	for _, m := range others {
 		call, cancel := context.WithTimeout(ctx, askTimeout)
 		_, err := link.Call[Nothing, Nothing](call, e.node.client, m.Address, "TakeOver", Nothing{})
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -154,7 +155,7 @@
 
 // relay makes a call through other VMs, one after the other.
 func (s *relayedStore) relay(ctx context.Context, operation string, call func(context.Context, member) (StoreReply, error)) (StoreReply, error) {
-	others := s.node.members.others()
+	others := slices.DeleteFunc(s.node.members.others(), func(m member) bool { return s.node.client.Silent(m.Address) })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	uncertain := false
 	for i, m := range others {
--- a/internal/node/entryvm/writer.go
+++ b/internal/node/entryvm/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,13 @@
 	writePause = 60 * time.Millisecond
 	// mostWrites bounds the records of one append.
 	mostWrites = 200
+	// leastMargin is kept of a caller's time for an append; more while the store
+	// is slow, and downMargin while it is reached through other VMs.
+	leastMargin = 30 * time.Millisecond
+	downMargin  = 300 * time.Millisecond
+	// defaultWriteTime is how long a record is tried for a caller without a
+	// deadline.
+	defaultWriteTime = 10 * time.Second
 )
 
 // jobWriter stores job records, all that wait in one append. It writes to one
@@ -35,8 +43,14 @@
 type jobWrite struct {
 	record store.Record
 	stored chan struct{}
+	// until is when the caller has to be answered.
+	until time.Time
+	// expired is closed when there is no time for another append.
+	expired chan struct{}
 	// inFlight tells that an append with the record has no answer yet.
 	inFlight bool
+	// tried tells that at least one append was made.
+	tried bool
 	// uncertain tells that an append may have stored the record.
 	uncertain bool
 }
@@ -48,7 +62,10 @@
 // write stores a record. It returns KindNotStored only when the record is not
 // stored and never will be.
 func (w *jobWriter) write(ctx context.Context, r store.Record) error {
-	v := &jobWrite{record: r, stored: make(chan struct{})}
+	v := &jobWrite{record: r, stored: make(chan struct{}), expired: make(chan struct{}), until: time.Now().Add(defaultWriteTime)}
+	if until, ok := ctx.Deadline(); ok {
+		v.until = until
+	}
 	w.mutex.Lock()
 	w.waiting = append(w.waiting, v)
 	w.mutex.Unlock()
@@ -56,11 +73,21 @@
 	select {
 	case <-v.stored:
 		return nil
+	case <-v.expired:
+		return w.giveUp(v)
 	case <-ctx.Done():
 		return w.giveUp(v)
 	}
 }
 
+// margin is the time that an append should be given.
+func (w *jobWriter) margin() time.Duration {
+	if w.node.store.down.Load() {
+		return downMargin
+	}
+	return max(2*time.Duration(w.node.store.latency.Load()), leastMargin)
+}
+
 // giveUp takes a record back.
 func (w *jobWriter) giveUp(v *jobWrite) error {
 	w.mutex.Lock()
@@ -101,13 +128,22 @@
 	}
 }
 
-// next returns the records of the next append.
+// next returns the records of the next append. Callers whose time does not allow
+// for another one are told now, while it is certain that nothing is on its way.
 func (w *jobWriter) next() []*jobWrite {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	margin := w.margin()
+	w.waiting = slices.DeleteFunc(w.waiting, func(v *jobWrite) bool {
+		late := v.tried && time.Until(v.until) < margin
+		if late {
+			close(v.expired)
+		}
+		return late
+	})
 	batch := append([]*jobWrite(nil), w.waiting[:min(len(w.waiting), mostWrites)]...)
 	for _, v := range batch {
-		v.inFlight = true
+		v.inFlight, v.tried = true, true
 	}
 	return batch
 }
--- a/internal/peer/link/client.go
+++ b/internal/peer/link/client.go
@@ -40,11 +40,13 @@
 	service string
 	mutex   sync.Mutex
 	peers   map[netip.AddrPort]*rpc.Client
+	// silent holds when a peer last left a call without an answer.
+	silent map[netip.AddrPort]time.Time
 }
 
 // NewClient returns a client for the methods of a service.
 func NewClient(service string) *Client {
-	return &Client{service: service, peers: map[netip.AddrPort]*rpc.Client{}}
+	return &Client{service: service, peers: map[netip.AddrPort]*rpc.Client{}, silent: map[netip.AddrPort]time.Time{}}
 }
 
 func (c *Client) connect(ctx context.Context, a netip.AddrPort) (*rpc.Client, error) {
@@ -70,6 +72,29 @@
 	return p, nil
 }
 
+// Silent reports whether a peer has left a call without an answer lately, and has
+// answered none since.
+func (c *Client) Silent(a netip.AddrPort) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	at, ok := c.silent[a]
+	return ok && time.Since(at) < silenceKept
+}
+
+// silenceKept is how long a peer without an answer counts as silent.
+const silenceKept = 3 * time.Second
+
+// note remembers whether a peer has answered.
+func (c *Client) note(a netip.AddrPort, answered bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if answered {
+		delete(c.silent, a)
+	} else {
+		c.silent[a] = time.Now()
+	}
+}
+
 func (c *Client) drop(a netip.AddrPort, p *rpc.Client) {
 	c.mutex.Lock()
 	if c.peers[a] == p {
@@ -84,6 +109,7 @@
 	var reply Reply
 	p, err := c.connect(ctx, a)
 	if err != nil {
+		c.note(a, false)
 		return reply, fault.New(method, KindUnreachable, err)
 	}
 	call := p.Go(c.service+"."+method, args, &reply, make(chan *rpc.Call, 1))
@@ -92,6 +118,7 @@
 		var answered rpc.ServerError
 		switch {
 		case call.Error == nil:
+			c.note(a, true)
 			return reply, nil
 		case errors.As(call.Error, &answered):
 			return reply, fault.New(method, KindFailed, call.Error)
@@ -100,6 +127,7 @@
 		return reply, fault.New(method, KindUnknown, call.Error)
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.note(a, false)
 			c.drop(a, p)
 		}
 		var none Reply // The call may still write to reply.
