End the lease of a worker that does not answer

Only one hold without an answer extends the lease now.

Tasks with checkpoints leave a draining worker 0.9 s before it may end. TestTasksOfADeadWorkerRunElsewhere and TestCheckpointedTaskLeavesADrainingWorker fail on the commit before.

--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -234,3 +234,32 @@
 		})
 	}
 }
+
+func TestTasksOfADeadWorkerRunElsewhere(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(2, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 6, Size: taskSize}}}, fleet.Demand{RunTime: time.Second})
+	w.run(500 * time.Millisecond)
+	w.cut[w.lives()[0]] = true // It is registered, and never answers again.
+	w.run(10 * time.Second)
+	state, _ := w.leaders[0].state.Status("job")
+	is.Equal(state, work.Completed)
+	is.Equal(w.starts, 9)
+}
+
+func TestCheckpointedTaskLeavesADrainingWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(1, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize, Checkpoints: true}}}, fleet.Demand{RunTime: time.Hour})
+	w.run(500 * time.Millisecond)
+	v := w.workers[w.lives()[0]]
+	v.Registration.Draining, v.Registration.Remaining = true, 3*time.Second
+	w.run(1500 * time.Millisecond)
+	is.Equal(len(v.Running()), 1) // It works on while there is time.
+	w.run(1500 * time.Millisecond)
+	is.Equal(len(v.Running()), 0)
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -37,6 +37,10 @@
 	leaseEnd time.Time
 	// answered is when the worker last answered a hold.
 	answered time.Time
+	// unanswered counts the holds since then.
+	unanswered int
+	// leaves is the earliest time at which a draining worker ends.
+	leaves time.Time
 	// failures counts failed runs since the last that completed.
 	failures   int
 	avoidUntil time.Time
@@ -161,6 +165,7 @@
 	}
 	s.byID[r.Life.ID] = w
 	if r.Draining && !w.registration.Draining {
+		w.leaves = now.Add(r.Remaining)
 		s.log.Info("worker_draining", "worker", r.Life.ID, "remaining_ms", r.Remaining.Milliseconds(), "tasks", len(w.tasks))
 	}
 	w.registration, w.listed = r, true
@@ -249,11 +254,29 @@
 	}
 }
 
+// departure is how long before a worker leaves its tasks are told to save their
+// progress: the time that a stop takes, twice.
+const departure = 900 * time.Millisecond
+
+// leaveDraining stops the tasks that can go on elsewhere from a checkpoint, when
+// their worker is about to leave.
+func (s *Scheduler) leaveDraining(w *worker, now time.Time) {
+	if !w.registration.Draining || w.leaves.IsZero() || now.Before(w.leaves.Add(-departure)) {
+		return
+	}
+	for _, t := range w.sortedTasks() {
+		if t.step.spec.Checkpoints && t.phase == phaseRunning {
+			s.stop(t, now)
+		}
+	}
+}
+
 // expireLeases frees the tasks of workers that were not reached for a lease.
 func (s *Scheduler) expireLeases(now time.Time) {
 	for _, life := range s.Workers() {
 		w := s.workers[life]
 		s.copySpeculative(w, now)
+		s.leaveDraining(w, now)
 		if now.Before(w.leaseEnd) {
 			continue
 		}
@@ -283,7 +306,12 @@
 		return hold, sent, false
 	}
 	s.sequence++
-	hold = backend.Hold{Token: w.token, Acknowledged: w.stored, Deadline: max(w.deadline(now, s.rightEnd(), s.timing), 0)}
+	hold = backend.Hold{Token: w.token, Acknowledged: w.stored}
+	if w.unanswered == 0 {
+		// Only one hold without an answer may extend the lease, so that it ends.
+		hold.Deadline = max(w.deadline(now, s.rightEnd(), s.timing), 0)
+	}
+	w.unanswered++
 	if !w.fencing() && w.applied == w.stored {
 		hold.Wait = s.timing.HoldWait
 	}
@@ -336,7 +364,7 @@
 		s.lose(w, "another life answered", now)
 		return
 	}
-	w.answered = now
+	w.answered, w.unanswered = now, 0
 	w.setClock(r.Clock, now)
 	for i := range r.Ended {
 		if e := &r.Ended[i]; e.Number > w.applied {
