Let a restarted leader claim again at once

Cause: after a kill of all VMs everyone waited 0.9 s for a leader whose process was known to be over.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -160,6 +160,9 @@
 	if end < 0 || e.node.isLeaving() || e.node.leading() != nil {
 		return false
 	}
+	if c.Name == e.node.settings.Name && c.Process != 0 && c.Process != e.process {
+		return true // An earlier life of this VM held the claim and is over.
+	}
 	wait := leaderSilence
 	if c.Epoch == 0 {
 		wait = 0
