--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -18,6 +18,9 @@
 	// ticketMargin is the validity that a ticket must have left to be used: it
 	// covers the record of the start and the order's way.
 	ticketMargin = 120 * time.Millisecond
+	// questionOverlap is how long before a VM is done it gets the next question,
+	// which covers the way there and back.
+	questionOverlap = 15 * time.Millisecond
 	// askTimeout is added to the time that a question should take.
 	askTimeout = 400 * time.Millisecond
 	// adviserPause is how long a VM that failed to get advice is not asked.
@@ -81,7 +84,10 @@
 }
 
 type adviserVM struct {
-	asking     bool
+	// open counts the questions on their way through the VM, which are answered
+	// one after the other, the last of them about busyUntil.
+	open       int
+	busyUntil  time.Time
 	pauseUntil time.Time
 }
 
@@ -147,7 +153,7 @@
 				}
 				if lives := s.toAsk(st, q, now); len(lives) > 0 {
 					s.ask(st, question{lives, q.Advice}, idle[0], now)
-					idle = idle[1:]
+					idle = s.advisers.idle(now)
 					open[q.Service]++
 				}
 			}
@@ -180,14 +186,18 @@
 	return len(st.advice.asked) == 0 && ahead[q.Service] <= askedAhead
 }
 
+// idle lists the VMs that can take a question, first those that have been idle
+// longest.
 func (a *advisers) idle(now time.Time) []string {
 	var names []string
 	for n, v := range a.vms {
-		if !v.asking && now.After(v.pauseUntil) {
+		if now.After(v.pauseUntil) && (v.open == 0 || v.busyUntil.Sub(now) < questionOverlap) {
 			names = append(names, n)
 		}
 	}
-	slices.Sort(names)
+	slices.SortFunc(names, func(x, y string) int {
+		return cmp.Or(a.vms[x].busyUntil.Compare(a.vms[y].busyUntil), cmp.Compare(x, y))
+	})
 	return names
 }
 
@@ -195,9 +205,14 @@
 	a := &s.advisers
 	delete(a.waiting, st)
 	a.number++
-	a.vms[vm].asking = true
+	v, cost := a.vms[vm], q.cost.Of(len(q.workers))
+	if v.open == 0 {
+		v.busyUntil = now
+	}
+	timeout := max(v.busyUntil.Sub(now), 0) + cost + askTimeout
+	v.open++
+	v.busyUntil = v.busyUntil.Add(cost)
 	st.advice.pending = true
-	timeout := q.cost.Of(len(q.workers)) + askTimeout
 	a.open[a.number] = openAsk{step: st, vm: vm, lives: q.workers, sent: now, expires: now.Add(timeout + askTimeout)}
 	ids := make([]string, len(q.workers))
 	for i, l := range q.workers {
@@ -217,7 +232,7 @@
 	delete(s.advisers.open, number)
 	o.step.advice.pending = false
 	if vm := s.advisers.vms[o.vm]; vm != nil {
-		vm.asking = false
+		vm.open = max(vm.open-1, 0)
 		if failed {
 			vm.pauseUntil = now.Add(adviserPause)
 		}
