--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -145,21 +145,25 @@
 	if st.job.waiting == 0 {
 		return
 	}
-	placed := false
-	if !st.spec.Room().Fits(s.poolOf(q.Service).free) {
-		// No worker has room; advice and reservations still count.
-	} else if st.spec.Gang {
-		placed = s.placeGang(st, q, reserved, now)
-	} else {
-		placed = s.placeTasks(st, q, reserved, now)
-	}
-	if placed || !st.anyWaiting(now) {
+	if s.placeStep(st, q, reserved, now) || !st.anyWaiting(now) {
 		return
 	}
 	s.advisers.want(st, q)
 	s.reserve(st, q, reserved, now)
 }
 
+// placeStep places the tasks of an open step; it reports whether none is left
+// waiting.
+func (s *Scheduler) placeStep(st *step, q *queue.Queue, reserved *reservations, now time.Time) bool {
+	switch {
+	case !st.spec.Room().Fits(s.poolOf(q.Service).free):
+		return false
+	case st.spec.Gang:
+		return s.placeGang(st, q, reserved, now)
+	}
+	return s.placeTasks(st, q, reserved, now)
+}
+
 func (st *step) anyWaiting(now time.Time) bool {
 	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.phase == phaseWaiting && !now.Before(t.notBefore) })
 }
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -375,7 +375,7 @@
 	running := make(map[work.TaskID]*backend.Run, len(r.Running))
 	for i := range r.Running {
 		running[r.Running[i].Task] = &r.Running[i]
-		s.applyRun(w, &r.Running[i], sent, now)
+		s.applyRun(w, &r.Running[i], now)
 	}
 	s.settleMissing(w, running, sent, r.Truncated, now)
 	if !r.Truncated {
@@ -396,7 +396,7 @@
 }
 
 // applyRun handles one row of the list of runs.
-func (s *Scheduler) applyRun(w *worker, r *backend.Run, sent HoldSent, now time.Time) {
+func (s *Scheduler) applyRun(w *worker, r *backend.Run, now time.Time) {
 	t := s.task(r.Task)
 	if t == nil || t.worker != w || t.run != r.Run {
 		if t != nil && t.worker == w && t.run > r.Run {
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -117,9 +117,8 @@
 	return 0
 }
 
-func task(id string, index int) work.TaskID {
-	return work.TaskID{StepID: work.StepID{Job: id}, Index: index}
-}
+// firstTask names the first task of a job.
+func firstTask(id string) work.TaskID { return work.TaskID{StepID: work.StepID{Job: id}} }
 
 func TestJobAtAnyVM(t *testing.T) {
 	f := newFixture(t, 3, 50*time.Millisecond)
@@ -127,7 +126,7 @@
 		id := fmt.Sprintf("job-%d", i)
 		f.is.NoErr(f.submit(n, id))
 		f.await(f.nodes[(i+1)%3], id, work.Completed)
-		f.is.Equal(f.fleet.Starts(task(id, 0)), 1)
+		f.is.Equal(f.fleet.Starts(firstTask(id)), 1)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -144,7 +143,7 @@
 	f.await(f.nodes[0], "job", work.Completed)
 	f.is.NoErr(f.submit(f.nodes[1], "job")) // Long after its first answer.
 	time.Sleep(time.Second)
-	f.is.Equal(f.fleet.Starts(task("job", 0)), 1)
+	f.is.Equal(f.fleet.Starts(firstTask("job")), 1)
 }
 
 func TestCancelBeforeTheJobIsRead(t *testing.T) {
@@ -166,7 +165,7 @@
 	f.is.NoErr(f.submit(other, "later"))
 	f.await(other, "job", work.Completed)
 	f.await(other, "later", work.Completed)
-	f.is.Equal(f.fleet.Starts(task("job", 0)), 1) // It ran on through the take-over.
+	f.is.Equal(f.fleet.Starts(firstTask("job")), 1) // It ran on through the take-over.
 }
 
 func TestHandOverOnPlannedStop(t *testing.T) {
@@ -211,7 +210,7 @@
 		l.Refuse(false)
 	}
 	time.Sleep(2 * time.Second)
-	f.is.Equal(f.fleet.Starts(task("job", 0)), 0) // Not accepted is not run.
+	f.is.Equal(f.fleet.Starts(firstTask("job")), 0) // Not accepted is not run.
 	f.is.NoErr(f.submit(f.nodes[0], "later"))
 	f.await(f.nodes[1], "later", work.Completed)
 }
@@ -224,7 +223,7 @@
 	}
 	f.is.NoErr(f.submit(f.nodes[0], "job"))
 	f.await(f.nodes[1], "job", work.Completed)
-	f.is.Equal(f.fleet.Starts(task("job", 0)), 1)
+	f.is.Equal(f.fleet.Starts(firstTask("job")), 1)
 }
 
 func TestUnansweredSubmissionIsUnknown(t *testing.T) {
