--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -263,3 +263,60 @@
 	w.run(1500 * time.Millisecond)
 	is.Equal(len(v.Running()), 0)
 }
+
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(2, workerSize)
+	w.elect()
+	j := &work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize}}}
+	j.Repeat = &work.Repeat{Count: 3, Start: w.now.Add(2 * time.Second), Interval: time.Second}
+	w.submit(j, fleet.Demand{})
+	for k := range 3 {
+		w.demands[work.TaskID{StepID: work.StepID{Job: "job", Occurrence: k}}] = fleet.Demand{Room: taskSize, RunTime: 100 * time.Millisecond}
+	}
+	w.run(1990 * time.Millisecond)
+	is.Equal(w.starts, 0)
+	for expected := 1; expected <= 3; expected++ {
+		w.run(time.Second)
+		is.Equal(w.starts, expected)
+	}
+	w.run(time.Second)
+	is.Equal(w.problems, nil)
+	state, _ := w.leaders[0].state.Status("job")
+	is.Equal(state, work.Completed)
+}
+
+func TestGangStartsAndFailsAsOne(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(3, workerSize)
+	w.elect()
+	whole := resource.Vector{Milliprocessors: 8000}
+	w.submit(&work.Job{ID: "gang", Queue: "urgent", Steps: []work.Step{{Count: 3, Size: whole, Gang: true}}}, fleet.Demand{RunTime: 10 * time.Second})
+	first := work.TaskID{StepID: work.StepID{Job: "gang"}}
+	failing := w.demands[first]
+	failing.RunTime, failing.Fails = 100*time.Millisecond, true
+	w.demands[first] = failing
+	w.run(500 * time.Millisecond)
+	is.Equal(w.starts, 3)
+	w.run(20 * time.Second)
+	is.Equal(w.starts, 12) // Four attempts of three members.
+	state, _ := w.leaders[0].state.Status("gang")
+	is.Equal(state, work.Failed)
+	is.Equal(w.problems, nil)
+}
+
+func TestGangWaitsForAllItsPlaces(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(2, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "small", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize}}}, fleet.Demand{RunTime: 2 * time.Second})
+	w.run(500 * time.Millisecond)
+	w.submit(&work.Job{ID: "gang", Queue: "urgent", Steps: []work.Step{{Count: 2, Size: resource.Vector{Milliprocessors: 8000}, Gang: true, Estimate: time.Minute}}}, fleet.Demand{RunTime: time.Second})
+	w.run(time.Second)
+	is.Equal(w.starts, 1) // No member holds a worker while the other has none.
+	w.run(3 * time.Second)
+	is.Equal(w.starts, 3)
+}
--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	// first is the offset of the oldest record kept.
 	first     int64
 	producers map[string]producer
+	// newest holds the newest record of each key, also when it was dropped.
+	newest map[string]store.Record
 }
 
 type producer struct {
@@ -45,7 +49,7 @@
 func (s *Store) log(t store.Topic, part int) *log {
 	p := partition{t, part}
 	if s.partitions[p] == nil {
-		s.partitions[p] = &log{producers: map[string]producer{}}
+		s.partitions[p] = &log{producers: map[string]producer{}, newest: map[string]store.Record{}}
 	}
 	return s.partitions[p]
 }
@@ -74,6 +78,7 @@
 	for _, r := range a.Records {
 		r.Offset = l.end()
 		l.records = append(l.records, r)
+		l.newest[r.Key] = r
 	}
 	if p := a.Producer; p != nil {
 		l.producers[p.Name] = producer{p.Epoch, p.Sequence, l.end()}
@@ -83,7 +88,7 @@
 	return l.end(), nil
 }
 
-// Drop deletes all but the newest record of each key.
+// Drop deletes the history; the newest record of each key can still be asked for.
 func (s *Store) Drop(t store.Topic, part int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -185,26 +190,17 @@
 	}
 }
 
-// Newest implements store.Store. Records that were dropped are left out, which
-// the platform would keep; tests drop only what is written again.
+// Newest implements store.Store.
 func (l *Link) Newest(_ context.Context, t store.Topic, part int) (store.Snapshot, error) {
 	if err := l.check("newest"); err != nil {
 		return store.Snapshot{}, err
 	}
-	newest := map[string]store.Record{}
-	var order []string
-	records := l.Store.Records(t, part)
-	for _, r := range records {
-		if _, known := newest[r.Key]; !known {
-			order = append(order, r.Key)
-		}
-		newest[r.Key] = r
-	}
 	l.Store.mutex.Lock()
-	s := store.Snapshot{End: l.Store.log(t, part).end()}
-	l.Store.mutex.Unlock()
-	for _, key := range order {
-		if r := newest[key]; len(r.Value) > 0 {
+	defer l.Store.mutex.Unlock()
+	v := l.Store.log(t, part)
+	s := store.Snapshot{End: v.end()}
+	for _, key := range slices.Sorted(maps.Keys(v.newest)) {
+		if r := v.newest[key]; len(r.Value) > 0 {
 			s.Records = append(s.Records, r)
 		}
 	}
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -52,7 +52,8 @@
 
 // register records this VM, so that the others find it.
 func (m *members) register(ctx context.Context) {
-	value, _ := json.Marshal(m.known[m.node.settings.Name])
+	self, _ := m.find(m.node.settings.Name)
+	value, _ := json.Marshal(self)
 	for {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, err := m.node.store.Append(call, store.Append{Topic: store.VMs, Records: []store.Record{{Key: m.node.settings.Name, Value: value}}})
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -267,3 +267,24 @@
 	}
 	f.is.Equal(f.nodes[2].Table().Version, int64(9))
 }
+
+func TestHistoryDropped(t *testing.T) {
+	f := newFixture(t, 3, 50*time.Millisecond)
+	f.leader()
+	f.is.NoErr(f.submit(f.nodes[0], "before"))
+	f.await(f.nodes[1], "before", work.Completed)
+	for _, topic := range []store.Topic{store.Jobs, store.Progress, store.Claims, store.VMs, store.Configuration, store.Workers} {
+		for part := range 4 {
+			f.store.Drop(topic, part)
+		}
+	}
+	f.publish(9, "mail")
+	f.is.NoErr(f.submit(f.nodes[1], "after"))
+	f.await(f.nodes[2], "after", work.Completed)
+	f.await(f.nodes[2], "before", work.Completed)
+	end := time.Now().Add(2 * time.Second)
+	for f.nodes[2].Table().Version != 9 && time.Now().Before(end) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.is.Equal(f.nodes[2].Table().Version, int64(9))
+}
