--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -9,6 +9,7 @@
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // Plan places waiting tasks.
@@ -19,7 +20,7 @@
 	clear(s.advisers.waiting)
 	s.poolOf("")
 	for _, p := range s.pools {
-		p.measure()
+		p.measure(now, s.holdWait()+answerDelay)
 	}
 	for _, j := range order {
 		q := s.table.Queue(j.spec.Queue)
@@ -281,25 +282,43 @@
 // choose returns the best worker for a task, or nil. racks counts the members of
 // its gang that have a place.
 func (s *Scheduler) choose(st *step, q *queue.Queue, t *task, reserved *reservations, racks map[string]int, now time.Time) *worker {
-	var best *worker
-	bestScore := 0.0
-	room, quiet := st.spec.Room(), s.holdWait()+answerDelay
-	for _, w := range s.poolOf(q.Service).workers {
-		if w.fencing() || !room.Fits(w.free()) || now.Before(w.avoidUntil) || now.Sub(w.answered) > quiet || w.clockAt.IsZero() || !w.registration.HasLabel(st.spec.Label) {
-			continue
-		}
-		if q.Advice != nil && !st.advice.valid(w.registration.Life, now) {
-			continue
+	c := choice{scheduler: s, task: t, reserved: reserved, racks: racks, room: st.spec.Room()}
+	if q.Advice == nil {
+		for _, w := range s.poolOf(q.Service).ready {
+			c.consider(w)
 		}
-		if reserved.blocks(w, st.job) || !s.keepsApart(w, st) {
-			continue
-		}
-		score := s.score(w, st, t, racks)
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
+		return c.best
+	}
+	// The good workers of a step are few in a large pool.
+	for life := range st.advice.tickets {
+		if w := s.workers[life]; w != nil && w.ready && w.listed && w.registration.Service == q.Service && !w.registration.Draining && st.advice.valid(life, now) {
+			c.consider(w)
 		}
 	}
-	return best
+	return c.best
+}
+
+// choice finds the best of several workers for a task.
+type choice struct {
+	scheduler *Scheduler
+	task      *task
+	reserved  *reservations
+	racks     map[string]int
+	room      resource.Vector
+	best      *worker
+	score     float64
+}
+
+// consider takes a worker if it is better than the best so far.
+func (c *choice) consider(w *worker) {
+	st := c.task.step
+	if !c.room.Fits(w.free()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocks(w, st.job) || !c.scheduler.keepsApart(w, st) {
+		return
+	}
+	score := c.scheduler.score(w, st, c.task, c.racks)
+	if c.best == nil || score > c.score || (score == c.score && compareLives(w.registration.Life, c.best.registration.Life) < 0) {
+		c.best, c.score = w, score
+	}
 }
 
 // keepsApart reports whether a worker may take one more task of a step.
--- a/internal/cell/scheduler/pool.go
+++ b/internal/cell/scheduler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
@@ -9,6 +10,8 @@
 // pool holds the workers of one service that may get new work, in a fixed order.
 type pool struct {
 	workers []*worker
+	// ready holds those that can take a start, as of the beginning of a plan.
+	ready []*worker
 	// largest is the largest capacity of each resource.
 	largest resource.Vector
 	// free is at least the room that any worker has, of each resource. It is
@@ -45,11 +48,16 @@
 	}
 }
 
-// measure notes the room that there is at the start of a plan.
-func (p *pool) measure() {
-	p.free = resource.Vector{}
+// measure notes which workers are ready and what room they have at the start of a
+// plan. quiet is the silence after which a worker gets no new work.
+func (p *pool) measure(now time.Time, quiet time.Duration) {
+	p.free, p.ready = resource.Vector{}, p.ready[:0]
 	for _, w := range p.workers {
-		p.free = p.free.Max(w.free())
+		w.ready = !w.fencing() && !now.Before(w.avoidUntil) && now.Sub(w.answered) <= quiet && !w.clockAt.IsZero()
+		if w.ready {
+			p.ready = append(p.ready, w)
+			p.free = p.free.Max(w.free())
+		}
 	}
 }
 
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -17,6 +17,8 @@
 	listed bool
 	// gone tells that nothing can run there any more.
 	gone bool
+	// ready tells that the worker could take a start when the last plan began.
+	ready bool
 	// open tells that the caller was asked to hold the worker.
 	open bool
 	// token is the fencing token of orders from now on; heldToken is the
--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -24,6 +24,11 @@
 	// rankPause is added for each VM that tries first, so that two seldom try
 	// at once.
 	rankPause = 200 * time.Millisecond
+	// mostRank bounds the wait for others to try first.
+	mostRank = 8
+	// firstWait is how long a VM without processors waits before the very first
+	// claim, so that larger ones go first.
+	firstWait = 500 * time.Millisecond
 	// electionPoll is the pause between checks of the leader.
 	electionPoll = 100 * time.Millisecond
 	// askTimeout bounds the question to other VMs whether they hear the leader.
@@ -133,22 +138,18 @@
 	}
 }
 
-// rank is the place of this VM among those that may follow the leader.
+// rank is the place of this VM among those that may follow the leader, the largest
+// first.
 func (e *election) rank(epoch int64, leader string) int {
-	names := []string{e.node.settings.Name}
-	for _, m := range e.node.members.others() {
-		if m.Name != leader {
-			names = append(names, m.Name)
-		}
-	}
-	order := func(name string) uint64 { return xxhash.Sum64String(name) ^ uint64(epoch) }
-	slices.SortFunc(names, func(a, b string) int {
-		if order(a) < order(b) {
-			return -1
-		}
-		return 1
+	self, _ := e.node.members.find(e.node.settings.Name)
+	candidates := append(e.node.members.others(), self)
+	candidates = slices.DeleteFunc(candidates, func(m member) bool { return m.Name == leader && m.Name != self.Name })
+	order := func(m member) uint64 { return xxhash.Sum64String(m.Name) ^ uint64(epoch) }
+	slices.SortFunc(candidates, func(a, b member) int {
+		return cmp.Or(cmp.Compare(b.Processors, a.Processors), cmp.Compare(order(a), order(b)))
 	})
-	return slices.Index(names, e.node.settings.Name)
+	place := slices.IndexFunc(candidates, func(m member) bool { return m.Name == self.Name })
+	return min(place, mostRank)
 }
 
 // shouldTry reports whether this VM should try to lead: it has heard no leader
@@ -165,7 +166,7 @@
 	}
 	wait := leaderSilence
 	if c.Epoch == 0 {
-		wait = 0
+		wait = time.Duration(float64(firstWait) * (1 - min(e.node.settings.Processors, 1)))
 	}
 	if silence < wait+time.Duration(e.rank(c.Epoch, c.Name))*rankPause {
 		return false
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -18,6 +18,8 @@
 	Name    string         `json:"name"`
 	Domain  string         `json:"domain"`
 	Address netip.AddrPort `json:"address"`
+	// Processors is the processor time of the VM, in cores.
+	Processors float64 `json:"processors"`
 	// Started is the start of the process in Unix milliseconds.
 	Started int64 `json:"started"`
 }
@@ -30,7 +32,7 @@
 }
 
 func newMembers(n *Node) *members {
-	self := member{Name: n.settings.Name, Domain: n.settings.Domain, Address: n.settings.Peers, Started: time.Now().UnixMilli()}
+	self := member{Name: n.settings.Name, Domain: n.settings.Domain, Address: n.settings.Peers, Processors: n.settings.Processors, Started: time.Now().UnixMilli()}
 	return &members{node: n, known: map[string]member{self.Name: self}}
 }
 
