--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -273,7 +273,7 @@
 		life := w.registration.Life
 		switch _, good := st.advice.tickets[life]; {
 		case good:
-			places += placesFor(st.spec.Room(), w.free())
+			places += min(placesFor(st.spec.Room(), w.free()), placesApart(w, st))
 			if !st.advice.valid(life, now) {
 				stale = append(stale, life)
 			}
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -312,7 +312,7 @@
 // consider takes a worker if it is better than the best so far.
 func (c *choice) consider(w *worker) {
 	st := c.task.step
-	if !c.room.Fits(w.free()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocks(w, st.job) || !c.scheduler.keepsApart(w, st) {
+	if !c.room.Fits(w.free()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocks(w, st.job) || !keepsApart(w, st) {
 		return
 	}
 	score := c.scheduler.score(w, st, c.task, c.racks)
@@ -322,9 +322,13 @@
 }
 
 // keepsApart reports whether a worker may take one more task of a step.
-func (s *Scheduler) keepsApart(w *worker, st *step) bool {
+func keepsApart(w *worker, st *step) bool { return placesApart(w, st) > 0 }
+
+// placesApart returns how many more tasks of a step a worker may take besides what
+// its room allows.
+func placesApart(w *worker, st *step) int {
 	if st.spec.MostPerWorker == 0 {
-		return true
+		return work.MaxTasks
 	}
 	n := 0
 	for _, t := range w.tasks {
@@ -332,7 +336,7 @@
 			n++
 		}
 	}
-	return n < st.spec.MostPerWorker
+	return max(st.spec.MostPerWorker-n, 0)
 }
 
 // The weights of what speaks for a worker, against a tight fit that counts up
@@ -416,7 +420,7 @@
 	var candidates []candidate
 	places := 0
 	for _, w := range s.candidates(st, q.Service) {
-		if r.blocks(w, st.job) || !s.keepsApart(w, st) {
+		if r.blocks(w, st.job) || !keepsApart(w, st) {
 			continue
 		}
 		if _, good := st.advice.tickets[w.registration.Life]; q.Advice != nil && !good {
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -351,3 +351,13 @@
 		})
 	}
 }
+
+func TestFurtherWorkersAreAskedAbout(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(60, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "job", Queue: "advised", Steps: []work.Step{{Count: 20, Size: taskSize, MostPerWorker: 1, Lasting: true}}}, fleet.Demand{})
+	w.run(5 * time.Second)
+	is.Equal(w.starts, 20) // Of the first 30 workers about 15 are good.
+}
