--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -80,7 +80,7 @@
 	t.inCommit = false
 	if w.gone || w.fencing() || now.Sub(begun) > maxOrderDelay {
 		s.log.Info("start_withdrawn", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID, "age_ms", now.Sub(begun).Milliseconds())
-		s.toWaiting(t, now)
+		s.toWaiting(t)
 		s.breakGang(t, now)
 		return
 	}
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -226,7 +226,7 @@
 }
 
 // toWaiting takes a task off its worker so that it can be placed again.
-func (s *Scheduler) toWaiting(t *task, now time.Time) {
+func (s *Scheduler) toWaiting(t *task) {
 	s.leave(t)
 	j := t.step.job
 	t.phase, t.percent, t.pace, t.settled = phaseWaiting, 0, fullPace, false
--- a/internal/cell/scheduler/order.go
+++ b/internal/cell/scheduler/order.go
@@ -68,7 +68,7 @@
 	default:
 	}
 	s.Counters.Refused++
-	s.toWaiting(t, now)
+	s.toWaiting(t)
 	s.breakGang(t, now)
 }
 
@@ -99,7 +99,7 @@
 	case backend.Failed:
 		s.applyFailure(t, w, e.Run, now)
 	default:
-		s.toWaiting(t, now)
+		s.toWaiting(t)
 		s.breakGang(t, now)
 	}
 }
@@ -132,7 +132,7 @@
 func (s *Scheduler) applyDone(t *task, now time.Time) {
 	s.Counters.Done++
 	if t.step.spec.Lasting {
-		s.toWaiting(t, now)
+		s.toWaiting(t)
 		return
 	}
 	if !t.step.spec.Gang {
@@ -147,7 +147,7 @@
 func (s *Scheduler) applyFailure(t *task, w *worker, run int64, now time.Time) {
 	s.Counters.Failed++
 	t.avoid = w.registration.Life.ID
-	s.toWaiting(t, now)
+	s.toWaiting(t)
 	if !s.countFailure(t, run, now) {
 		s.breakGang(t, now)
 	}
@@ -202,7 +202,7 @@
 	for _, member := range t.step.tasks {
 		switch member.phase {
 		case phaseRecorded:
-			s.toWaiting(member, now)
+			s.toWaiting(member)
 		case phaseOrdered, phaseRunning:
 			s.stop(member, now)
 		case phaseWaiting, phaseStopping, phaseDone:
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -228,7 +228,7 @@
 	for _, t := range w.sortedTasks() {
 		s.Counters.Lapsed++
 		s.log.Info("run_lapsed", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID)
-		s.toWaiting(t, now)
+		s.toWaiting(t)
 		s.breakGang(t, now)
 	}
 }
@@ -263,7 +263,7 @@
 		if t.step.spec.Speculative && t.phase == phaseRunning {
 			s.log.Info("run_copied", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID, "silent_ms", now.Sub(w.answered).Milliseconds())
 			w.leave(t, s.sequence)
-			s.toWaiting(t, now)
+			s.toWaiting(t)
 		}
 	}
 }
@@ -472,7 +472,7 @@
 		}
 		s.Counters.Vanished++
 		s.log.Info("run_absent", "task", t.id.String(), "run", t.run, "worker", w.registration.Life.ID, "token", t.token, "hold_token", sent.token)
-		s.toWaiting(t, now)
+		s.toWaiting(t)
 		s.breakGang(t, now)
 	}
 }
--- a/internal/emulate/fleet/worker.go
+++ b/internal/emulate/fleet/worker.go
@@ -92,23 +92,21 @@
 // Running lists the tasks at work.
 func (w *Worker) Running() []work.TaskID { return slices.Collect(maps.Keys(w.running)) }
 
-// Advance ends what is over by now.
+// Advance ends what is over by now, each run for what came first.
 func (w *Worker) Advance(now time.Time) {
-	if len(w.running) > 0 && w.Clock(now) > w.deadline {
-		for _, r := range w.sorted() {
-			w.end(r, backend.Lapsed, now)
-		}
-		return
-	}
+	lapsed := w.Clock(now) > w.deadline
 	for _, r := range w.sorted() {
+		end := r.begun.Add(r.demand.RunTime)
+		over := !r.demand.Lasting && !now.Before(end) && (!lapsed || w.Clock(end) <= w.deadline)
 		switch {
 		case !r.stopped.IsZero() && now.Sub(r.stopped) >= stopTime:
 			w.end(r, backend.Stopped, now)
-		case r.demand.Lasting || now.Sub(r.begun) < r.demand.RunTime:
-		case r.demand.Fails:
+		case over && r.demand.Fails:
 			w.end(r, backend.Failed, now)
-		default:
+		case over:
 			w.end(r, backend.Done, now)
+		case lapsed:
+			w.end(r, backend.Lapsed, now)
 		}
 	}
 }
