Split the grown files of the leader and the scheduler by topic

Mechanical: declarations move to takeover, tail, commits and heartbeats, and to lease, report, reserve, prospect and choose. Counters that nothing read and two unused parameters go.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -218,7 +218,6 @@
 	for i, l := range q.workers {
 		ids[i] = l.ID
 	}
-	s.Counters.Asks++
 	s.effects.Asks = append(s.effects.Asks, Ask{Number: a.number, VM: vm, Step: st.id, Workers: ids, Timeout: timeout})
 }
 
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -86,7 +86,6 @@
 	}
 	t.phase, t.token, t.begun, t.progressed = phaseOrdered, w.token, now, now
 	w.extend(begun, s.timing)
-	s.Counters.Starts++
 	if j := t.step.job; !j.ordered {
 		j.ordered = true
 		s.observe("first_start", j, now.Sub(j.arrived))
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -120,7 +120,6 @@
 			s.Cancel(spec.ID, now)
 		}
 	}()
-	s.Counters.Submitted++
 	s.log.Info("job_received", "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "age_ms", now.Sub(j.arrived).Milliseconds())
 	s.openDue(now)
 }
@@ -274,10 +273,10 @@
 		s.openSteps(o, now)
 		return
 	}
-	s.finishOccurrence(j, o, now)
+	s.finishOccurrence(j, now)
 }
 
-func (s *Scheduler) finishOccurrence(j *job, _ *occurrence, now time.Time) {
+func (s *Scheduler) finishOccurrence(j *job, now time.Time) {
 	if j.next < j.spec.Occurrences() {
 		return
 	}
--- a/internal/cell/scheduler/order.go
+++ b/internal/cell/scheduler/order.go
@@ -46,7 +46,6 @@
 	s.log.Info("start_refused", "task", t.id.String(), "run", t.run, "worker", life.ID, "kind", string(kind))
 	switch kind {
 	case backend.KindUnknown:
-		s.Counters.Unknown++
 		if w.token == t.token {
 			s.supersede(w)
 		}
@@ -67,7 +66,6 @@
 		t.notBefore = now.Add(invalidPause)
 	default:
 	}
-	s.Counters.Refused++
 	s.toWaiting(t)
 	s.breakGang(t, now)
 }
@@ -130,7 +128,6 @@
 }
 
 func (s *Scheduler) applyDone(t *task, now time.Time) {
-	s.Counters.Done++
 	if t.step.spec.Lasting {
 		s.toWaiting(t)
 		return
@@ -145,7 +142,6 @@
 }
 
 func (s *Scheduler) applyFailure(t *task, w *worker, run int64, now time.Time) {
-	s.Counters.Failed++
 	t.avoid = w.registration.Life.ID
 	s.toWaiting(t)
 	if !s.countFailure(t, run, now) {
@@ -183,7 +179,7 @@
 	switch e.Outcome {
 	case backend.Done:
 		w.failures = 0
-		s.runTimes.observe(t, w, now)
+		s.runTimes.observe(t, now)
 	case backend.Failed:
 		w.failures++
 		if w.failures >= failuresToAvoid {
--- /dev/null
+++ b/internal/cell/scheduler/prospect.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/work"
+)
+
+// prospect tells what a job can still be worth to its caller.
+type prospect int
+
+const (
+	// onTime jobs can still complete when their caller wants them to.
+	onTime prospect = iota
+	// late jobs are past that, and still of some worth.
+	late
+	// hopeless jobs are past the time in which a result has worth.
+	hopeless
+)
+
+// rank orders waiting jobs.
+type rank struct {
+	job      *job
+	prospect prospect
+	priority int
+	due      time.Time
+}
+
+// waitingOrder returns the active jobs with something to place or to ask, in the
+// order in which they go: first what can still be on time, then what is late, then
+// the rest; of these by priority, then by when the caller wants them completed.
+//
+// It answers a load above the capacity: in the order of due times alone, each job
+// waits until it is late, and all of them are.
+func (s *Scheduler) waitingOrder(now time.Time) []*job {
+	ranks := make([]rank, 0, len(s.active))
+	for _, j := range s.active {
+		if j.waiting == 0 && !s.opensSoon(j) {
+			continue
+		}
+		q := s.table.Queue(j.spec.Queue)
+		if q == nil {
+			continue
+		}
+		chain := time.Duration(0)
+		if len(j.chain) > 0 {
+			chain = slices.Max(j.chain)
+		}
+		allowance := q.Allowance(chain)
+		ranks = append(ranks, rank{
+			job: j, priority: q.Priority, due: j.arrived.Add(allowance),
+			prospect: s.prospectOf(j, allowance, now),
+		})
+	}
+	slices.SortFunc(ranks, func(a, b rank) int {
+		return cmp.Or(cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
+	})
+	order := make([]*job, len(ranks))
+	for i := range ranks {
+		order[i] = ranks[i].job
+	}
+	return order
+}
+
+// prospectOf compares the work that is left of a job with the time it has.
+func (s *Scheduler) prospectOf(j *job, allowance time.Duration, now time.Time) prospect {
+	if j.spec.Repeat != nil || j.lasting() {
+		return onTime
+	}
+	left := s.chainLeft(j)
+	switch end := now.Add(left); {
+	case !end.After(j.arrived.Add(allowance)):
+		return onTime
+	case !end.After(j.arrived.Add(queue.LateFactor * allowance)):
+		return late
+	}
+	return hopeless
+}
+
+// chainLeft returns the expected time of the longest chain of steps that are not
+// completed.
+func (s *Scheduler) chainLeft(j *job) time.Duration {
+	longest := time.Duration(0)
+	for _, o := range j.occurrences {
+		chain := make([]time.Duration, len(o.steps))
+		for i, st := range o.steps {
+			for _, a := range st.spec.After {
+				chain[i] = max(chain[i], chain[a])
+			}
+			if st.left > 0 {
+				chain[i] += s.runTimes.expect(st)
+			}
+			longest = max(longest, chain[i])
+		}
+	}
+	return longest
+}
+
+func (j *job) lasting() bool {
+	return slices.ContainsFunc(j.spec.Steps, func(s work.Step) bool { return s.Lasting })
+}
+
+// opensSoon reports whether advice for a later step should be sought.
+func (s *Scheduler) opensSoon(j *job) bool { return len(j.spec.Steps) > 1 && j.running > 0 }
--- a/internal/cell/scheduler/runtime.go
+++ b/internal/cell/scheduler/runtime.go
@@ -17,7 +17,7 @@
 
 func newRunTimes() runTimes { return runTimes{ratio: map[imageKey]float64{}} }
 
-func (r *runTimes) observe(t *task, _ *worker, now time.Time) {
+func (r *runTimes) observe(t *task, now time.Time) {
 	declared := t.step.spec.Estimate
 	if declared <= 0 || t.begun.IsZero() || t.run > 1 {
 		return
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -114,12 +114,6 @@
 	sequence  int64
 	lastSweep time.Time
 	lastLoad  time.Time
-	Counters  Counters
-}
-
-// Counters count events since the scheduler began.
-type Counters struct {
-	Submitted, Starts, Done, Failed, Stopped, Lapsed, Vanished, Unknown, Refused, Asks int64
 }
 
 // New returns a scheduler without jobs. now is on a clock that counts
--- /dev/null
+++ b/internal/node/entryvm/heartbeats.go
@@ -0,0 +1,65 @@
+package entryvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/peer/link"
+)
+
+// yields reports whether a much fitter VM answers.
+func (l *leader) yields() bool {
+	l.mutex.Lock()
+	names := l.reachable(now())
+	l.mutex.Unlock()
+	for _, name := range names {
+		if m, ok := l.node.members.find(name); ok && m.Fitness > fitterFactor*l.node.settings.Fitness {
+			return true
+		}
+	}
+	return false
+}
+
+// reachable lists the entry VMs that answer. The caller holds the lock.
+func (l *leader) reachable(at time.Time) []string {
+	names := []string{l.node.settings.Name}
+	for name, answered := range l.answered {
+		if at.Sub(answered) < leaderSilence {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// beat tells the other entry VMs that this one leads.
+func (l *leader) beat() {
+	for {
+		for _, m := range l.node.members.others() {
+			go l.beatTo(m)
+		}
+		l.node.election.heard(HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name})
+		if !pause(l.ctx, heartbeatInterval) {
+			return
+		}
+	}
+}
+
+func (l *leader) beatTo(m member) {
+	ctx, cancel := context.WithTimeout(l.ctx, leaderSilence)
+	defer cancel()
+	table := l.node.tables.current()
+	args := HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name, Version: l.node.tables.version()}
+	r, err := link.Call[HeartbeatArgs, HeartbeatReply](ctx, l.node.client, m.Address, "Heartbeat", args)
+	if err != nil {
+		return
+	}
+	l.mutex.Lock()
+	l.answered[m.Name] = now()
+	l.mutex.Unlock()
+	if table == nil || r.Version >= args.Version {
+		return
+	}
+	if _, err := link.Call[TableArgs, Nothing](ctx, l.node.client, m.Address, "Table", TableArgs{Version: table.Version, Text: table.Text}); err != nil {
+		l.node.log.V(1).Info("configuration_not_told", "vm", m.Name, "version", table.Version, "error", err.Error())
+	}
+}
