Extend the right to lead by stored commits only

Cause, found while reading the change before landing: a commit that only acknowledges ends of jobs that are not known has no records and is not stored, yet it counted as proof of the claim, so a deposed leader could have held workers for longer than its successor waits. TestCommitWithoutRecordsExtendsNoRight fails without the change.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -49,9 +49,12 @@
 	return c
 }
 
-// Committed tells that a commit is stored.
+// Committed tells that a commit is stored. One without records needs no append and
+// proves nothing about the claim.
 func (s *Scheduler) Committed(c *Commit, now time.Time) {
-	s.confirmed = c.begun
+	if len(c.Records) > 0 {
+		s.confirmed = c.begun
+	}
 	for j, state := range c.shown {
 		if !j.shown.Ended() {
 			j.shown = state
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/emulate/fleet"
 	"github.com/almondpost/almondpost/internal/peer/backend"
@@ -380,3 +382,24 @@
 	w.run(5 * time.Second)
 	is.Equal(w.starts, 20) // Of the first 30 workers about 15 are good.
 }
+
+// A commit without records is not stored, so it proves nothing about the claim.
+func TestCommitWithoutRecordsExtendsNoRight(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_700_000_000, 0)
+	timing := scheduler.Timing{Lease: 6 * time.Second, Right: 10 * time.Second, HoldWait: time.Second}
+	s := scheduler.New(timing, 1, start, start, logr.Discard())
+	life := backend.Life{ID: "worker", Born: 1}
+	s.SetWorkers([]backend.Registration{{Life: life, Service: "desk", Capacity: workerSize}}, start)
+	_, sent, ok := s.HoldRequest(life, start)
+	is.True(ok)
+	s.HoldAnswered(life, sent, &backend.Report{Life: life, Clock: time.Second, Ended: []backend.End{
+		{Number: 1, Task: work.TaskID{StepID: work.StepID{Job: "nobody"}}, Run: 1, Outcome: backend.Done},
+	}}, start)
+	c := s.NextCommit(start.Add(5 * time.Second))
+	is.Equal(len(c.Records), 0)
+	s.Committed(c, start.Add(5*time.Second))
+	hold, _, _ := s.HoldRequest(life, start.Add(9*time.Second))
+	is.Equal(hold.Deadline, 11*time.Second) // One second more, by the worker's clock.
+	is.Equal(hold.Acknowledged, int64(1))
+}
