Read a dropped cancellation as no cancellation

A deposed leader that came back from a cut read the deletion of ID/cancel at 39.46 s, before the store had fenced it, and took it for a cancellation; it showed a job as cancelled that its successor had completed at 36.12 s. The sitting leader reads the deletions too, but knows these jobs as ended; it kept an entry of cancelledEarly for each. Ruled out: a DELETE held up by the cut (no cancel_accepted line), a repeated POST. TestDroppedSubmissionIsNoCancellation fails without the change.

--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -314,3 +314,16 @@
 	}
 	f.is.Equal(f.nodes[2].Table().Version, int64(9))
 }
+
+// A deposed leader that returns reads that the submission of a job was dropped,
+// with its cancellation if there was one.
+func TestDroppedSubmissionIsNoCancellation(t *testing.T) {
+	f := newFixture(t, 2, 4*time.Second)
+	f.is.NoErr(f.submit(f.nodes[0], "a"))
+	f.await(f.nodes[1], "a", work.Running)
+	for part := range 4 {
+		_, err := f.store.Append(store.Append{Topic: store.Jobs, Part: part, Records: []store.Record{{Key: "a"}, {Key: "a/cancel"}}})
+		f.is.NoErr(err)
+	}
+	f.await(f.nodes[1], "a", work.Completed)
+}
--- a/internal/node/entryvm/tail.go
+++ b/internal/node/entryvm/tail.go
@@ -15,13 +15,13 @@
 	var cancelled []string
 	for i := range records {
 		r := &records[i]
+		if len(r.Value) == 0 {
+			continue // The leader has dropped the record.
+		}
 		if id, ok := strings.CutSuffix(r.Key, cancelSuffix); ok {
 			cancelled = append(cancelled, id)
 			continue
 		}
-		if len(r.Value) == 0 {
-			continue
-		}
 		spec, err := work.Decode[work.Job](r.Value)
 		if err != nil {
 			l.node.log.Error(err, "job_unreadable", "job", r.Key)
