Read the stored jobs only once the last leader is fenced

A job that was handed in in between was started by the last leader and recorded in progress; the successor had its progress and not its submission, read that later as a new job, and started its speculative tasks again on workers whose room it took for free. Ruled out: a lease that ends too early on the worker (the worker was not in the cut domain), orders held up by the cut (fenced by the new token). TestJobStartedDuringTakeOver starts the task twice without the change. The take-over takes no longer: progress was read after the fence before.

--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -122,10 +122,19 @@
 	refuse bool
 	// lose is how many answers to appends are lost from now on.
 	lose int
+	// delays hold the appends to a topic up on their way.
+	delays map[store.Topic]time.Duration
 }
 
 // NewLink returns a way without faults.
-func NewLink(s *Store) *Link { return &Link{Store: s} }
+func NewLink(s *Store) *Link { return &Link{Store: s, delays: map[store.Topic]time.Duration{}} }
+
+// Delay holds the appends of this VM to a topic up on their way.
+func (l *Link) Delay(t store.Topic, d time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.delays[t] = d
+}
 
 // Refuse makes the store refuse all calls of this VM, or none.
 func (l *Link) Refuse(on bool) {
@@ -155,6 +164,10 @@
 	if err := l.check("append"); err != nil {
 		return 0, err
 	}
+	l.mutex.Lock()
+	delay := l.delays[a.Topic]
+	l.mutex.Unlock()
+	time.Sleep(delay)
 	end, err := l.Store.Append(a)
 	l.mutex.Lock()
 	lost := l.lose > 0
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -327,3 +327,23 @@
 	}
 	f.await(f.nodes[1], "a", work.Completed)
 }
+
+// The last leader starts a job after its successor has begun to read, and before it
+// is fenced.
+func TestJobStartedDuringTakeOver(t *testing.T) {
+	f := newFixture(t, 2, 4*time.Second)
+	first := f.leader()
+	f.is.NoErr(f.submit(f.nodes[first], "before"))
+	f.await(f.nodes[first], "before", work.Running)
+	f.links[1-first].Delay(store.Progress, 150*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	f.nodes[first].Drain(ctx)
+	for f.leader() == first {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // The successor reads, and its fencing append is on its way.
+	f.is.NoErr(f.submit(f.nodes[first], "job"))
+	f.await(f.nodes[1-first], "job", work.Completed)
+	f.is.Equal(f.fleet.Starts(firstTask("job")), 1)
+}
--- a/internal/node/entryvm/takeover.go
+++ b/internal/node/entryvm/takeover.go
@@ -67,31 +67,34 @@
 	return v.jobsEnd, nil
 }
 
-// readStored reads everything at once; progress only after the last leader is
-// fenced, since it could write until then.
+// readStored reads everything at once; jobs and progress only after the last leader
+// is fenced, since it could start a job until then that was handed in meanwhile.
 func (l *leader) readStored() (stored, error) {
 	var v stored
 	var jobs [jobPartitions][]store.Record
-	var g errgroup.Group
+	var g, afterFence errgroup.Group
+	g.Go(func() error {
+		s, err := l.snapshot(store.Workers, 0)
+		v.workers = s.Records
+		return err
+	})
 	g.Go(func() error {
 		if err := l.appendProgress(l.renewal()); err != nil {
 			return err
 		}
-		s, err := l.snapshot(store.Progress, 0)
-		v.progress = s.Records
-		return err
-	})
-	for part := range jobs {
-		g.Go(func() error {
-			s, err := l.snapshot(store.Jobs, part)
-			jobs[part], v.jobsEnd[part] = s.Records, s.End
+		afterFence.Go(func() error {
+			s, err := l.snapshot(store.Progress, 0)
+			v.progress = s.Records
 			return err
 		})
-	}
-	g.Go(func() error {
-		s, err := l.snapshot(store.Workers, 0)
-		v.workers = s.Records
-		return err
+		for part := range jobs {
+			afterFence.Go(func() error {
+				s, err := l.snapshot(store.Jobs, part)
+				jobs[part], v.jobsEnd[part] = s.Records, s.End
+				return err
+			})
+		}
+		return afterFence.Wait()
 	})
 	err := g.Wait()
 	v.jobs = slices.Concat(jobs[:]...)
