Keep the room of runs that a leader does not know

It keeps their room now, or all of the worker where the task is not known, until a later report lacks them or their lease has ended.

--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -28,6 +28,23 @@
 	w.used = w.used.Add(room)
 }
 
+// keepRoom notes that a run which belongs to no task here goes on until it is
+// stopped or its lease ends, which another leader may have granted just now. st is
+// its step, nil where that is not known: nothing else fits beside it then.
+func (s *Scheduler) keepRoom(w *worker, r *backend.Run, st *step, now time.Time) {
+	w.extend(now, s.timing)
+	key := leftRun{r.Task, r.Run}
+	if _, known := w.left[key]; known {
+		return
+	}
+	room := w.registration.Capacity
+	if st != nil {
+		room = st.spec.Room()
+	}
+	w.left[key] = leftRoom{room, s.sequence}
+	w.used = w.used.Add(room)
+}
+
 // settleLeft frees the room of runs that have ended.
 func (w *worker) settleLeft(running map[work.TaskID]*backend.Run, sent HoldSent) {
 	for v, r := range w.left {
--- a/internal/cell/scheduler/report.go
+++ b/internal/cell/scheduler/report.go
@@ -108,6 +108,11 @@
 func (s *Scheduler) applyRun(w *worker, r *backend.Run, now time.Time) {
 	t := s.task(r.Task)
 	if t == nil || t.worker != w || t.run != r.Run {
+		var st *step
+		if t != nil {
+			st = t.step
+		}
+		s.keepRoom(w, r, st, now)
 		if t != nil && t.worker == w && t.run > r.Run {
 			return // An older run of the same task that is being replaced there.
 		}
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -403,3 +403,27 @@
 	is.Equal(hold.Deadline, 11*time.Second) // One second more, by the worker's clock.
 	is.Equal(hold.Acknowledged, int64(1))
 }
+
+// The next leader does not know the copies that were given up, which still run.
+func TestCopiedTaskKeepsItsRoomForTheNextLeader(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(3, workerSize)
+	w.elect()
+	w.submit(&work.Job{ID: "first", Queue: "urgent", Steps: []work.Step{{Count: 6, Size: taskSize, Speculative: true}}}, fleet.Demand{RunTime: 8 * time.Second})
+	w.run(500 * time.Millisecond)
+	lives := w.lives()
+	w.cut[lives[0]] = true
+	w.run(2500 * time.Millisecond)
+	is.Equal(w.starts, 9) // The three tasks there have copies.
+	w.elect()
+	w.submit(&work.Job{ID: "second", Queue: "urgent", Steps: []work.Step{{Count: 3, Size: taskSize}}}, fleet.Demand{RunTime: 5 * time.Second})
+	w.run(500 * time.Millisecond)
+	clear(w.cut)
+	w.run(30 * time.Second)
+	is.Equal(w.problems, nil)
+	for _, id := range []string{"first", "second"} {
+		state, _ := w.leaders[1].state.Status(id)
+		is.Equal(state, work.Completed)
+	}
+}
