Do not claim right after a cut; retire at the news of a later claim

A VM must now reach the store for 0.6 s, in which it hears the leader, before it tries. A leader that learns a later claim stops at once instead of at its next append.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -29,6 +29,9 @@
 	// firstWait is how long the least fit VM waits before the very first claim, so
 	// that others go first.
 	firstWait = 500 * time.Millisecond
+	// storeSettled is how long the store must answer this VM before it tries to
+	// lead: a VM that was cut off hears the leader again within two heartbeats.
+	storeSettled = 2*heartbeatInterval + 100*time.Millisecond
 	// electionPoll is the pause between checks of the leader.
 	electionPoll = 100 * time.Millisecond
 	// askTimeout bounds the question to other VMs whether they hear the leader.
@@ -98,6 +101,7 @@
 		if c.Epoch > e.claim.Epoch {
 			e.claim, e.waitFrom = c, now()
 			e.node.log.Info("leader_learned", "leader", c.Name, "epoch", c.Epoch)
+			e.node.deposed(c.Epoch)
 		}
 	}
 }
@@ -111,6 +115,7 @@
 			m, _ := e.node.members.find(a.Leader)
 			e.claim = claim{Epoch: a.Epoch, Name: a.Leader, Address: m.Address}
 			e.node.log.Info("leader_heard", "leader", a.Leader, "epoch", a.Epoch)
+			e.node.deposed(a.Epoch)
 		}
 		e.beatAt = now()
 		e.waitFrom = e.beatAt
@@ -164,11 +169,11 @@
 	if c.Name == e.node.settings.Name && c.Process != 0 && c.Process != e.process && !e.node.members.anyFitter() {
 		return true // An earlier life of this VM held the claim and is over.
 	}
-	wait := leaderSilence
-	if c.Epoch == 0 {
-		wait = time.Duration(float64(firstWait) * (1 - min(e.node.settings.Fitness, 1)))
+	v := candidacy{
+		epoch: c.Epoch, silence: silence, reached: e.node.store.reached(now()),
+		rank: e.rank(c.Epoch, c.Name), fitness: e.node.settings.Fitness,
 	}
-	if silence < wait+time.Duration(e.rank(c.Epoch, c.Name))*rankPause {
+	if !v.due() {
 		return false
 	}
 	if c.Epoch > 0 && e.othersHear(ctx, c) {
@@ -178,6 +183,35 @@
 	return true
 }
 
+// candidacy is what a VM goes by when it considers to lead.
+type candidacy struct {
+	// epoch is the highest known; 0 before the first claim.
+	epoch int64
+	// silence is the time since the last sign of the leader.
+	silence time.Duration
+	// reached is for how long the store has answered this VM; negative while it
+	// does not.
+	reached time.Duration
+	// rank is the number of VMs that are to try first.
+	rank    int
+	fitness float64
+}
+
+// due reports whether the VM should try to lead now.
+//
+// It answers the end of a cut: VMs that were cut off have heard no leader for
+// seconds, and one that claims before it hears the leader again stops all starts
+// for the time of a take-over.
+func (c candidacy) due() bool {
+	wait := leaderSilence
+	if c.epoch == 0 {
+		wait = time.Duration(float64(firstWait) * (1 - min(c.fitness, 1)))
+	} else if c.reached < storeSettled {
+		return false
+	}
+	return c.silence >= wait+time.Duration(c.rank)*rankPause
+}
+
 // othersHear reports whether another VM than the leader has heard it lately.
 func (e *election) othersHear(ctx context.Context, c claim) bool {
 	others := slices.DeleteFunc(e.node.members.others(), func(m member) bool { return m.Name == c.Name })
@@ -243,9 +277,9 @@
 	e.waitFrom = now()
 	e.mutex.Unlock()
 	e.node.log.Info("claim_gained", "epoch", c.Epoch, "reason", why)
-	l := newLeader(e.node, c.Epoch)
+	l := newLeader(ctx, e.node, c.Epoch)
 	e.node.setLead(nil, l)
-	go l.run(ctx)
+	go l.run()
 }
 
 // waitAgain puts the next try to lead off.
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -82,9 +82,10 @@
 	answered map[string]time.Time
 }
 
-func newLeader(n *Node, epoch int64) *leader {
+func newLeader(ctx context.Context, n *Node, epoch int64) *leader {
+	ctx, stop := context.WithCancel(ctx)
 	return &leader{
-		node: n, epoch: epoch,
+		node: n, epoch: epoch, ctx: ctx, stop: stop,
 		dirty: make(chan struct{}, 1), replan: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
 		state:    scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions: map[backend.Life]*session{}, stored: make(chan struct{}),
@@ -93,8 +94,7 @@
 }
 
 // run leads until the claim is lost.
-func (l *leader) run(ctx context.Context) {
-	l.ctx, l.stop = context.WithCancel(ctx)
+func (l *leader) run() {
 	defer l.retire()
 	go l.beat()
 	giveUp := time.AfterFunc(restoreTimeout, l.giveUpRestore)
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -151,6 +151,14 @@
 	return n.lead
 }
 
+// deposed ends the leadership of this VM if it is of an earlier epoch.
+func (n *Node) deposed(epoch int64) {
+	if l := n.leading(); l != nil && l.epoch < epoch {
+		n.log.Info("claim_superseded", "epoch", l.epoch, "by", epoch)
+		l.stop()
+	}
+}
+
 // setLead replaces the leadership of this VM if it is the expected one.
 func (n *Node) setLead(expected, next *leader) {
 	n.mutex.Lock()
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -40,6 +40,8 @@
 	// down tells that the store is not reached directly.
 	down     atomic.Bool
 	failures atomic.Int32
+	// regained is when the store was last reached again, in Unix nanoseconds.
+	regained atomic.Int64
 	// latency is a moving average of the answers to appends, in nanoseconds.
 	latency atomic.Int64
 }
@@ -48,6 +50,15 @@
 	return &relayedStore{direct: direct, node: n}
 }
 
+// reached returns for how long the store has answered this VM; it is negative while
+// it does not.
+func (s *relayedStore) reached(at time.Time) time.Duration {
+	if s.down.Load() {
+		return -1
+	}
+	return at.Sub(time.Unix(0, s.regained.Load()))
+}
+
 // kindOf returns the kind of an error of the store; errors of another type tell
 // nothing of what was done.
 func kindOf(err error) store.Kind { return fault.KindOr(err, store.KindUnknown) }
@@ -102,6 +113,7 @@
 		cancel()
 		if !unreachable(err) {
 			s.failures.Store(0)
+			s.regained.Store(now().UnixNano())
 			s.down.Store(false)
 			s.node.log.Info("store_regained")
 			return
