Keep advice flowing after an outage; claim at once when the store is back

One question that took longer than expected dropped the connection to its VM, which failed all others on it, and each of these VMs was left out for 2 s; the expected queue of a VM drifted from the true one. Now the VM gives a question up before its asker does, the queue is counted anew with each answer, and the pause is 0.6 s.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -23,8 +23,9 @@
 	questionOverlap = 15 * time.Millisecond
 	// askTimeout is added to the time that a question should take.
 	askTimeout = 400 * time.Millisecond
-	// adviserPause is how long a VM that failed to get advice is not asked.
-	adviserPause = 2 * time.Second
+	// adviserPause is how long a VM that failed to get advice is not asked: about
+	// the time that the questions take which it has left with the adviser.
+	adviserPause = 600 * time.Millisecond
 	// adviserShare is the largest share of the VMs that ask for one service, so
 	// that its slow questions do not hold up those of another.
 	adviserShare = 0.7
@@ -97,9 +98,11 @@
 }
 
 type openAsk struct {
-	step    *step
-	vm      string
-	lives   []backend.Life
+	step  *step
+	vm    string
+	lives []backend.Life
+	// cost is the time that the adviser takes for the question.
+	cost    time.Duration
 	sent    time.Time
 	expires time.Time
 }
@@ -213,7 +216,7 @@
 	v.open++
 	v.busyUntil = v.busyUntil.Add(cost)
 	st.advice.pending = true
-	a.open[a.number] = openAsk{step: st, vm: vm, lives: q.workers, sent: now, expires: now.Add(timeout + askTimeout)}
+	a.open[a.number] = openAsk{step: st, vm: vm, lives: q.workers, cost: cost, sent: now, expires: now.Add(timeout + askTimeout)}
 	ids := make([]string, len(q.workers))
 	for i, l := range q.workers {
 		ids[i] = l.ID
@@ -230,12 +233,7 @@
 	}
 	delete(s.advisers.open, number)
 	o.step.advice.pending = false
-	if vm := s.advisers.vms[o.vm]; vm != nil {
-		vm.open = max(vm.open-1, 0)
-		if failed {
-			vm.pauseUntil = now.Add(adviserPause)
-		}
-	}
+	s.advisers.settle(o.vm, failed, now)
 	s.planNeeded = true
 	if failed {
 		s.log.Info("advice_failed", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm)
@@ -255,6 +253,25 @@
 	s.log.Info("advice_received", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm, "asked", len(o.lives), "good", len(answer.Tickets), "took_ms", now.Sub(o.sent).Milliseconds())
 }
 
+// settle notes that a question has left a VM. The questions that are still there are
+// answered one after the other from now on.
+func (a *advisers) settle(name string, failed bool, now time.Time) {
+	v := a.vms[name]
+	if v == nil {
+		return
+	}
+	v.open, v.busyUntil = 0, now
+	for _, o := range a.open {
+		if o.vm == name {
+			v.open++
+			v.busyUntil = v.busyUntil.Add(o.cost)
+		}
+	}
+	if failed {
+		v.pauseUntil = now.Add(adviserPause)
+	}
+}
+
 func (s *Scheduler) expireAsks(now time.Time) {
 	for _, number := range slices.Sorted(maps.Keys(s.advisers.open)) {
 		if o := s.advisers.open[number]; now.After(o.expires) {
--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -171,7 +171,7 @@
 	}
 	v := candidacy{
 		epoch: c.Epoch, silence: silence, reached: e.node.store.reached(now()),
-		rank: e.rank(c.Epoch, c.Name), fitness: e.node.settings.Fitness,
+		rank: e.rank(c.Epoch, c.Name), fitness: e.node.settings.Fitness, isolated: e.isolated(),
 	}
 	if !v.due() {
 		return false
@@ -192,6 +192,8 @@
 	// reached is for how long the store has answered this VM; negative while it
 	// does not.
 	reached time.Duration
+	// isolated tells that most other VMs left calls without an answer lately.
+	isolated bool
 	// rank is the number of VMs that are to try first.
 	rank    int
 	fitness float64
@@ -204,27 +206,50 @@
 // for the time of a take-over.
 func (c candidacy) due() bool {
 	wait := leaderSilence
-	if c.epoch == 0 {
+	switch {
+	case c.epoch == 0:
 		wait = time.Duration(float64(firstWait) * (1 - min(c.fitness, 1)))
-	} else if c.reached < storeSettled {
+	case c.reached < 0, c.isolated && c.reached < storeSettled:
 		return false
 	}
 	return c.silence >= wait+time.Duration(c.rank)*rankPause
 }
 
-// othersHear reports whether another VM than the leader has heard it lately.
+// isolated reports whether most other VMs left calls without an answer lately.
+func (e *election) isolated() bool {
+	others := e.node.members.others()
+	silent := 0
+	for _, m := range others {
+		if e.node.client.Silent(m.Address) {
+			silent++
+		}
+	}
+	return 2*silent > len(others)
+}
+
+// othersHear reports whether another VM than the leader has heard it lately. It asks
+// those that answer; when these are a majority of all, the others are not waited
+// for.
 func (e *election) othersHear(ctx context.Context, c claim) bool {
 	others := slices.DeleteFunc(e.node.members.others(), func(m member) bool { return m.Name == c.Name })
 	heard := make(chan bool, len(others))
+	silent := 0
 	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	for _, m := range others {
+		if e.node.client.Silent(m.Address) {
+			silent++
+		}
 		go func() {
 			r, err := link.Call[Nothing, HeardReply](call, e.node.client, m.Address, "Heard", Nothing{})
 			heard <- err == nil && r.Epoch >= c.Epoch && r.Ago < leaderSilence
 		}()
 	}
-	for range others {
+	wait := len(others)
+	if 2*silent < wait {
+		wait -= silent
+	}
+	for range wait {
 		if <-heard {
 			return true
 		}
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -45,6 +45,9 @@
 	restoreTimeout = 12 * time.Second
 	// yieldAfter is how long a leader leads before it yields to a fitter VM.
 	yieldAfter = 3 * time.Second
+	// askMargin is how long another VM may take beyond the time of a question: the
+	// way there and back, and some load.
+	askMargin = 250 * time.Millisecond
 	// cancelSuffix marks the record that cancels a job.
 	cancelSuffix = "/cancel"
 	// jobPartitions spreads the jobs that entry VMs store: a partition takes one
@@ -229,9 +232,10 @@
 	}
 }
 
-// ask has an entry VM put a question to the adviser.
+// ask has an entry VM put a question to the adviser. The VM gives it up by itself in
+// time, so that the connection to it, which carries other questions, stays.
 func (l *leader) ask(a scheduler.Ask) {
-	ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
+	ctx, cancel := context.WithTimeout(l.ctx, a.Timeout+askMargin)
 	defer cancel()
 	var answer backend.Advice
 	var err error
