--- a/internal/cell/scheduler/prospect.go
+++ b/internal/cell/scheduler/prospect.go
@@ -13,14 +13,20 @@
 type prospect int
 
 const (
-	// onTime jobs can still complete when their caller wants them to.
-	onTime prospect = iota
+	// pressed jobs can complete when their caller wants them to, if they go now.
+	pressed prospect = iota
 	// late jobs are past that, and still of some worth.
 	late
+	// patient jobs can wait for a good part of their time and still be on time.
+	patient
 	// hopeless jobs are past the time in which a result has worth.
 	hopeless
 )
 
+// patientSlack is the share of a job's time that must be left over, if it went now,
+// for the job to be patient. Half leaves room for estimates that are twice too low.
+const patientSlack = 0.5
+
 // rank orders waiting jobs.
 type rank struct {
 	job      *job
@@ -30,11 +36,13 @@
 }
 
 // waitingOrder returns the active jobs with something to place or to ask, in the
-// order in which they go: first what can still be on time, then what is late, then
-// the rest; of these by priority, then by when the caller wants them completed.
+// order in which they go: first what has to go now to be on time, then what is late,
+// then what can wait, then the rest; of these by priority, then by when the caller
+// wants them completed.
 //
 // It answers a load above the capacity: in the order of due times alone, each job
-// waits until it is late, and all of them are.
+// waits until it is late, and all of them are. After an outage it lets the urgent jobs
+// that became late go before long ones that lose nothing by waiting.
 func (s *Scheduler) waitingOrder(now time.Time) []*job {
 	ranks := make([]rank, 0, len(s.active))
 	for _, j := range s.active {
@@ -68,13 +76,15 @@
 // prospectOf compares the work that is left of a job with the time it has.
 func (s *Scheduler) prospectOf(j *job, allowance time.Duration, now time.Time) prospect {
 	if j.spec.Repeat != nil || j.lasting() {
-		return onTime
+		return pressed
 	}
-	left := s.chainLeft(j)
-	switch end := now.Add(left); {
-	case !end.After(j.arrived.Add(allowance)):
-		return onTime
-	case !end.After(j.arrived.Add(queue.LateFactor * allowance)):
+	slack := j.arrived.Add(allowance).Sub(now.Add(s.chainLeft(j)))
+	switch {
+	case slack > time.Duration(patientSlack*float64(allowance)):
+		return patient
+	case slack >= 0:
+		return pressed
+	case slack >= -(queue.LateFactor-1)*allowance:
 		return late
 	}
 	return hopeless
