--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -29,6 +29,10 @@
 	// adviserShare is the largest share of the VMs that ask for one service, so
 	// that its slow questions do not hold up those of another.
 	adviserShare = 0.7
+	// slowQuestion is the length from which on a question holds a VM up for longer
+	// than urgent jobs can wait; at most slowShare of the VMs are busy with such.
+	slowQuestion = 300 * time.Millisecond
+	slowShare    = 0.5
 	// askedAhead bounds the steps without room that are asked about, for each
 	// service.
 	askedAhead = 6
@@ -142,8 +146,7 @@
 	}
 	idle := s.advisers.idle(now)
 	ahead := map[string]int{}
-	open := s.openByService()
-	most := max(int(adviserShare*float64(len(s.advisers.vms))), 1)
+	limits := s.newAskLimits()
 	for _, j := range order {
 		if len(idle) == 0 {
 			return
@@ -151,28 +154,53 @@
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				q := s.advisers.waiting[st]
-				if q == nil || len(idle) == 0 || open[q.Service] >= most || (st.open && !s.worthAsking(st, q, ahead)) {
+				if q == nil || len(idle) == 0 || !limits.allow(q) || (st.open && !s.worthAsking(st, q, ahead)) {
 					continue
 				}
 				if lives := s.toAsk(st, q, now); len(lives) > 0 {
 					s.ask(st, question{lives, q.Advice}, idle[0], now)
 					idle = s.advisers.idle(now)
-					open[q.Service]++
+					limits.add(q)
 				}
 			}
 		}
 	}
 }
 
-// openByService counts the questions on their way.
-func (s *Scheduler) openByService() map[string]int {
-	open := map[string]int{}
+// askLimits keep VMs free for the questions of other services and for short ones.
+//
+// They answer the end of an outage, when all jobs ask at once: without them the long
+// questions of a few large jobs keep every VM busy while hundreds of urgent jobs
+// wait for an answer that takes a thirtieth of the time.
+type askLimits struct {
+	// byService and slow count the questions on their way.
+	byService               map[string]int
+	slow                    int
+	mostByService, mostSlow int
+}
+
+func (s *Scheduler) newAskLimits() *askLimits {
+	vms := float64(len(s.advisers.vms))
+	l := &askLimits{byService: map[string]int{}, mostByService: max(int(adviserShare*vms), 1), mostSlow: max(int(slowShare*vms), 1)}
 	for _, o := range s.advisers.open {
 		if q := s.table.Queue(o.step.job.spec.Queue); q != nil {
-			open[q.Service]++
+			l.add(q)
 		}
 	}
-	return open
+	return l
+}
+
+func isSlow(q *queue.Queue) bool { return q.Advice != nil && q.Advice.Fixed >= slowQuestion }
+
+func (l *askLimits) allow(q *queue.Queue) bool {
+	return l.byService[q.Service] < l.mostByService && (!isSlow(q) || l.slow < l.mostSlow)
+}
+
+func (l *askLimits) add(q *queue.Queue) {
+	l.byService[q.Service]++
+	if isSlow(q) {
+		l.slow++
+	}
 }
 
 // worthAsking reports whether tickets could be used before they expire: there is
--- /dev/null
+++ b/internal/cell/scheduler/advice_test.go
@@ -0,0 +1,61 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+)
+
+// adviceTable has a queue whose questions are short and one whose are long.
+var adviceTable = &queue.Table{Version: 1, Queues: []queue.Queue{
+	{Name: "long", Service: "bench", Priority: 0, Stretch: 2, Objective: time.Second, Advice: &queue.AdviceCost{Fixed: 600 * time.Millisecond, Validity: 2 * time.Second}},
+	{Name: "short", Service: "desk", Priority: 1, Stretch: 2, Objective: time.Second, Advice: &queue.AdviceCost{Fixed: 20 * time.Millisecond, Validity: 2 * time.Second}},
+}}
+
+// askingScheduler returns a scheduler with workers of both services, on which every
+// worker has answered a hold.
+func askingScheduler(now time.Time, advisers int) *scheduler.Scheduler {
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, Right: 8 * time.Second, HoldWait: time.Second, Retention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(adviceTable)
+	names := make([]string, advisers)
+	for i := range names {
+		names[i] = fmt.Sprintf("vm-%d", i)
+	}
+	s.SetAdvisers(names)
+	var list []backend.Registration
+	for i := range 6 {
+		list = append(list, backend.Registration{Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1}, Service: []string{"bench", "desk"}[i%2], Capacity: workerSize})
+	}
+	s.SetWorkers(list, now)
+	for _, r := range list {
+		_, sent, _ := s.HoldRequest(r.Life, now)
+		s.HoldAnswered(r.Life, sent, &backend.Report{Life: r.Life, Clock: time.Second}, now)
+	}
+	return s
+}
+
+// After an outage all jobs ask at once, the long questions first.
+func TestLongQuestionsLeaveVMsForShortOnes(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := askingScheduler(now, 8)
+	for i := range 10 {
+		for _, queueName := range []string{"long", "short"} {
+			s.Submit(&work.Job{ID: fmt.Sprintf("%s-%d", queueName, i), Queue: queueName, Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: 10 * time.Second}}}, now)
+		}
+	}
+	s.Plan(now)
+	asks := map[string]int{}
+	for _, a := range s.Take().Asks {
+		asks[a.Step.Job[:4]]++
+	}
+	is.Equal(asks, map[string]int{"long": 4, "shor": 4})
+}
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// orderTimeout bounds an order; without an answer it is superseded.
-	orderTimeout = 500 * time.Millisecond
+	// orderTimeout bounds an order; without an answer it is superseded. Workers
+	// answer within some milliseconds; the rest is for a busy leader.
+	orderTimeout = 250 * time.Millisecond
 	// holdTimeout is added to the time that a worker may wait before it answers
 	// a hold.
-	holdTimeout = 600 * time.Millisecond
+	holdTimeout = 250 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 100 * time.Millisecond
 	// fencedPause is the pause after a hold that was refused for its token, in
