Send callers away from entry VMs that are cut off

The balancer uses the next domain when no VM of a domain is ready.

TestIsolatedVMRefusesAtOnce fails without it.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -117,6 +117,9 @@
 			e.node.log.Info("leader_heard", "leader", a.Leader, "epoch", a.Epoch)
 			e.node.deposed(a.Epoch)
 		}
+		if m, known := e.node.members.find(a.Leader); known && m.Domain != e.node.settings.Domain {
+			e.node.isolation.heard()
+		}
 		e.beatAt = now()
 		e.waitFrom = e.beatAt
 	}
--- /dev/null
+++ b/internal/node/entryvm/isolation.go
@@ -0,0 +1,91 @@
+package entryvm
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/peer/link"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+const (
+	// isolationPause is the pause between looks at the other failure domains, and
+	// isolationTimeout bounds one: many round trips between domains.
+	isolationPause   = 150 * time.Millisecond
+	isolationTimeout = 300 * time.Millisecond
+	// contactSilence is how long nothing from outside the domain must be heard
+	// before a look: more than a heartbeat interval.
+	contactSilence = heartbeatInterval + 200*time.Millisecond
+)
+
+// isolation finds out whether this VM reaches neither the store nor a VM of another
+// failure domain. It can then neither store jobs nor learn their states, while VMs of
+// other domains can: callers are better off there.
+type isolation struct {
+	node     *Node
+	isolated atomic.Bool
+	// contact is when the store or a VM of another domain was last heard, in Unix
+	// nanoseconds.
+	contact atomic.Int64
+}
+
+// heard notes that something outside the domain was heard.
+func (i *isolation) heard() { i.contact.Store(now().UnixNano()) }
+
+func (i *isolation) run(ctx context.Context) {
+	i.heard()
+	for pause(ctx, isolationPause) {
+		silent := now().Sub(time.Unix(0, i.contact.Load())) > contactSilence
+		isolated := silent && !i.reachesStore(ctx) && !i.reachesOthers(ctx)
+		if i.isolated.Swap(isolated) == isolated {
+			continue
+		}
+		i.node.log.Info("isolation_changed", "isolated", isolated)
+		if isolated {
+			i.node.writer.expireAll()
+		}
+	}
+}
+
+// reachesStore reports whether the store answers.
+func (i *isolation) reachesStore(ctx context.Context) bool {
+	if i.node.store.down.Load() {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, isolationTimeout)
+	defer cancel()
+	_, err := i.node.store.direct.Read(call, store.Read{Topic: store.Claims})
+	if unreachable(err) {
+		return false
+	}
+	i.heard()
+	return true
+}
+
+// reachesOthers reports whether a VM of another failure domain answers, or any VM
+// where there is one domain only. Without other VMs it is true.
+func (i *isolation) reachesOthers(ctx context.Context) bool {
+	others := i.node.members.others()
+	abroad := slices.DeleteFunc(slices.Clone(others), func(m member) bool { return m.Domain == i.node.settings.Domain })
+	if len(abroad) > 0 {
+		others = abroad
+	}
+	call, cancel := context.WithTimeout(ctx, isolationTimeout)
+	defer cancel()
+	answered := make(chan bool, len(others))
+	for _, m := range others {
+		go func() {
+			_, err := link.Call[Nothing, HeardReply](call, i.node.client, m.Address, "Heard", Nothing{})
+			answered <- err == nil
+		}()
+	}
+	for range others {
+		if <-answered {
+			i.heard()
+			return true
+		}
+	}
+	return len(others) == 0
+}
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -22,12 +22,23 @@
 // Submit stores a job. It returns KindNotStored only when the job is not stored
 // and never will be.
 func (n *Node) Submit(ctx context.Context, j *work.Job) error {
-	return n.writer.write(ctx, store.Record{Key: j.ID, Value: work.Encode(j)})
+	return n.write(ctx, store.Record{Key: j.ID, Value: work.Encode(j)})
 }
 
-// Cancel stores the cancellation of a job.
+// errIsolated refuses a record before anything was tried.
+var errIsolated = fault.Newf("store_job", KindNotStored, "neither the store nor another failure domain is reached")
+
+// Cancel stores the cancellation of a job, with the errors of Submit.
 func (n *Node) Cancel(ctx context.Context, id string) error {
-	return n.writer.write(ctx, store.Record{Key: id + cancelSuffix, Value: []byte{1}})
+	return n.write(ctx, store.Record{Key: id + cancelSuffix, Value: []byte{1}})
+}
+
+// write stores a record, unless nothing is reached to store it.
+func (n *Node) write(ctx context.Context, r store.Record) error {
+	if n.isolation.isolated.Load() {
+		return errIsolated
+	}
+	return n.writer.write(ctx, r)
 }
 
 // State returns the state of a job; known is false when there is no such job.
@@ -39,7 +50,7 @@
 		if err == nil && r.Leading && (r.Known || r.Fresh) {
 			return r.State, r.Known, nil
 		}
-		if !pause(ctx, leaderPause) {
+		if n.isolation.isolated.Load() || !pause(ctx, leaderPause) {
 			return "", false, fault.Newf("state", KindNoLeader, "no leader answers")
 		}
 	}
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -80,6 +80,8 @@
 	writer   *jobWriter
 	tables   *tables
 	election *election
+	// isolation tells whether callers are better off at other VMs.
+	isolation *isolation
 
 	mutex sync.Mutex
 	// lead is nil unless this VM leads.
@@ -102,6 +104,7 @@
 	n.tables = newTables(n)
 	n.writer = newJobWriter(n)
 	n.election = newElection(n)
+	n.isolation = &isolation{node: n}
 	go func() {
 		if err := link.Serve(l, serviceName, &handler{n}); err != nil {
 			log.Error(err, "peer_server_failed")
@@ -111,6 +114,7 @@
 	go n.writer.run(ctx)
 	go n.tables.run(ctx)
 	go n.election.run(ctx)
+	go n.isolation.run(ctx)
 	log.Info("started", "domain", s.Domain, "peer_address", s.Peers.String())
 	return n, nil
 }
@@ -122,7 +126,7 @@
 func (n *Node) Ready() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return !n.leaving && n.tables.current() != nil
+	return !n.leaving && !n.isolation.isolated.Load() && n.tables.current() != nil
 }
 
 // Drain begins a planned stop: the leader hands the cell over.
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -347,3 +347,31 @@
 	f.await(f.nodes[1-first], "job", work.Completed)
 	f.is.Equal(f.fleet.Starts(firstTask("job")), 1)
 }
+
+// A VM that reaches neither the store nor another failure domain sends callers away
+// at once.
+func TestIsolatedVMRefusesAtOnce(t *testing.T) {
+	f := newFixture(t, 2, 50*time.Millisecond)
+	f.is.NoErr(f.submit(f.nodes[0], "before"))
+	f.await(f.nodes[0], "before", work.Completed)
+	f.nodes[1].Close()
+	f.links[0].Refuse(true)
+	waiting := make(chan error, 1)
+	go func() { waiting <- f.submit(f.nodes[0], "meanwhile") }()
+	for end := time.Now().Add(patience); f.nodes[0].Ready() && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.is.True(!f.nodes[0].Ready())
+	begun := time.Now()
+	f.is.True(<-waiting != nil)
+	err := f.submit(f.nodes[0], "during")
+	f.is.Equal(fault.KindOf[entryvm.Kind](err), entryvm.KindNotStored)
+	f.is.True(time.Since(begun) < 200*time.Millisecond)
+	f.links[0].Refuse(false)
+	for end := time.Now().Add(patience); !f.nodes[0].Ready() && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.is.True(f.nodes[0].Ready())
+	f.is.NoErr(f.submit(f.nodes[0], "after"))
+	f.await(f.nodes[0], "after", work.Completed)
+}
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -89,6 +89,7 @@
 	}
 	s.node.measures.Observe(measure.Key{Name: "store_append", Of: string(kindOrStored(err))}, took)
 	if !unreachable(err) {
+		s.node.isolation.heard()
 		s.failures.Store(0)
 		s.latency.Store((s.latency.Load() + int64(took)) / 2)
 		return
--- a/internal/node/entryvm/writer.go
+++ b/internal/node/entryvm/writer.go
@@ -109,6 +109,16 @@
 	return fault.Newf("store_job", KindNotStored, "the store takes nothing")
 }
 
+// expireAll answers the callers of all records for which nothing can be done here.
+func (w *jobWriter) expireAll() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, v := range w.waiting {
+		close(v.expired)
+	}
+	w.waiting = nil
+}
+
 func (w *jobWriter) run(ctx context.Context) {
 	for {
 		select {
--- a/internal/peer/link/client.go
+++ b/internal/peer/link/client.go
@@ -146,17 +146,30 @@
 }
 
 // Serve answers calls to the exported methods of a receiver until the listener
-// is closed.
+// is closed. It closes its connections then.
 func Serve(l net.Listener, service string, receiver any) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(service, receiver); err != nil {
 		return fault.New("register", KindFailed, err)
 	}
+	done := make(chan struct{})
+	defer close(done)
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return nil //nolint:nilerr // The listener was closed.
 		}
-		go server.ServeConn(conn)
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			server.ServeConn(conn)
+		}()
+		go func() {
+			select {
+			case <-done:
+				_ = conn.Close()
+			case <-served:
+			}
+		}()
 	}
 }
