Tell lost partitions from a lost store

A VM now looks at several partitions before it calls the store lost, and goes on writing to those that answer. Still bound to one partition: claims and progress, so nothing starts while that is away.

TestPartOfTheStoreAway fails without the change.

--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -120,6 +120,8 @@
 	mutex sync.Mutex
 	// refuse answers every call with an error that means that nothing was done.
 	refuse bool
+	// refused holds partitions that answer no call, of every topic.
+	refused map[int]bool
 	// lose is how many answers to appends are lost from now on.
 	lose int
 	// delays hold the appends to a topic up on their way.
@@ -127,7 +129,9 @@
 }
 
 // NewLink returns a way without faults.
-func NewLink(s *Store) *Link { return &Link{Store: s, delays: map[store.Topic]time.Duration{}} }
+func NewLink(s *Store) *Link {
+	return &Link{Store: s, delays: map[store.Topic]time.Duration{}, refused: map[int]bool{}}
+}
 
 // Delay holds the appends of this VM to a topic up on their way.
 func (l *Link) Delay(t store.Topic, d time.Duration) {
@@ -143,6 +147,14 @@
 	l.refuse = on
 }
 
+// RefusePartition makes a partition of every topic refuse all calls of this VM, or
+// none.
+func (l *Link) RefusePartition(part int, on bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.refused[part] = on
+}
+
 // Lose loses the answers to the next appends, which are carried out.
 func (l *Link) Lose(n int) {
 	l.mutex.Lock()
@@ -150,10 +162,10 @@
 	l.lose = n
 }
 
-func (l *Link) check(operation string) error {
+func (l *Link) check(operation string, part int) error {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.refuse {
+	if l.refuse || l.refused[part] {
 		return fault.Newf(operation, store.KindRefused, "the store is away")
 	}
 	return nil
@@ -161,7 +173,7 @@
 
 // Append implements store.Store.
 func (l *Link) Append(ctx context.Context, a store.Append) (int64, error) {
-	if err := l.check("append"); err != nil {
+	if err := l.check("append", a.Part); err != nil {
 		return 0, err
 	}
 	l.mutex.Lock()
@@ -186,7 +198,7 @@
 func (l *Link) Read(ctx context.Context, r store.Read) (store.Batch, error) {
 	deadline := time.Now().Add(r.Wait)
 	for {
-		if err := l.check("read"); err != nil {
+		if err := l.check("read", r.Part); err != nil {
 			return store.Batch{}, err
 		}
 		batch, changed, err := l.Store.read(r)
@@ -205,7 +217,7 @@
 
 // Newest implements store.Store.
 func (l *Link) Newest(_ context.Context, t store.Topic, part int) (store.Snapshot, error) {
-	if err := l.check("newest"); err != nil {
+	if err := l.check("newest", part); err != nil {
 		return store.Snapshot{}, err
 	}
 	l.Store.mutex.Lock()
--- a/internal/node/entryvm/isolation.go
+++ b/internal/node/entryvm/isolation.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/peer/link"
-	"github.com/almondpost/almondpost/internal/peer/store"
 )
 
 const (
@@ -38,7 +37,7 @@
 	i.heard()
 	for pause(ctx, isolationPause) {
 		silent := now().Sub(time.Unix(0, i.contact.Load())) > contactSilence
-		isolated := silent && !i.reachesStore(ctx) && !i.reachesOthers(ctx)
+		isolated := silent && !i.reachesStore() && !i.reachesOthers(ctx)
 		if i.isolated.Swap(isolated) == isolated {
 			continue
 		}
@@ -50,14 +49,11 @@
 }
 
 // reachesStore reports whether the store answers.
-func (i *isolation) reachesStore(ctx context.Context) bool {
+func (i *isolation) reachesStore() bool {
 	if i.node.store.down.Load() {
 		return false
 	}
-	call, cancel := context.WithTimeout(ctx, isolationTimeout)
-	defer cancel()
-	_, err := i.node.store.direct.Read(call, store.Read{Topic: store.Claims})
-	if unreachable(err) {
+	if !i.node.store.answers(isolationTimeout) {
 		return false
 	}
 	i.heard()
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
@@ -375,3 +378,42 @@
 	f.is.NoErr(f.submit(f.nodes[0], "after"))
 	f.await(f.nodes[0], "after", work.Completed)
 }
+
+// Some partitions of the store are away for all VMs, among them the first of each
+// topic and those to which the VMs write first; jobs go to the one that is left.
+func TestPartOfTheStoreAway(t *testing.T) {
+	f := newFixture(t, 2, 50*time.Millisecond)
+	f.is.NoErr(f.submit(f.nodes[0], "before"))
+	f.await(f.nodes[0], "before", work.Completed)
+	away := []int{0, 1, 2, 3}
+	for _, part := range away {
+		first := part == 0
+		for i := range f.nodes {
+			first = first || int(xxhash.Sum64String(fmt.Sprintf("vm-%d", i))%4) == part
+		}
+		if !first {
+			away = slices.Delete(away, part, part+1)
+			break
+		}
+	}
+	for _, l := range f.links {
+		for _, part := range away {
+			l.RefusePartition(part, true)
+		}
+	}
+	var g errgroup.Group
+	begun := time.Now()
+	for i := range 8 {
+		g.Go(func() error { return f.submit(f.nodes[i%2], fmt.Sprintf("job-%d", i)) })
+	}
+	f.is.NoErr(g.Wait())
+	f.is.True(time.Since(begun) < time.Second)
+	for _, l := range f.links {
+		for _, part := range away {
+			l.RefusePartition(part, false)
+		}
+	}
+	for i := range 8 {
+		f.await(f.nodes[0], fmt.Sprintf("job-%d", i), work.Completed)
+	}
+}
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -23,6 +23,8 @@
 	relayTimeout = 800 * time.Millisecond
 	// probeInterval is the pause between tries to reach the store directly.
 	probeInterval = 300 * time.Millisecond
+	// verifyTimeout bounds the look at other partitions after a failure.
+	verifyTimeout = 300 * time.Millisecond
 	// failuresUntilDown is how many direct calls in a row must have no answer
 	// before calls go through other VMs; one alone may be a lost answer.
 	failuresUntilDown = 2
@@ -38,8 +40,10 @@
 	direct store.Store
 	node   *Node
 	// down tells that the store is not reached directly.
-	down     atomic.Bool
-	failures atomic.Int32
+	down atomic.Bool
+	// verifying tells that a look at other partitions is on its way.
+	verifying atomic.Bool
+	failures  atomic.Int32
 	// regained is when the store was last reached again, in Unix nanoseconds.
 	regained atomic.Int64
 	// latency is a moving average of the answers to appends, in nanoseconds.
@@ -100,19 +104,48 @@
 	if s.failures.Add(1) < failuresUntilDown && kindOf(err) == store.KindUnknown {
 		return
 	}
-	if !s.down.Swap(true) {
-		s.node.log.Info("store_lost", "error", err.Error())
-		go s.probe()
+	if !s.down.Load() && s.verifying.CompareAndSwap(false, true) {
+		go s.verify(err)
 	}
 }
 
+// verify finds out whether the whole store is lost to this VM, or some of its
+// partitions only. Those that fail can not be reached through other VMs either.
+func (s *relayedStore) verify(cause error) {
+	defer s.verifying.Store(false)
+	if s.answers(verifyTimeout) {
+		s.failures.Store(0)
+		s.node.log.Info("store_partly_lost", "error", cause.Error())
+		return
+	}
+	s.down.Store(true)
+	s.node.log.Info("store_lost", "error", cause.Error())
+	go s.probe()
+}
+
+// answers reports whether a partition of the store answers this VM in time.
+func (s *relayedStore) answers(within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(s.node.run, within)
+	defer cancel()
+	answered := make(chan bool, jobPartitions)
+	for part := range jobPartitions {
+		go func() {
+			_, err := s.direct.Read(ctx, store.Read{Topic: store.Claims, Part: part})
+			answered <- !unreachable(err)
+		}()
+	}
+	for range jobPartitions {
+		if <-answered {
+			return true
+		}
+	}
+	return false
+}
+
 // probe waits until the store is reached directly.
 func (s *relayedStore) probe() {
 	for pause(s.node.run, probeInterval) {
-		ctx, cancel := context.WithTimeout(s.node.run, mostPatience)
-		_, err := s.direct.Read(ctx, store.Read{Topic: store.Claims})
-		cancel()
-		if !unreachable(err) {
+		if s.answers(mostPatience) {
 			s.failures.Store(0)
 			s.regained.Store(now().UnixNano())
 			s.down.Store(false)
