Fill reserved workers with tasks that end in time; reserve for eight steps

Tasks that should end before the reservation begins now run there, and eight steps keep workers.

TestShortTasksFillTheRoomBeforeAReservation fails without the change.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -20,7 +20,7 @@
 // choose returns the best worker for a task, or nil. racks counts the members of
 // its gang that have a place.
 func (s *Scheduler) choose(st *step, q *queue.Queue, t *task, reserved *reservations, racks map[string]int, now time.Time) *worker {
-	c := choice{scheduler: s, task: t, reserved: reserved, racks: racks, room: st.spec.Room()}
+	c := choice{scheduler: s, task: t, reserved: reserved, racks: racks, room: st.spec.Room(), until: now.Add(s.runTimes.expectLasting(st))}
 	if q.Advice == nil {
 		for _, w := range s.poolOf(q.Service).ready {
 			c.consider(w)
@@ -43,14 +43,16 @@
 	reserved  *reservations
 	racks     map[string]int
 	room      resource.Vector
-	best      *worker
-	score     float64
+	// until is when the task should end.
+	until time.Time
+	best  *worker
+	score float64
 }
 
 // consider takes a worker if it is better than the best so far.
 func (c *choice) consider(w *worker) {
 	st := c.task.step
-	if !c.room.Fits(w.free()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocks(w, st.job) || !keepsApart(w, st) {
+	if !c.room.Fits(w.free()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocks(w, st.job, c.until) || !keepsApart(w, st) {
 		return
 	}
 	score := c.scheduler.score(w, st, c.task, c.racks)
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -11,22 +11,31 @@
 // reservations keep workers for large tasks that would otherwise wait for ever
 // while smaller ones take each piece of room.
 type reservations struct {
-	owner map[*worker]*job
-	steps int
+	byWorker map[*worker]reservation
+	steps    int
+}
+
+// reservation keeps a worker for a job from a time on.
+type reservation struct {
+	job *job
+	// from is when the worker should have room for the job.
+	from time.Time
 }
 
 const (
 	// mostReservations bounds the steps for which workers are kept at a time.
-	mostReservations = 4
+	mostReservations = 8
 	// largeFraction is the share of a worker from which on a task is large.
 	largeFraction = 0.45
 )
 
-func newReservations() *reservations { return &reservations{owner: map[*worker]*job{}} }
+func newReservations() *reservations { return &reservations{byWorker: map[*worker]reservation{}} }
 
-func (r *reservations) blocks(w *worker, j *job) bool {
-	owner := r.owner[w]
-	return owner != nil && owner != j
+// blocks reports whether a worker is kept from a job whose task would run until a
+// time. Tasks that end before the reservation begins fill the room until then.
+func (r *reservations) blocks(w *worker, j *job, until time.Time) bool {
+	v, ok := r.byWorker[w]
+	return ok && v.job != j && until.After(v.from)
 }
 
 // reserve keeps the workers that will have room for the tasks of a step first.
@@ -45,7 +54,7 @@
 	var candidates []candidate
 	places := 0
 	for _, w := range s.candidates(st, q.Service) {
-		if r.blocks(w, st.job) || !keepsApart(w, st) {
+		if v, reserved := r.byWorker[w]; (reserved && v.job != st.job) || !keepsApart(w, st) {
 			continue
 		}
 		if _, good := st.advice.tickets[w.registration.Life]; q.Advice != nil && !good {
@@ -69,7 +78,7 @@
 		}
 	}
 	for _, c := range candidates[:min(need, len(candidates))] {
-		r.owner[c.worker] = st.job
+		r.byWorker[c.worker] = reservation{job: st.job, from: now.Add(c.wait)}
 	}
 	r.steps++
 }
--- a/internal/cell/scheduler/runtime.go
+++ b/internal/cell/scheduler/runtime.go
@@ -39,6 +39,14 @@
 	return time.Duration(ratio * float64(st.spec.Estimate))
 }
 
+// expectLasting is expect for tasks that may have no end.
+func (r *runTimes) expectLasting(st *step) time.Duration {
+	if st.spec.Lasting {
+		return lastingHorizon
+	}
+	return r.expect(st)
+}
+
 // remaining returns the expected time until a task on a worker ends.
 func (r *runTimes) remaining(t *task, now time.Time) time.Duration {
 	if t.step.spec.Lasting {
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -427,3 +427,30 @@
 		is.Equal(state, work.Completed)
 	}
 }
+
+// A large task waits for a worker; short tasks use the room there until then, and
+// long ones do not delay it.
+func TestShortTasksFillTheRoomBeforeAReservation(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, faults{})
+	w.addWorkers(1, workerSize)
+	w.elect()
+	half := resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 1000}
+	whole := resource.Vector{Milliprocessors: 8000, MemoryMebibytes: 1000}
+	one := func(id, queueName string, size resource.Vector, estimate, runTime time.Duration) {
+		w.submit(&work.Job{ID: id, Queue: queueName, Steps: []work.Step{{Count: 1, Size: size, Estimate: estimate, Image: id}}}, fleet.Demand{RunTime: runTime})
+	}
+	one("running", "urgent", half, 5*time.Second, 5*time.Second)
+	w.run(500 * time.Millisecond)
+	one("large", "urgent", whole, 10*time.Second, time.Second)
+	w.run(200 * time.Millisecond)
+	one("short", "batch", half, 2*time.Second, 2*time.Second)
+	w.run(2500 * time.Millisecond)
+	one("long", "batch", half, 20*time.Second, 20*time.Second)
+	state := func(id string) work.State { s, _ := w.leaders[0].state.Status(id); return s }
+	is.Equal(state("short"), work.Completed)
+	is.Equal(state("large"), work.Queued)
+	w.run(3500 * time.Millisecond)
+	is.Equal(state("large"), work.Completed) // "long" did not start before it.
+	is.Equal(w.problems, nil)
+}
--- a/internal/cell/scheduler/world_test.go
+++ b/internal/cell/scheduler/world_test.go
@@ -83,6 +83,7 @@
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), faults: f,
 		table: &queue.Table{Version: 1, Queues: []queue.Queue{
 			{Name: "urgent", Service: "desk", Priority: 0, MaxAttempts: 4, Stretch: 1.5, Objective: 250 * time.Millisecond},
+			{Name: "batch", Service: "desk", Priority: 3, MaxAttempts: 4, Stretch: 4, Objective: 3 * time.Second},
 			{Name: "advised", Service: "desk", Priority: 2, Stretch: 4, Objective: 3 * time.Second, Advice: &queue.AdviceCost{Fixed: 50 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}},
 		}},
 		workers: map[backend.Life]*fleet.Worker{}, cut: map[backend.Life]bool{}, stored: map[string]*work.Progress{},
