--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -87,7 +87,7 @@
 		s.breakGang(t, now)
 		return
 	}
-	t.phase, t.token, t.begun, t.progressed = phaseOrdered, w.token, now, now
+	t.phase, t.token, t.begun = phaseOrdered, w.token, now
 	w.extend(begun, s.timing)
 	if j := t.step.job; !j.ordered {
 		j.ordered = true
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -96,8 +96,6 @@
 	figure     int64
 	pace       int
 	begun      time.Time
-	// progressed is when percent last rose.
-	progressed time.Time
 	// avoid is the worker on which the task failed last.
 	avoid     string
 	notBefore time.Time
@@ -114,14 +112,12 @@
 		return
 	}
 	j := s.add(spec, now)
-	defer func() {
-		if _, ok := s.cancelledEarly[spec.ID]; ok {
-			delete(s.cancelledEarly, spec.ID)
-			s.Cancel(spec.ID, now)
-		}
-	}()
 	s.log.Info("job_received", "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "age_ms", now.Sub(j.arrived).Milliseconds())
 	s.openDue(now)
+	if _, cancelled := s.cancelledEarly[spec.ID]; cancelled {
+		delete(s.cancelledEarly, spec.ID)
+		s.Cancel(spec.ID, now)
+	}
 }
 
 // maxAge bounds the age of a job that clocks of two VMs give, since clocks jump.
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -160,7 +160,7 @@
 	j := t.step.job
 	t.run++
 	t.phase, t.worker, t.token, t.settled, t.inCommit = phaseRecorded, w, 0, false, false
-	t.begun, t.progressed = now, now
+	t.begun = now
 	w.add(t)
 	j.waiting--
 	j.running++
--- a/internal/cell/scheduler/pool.go
+++ b/internal/cell/scheduler/pool.go
@@ -12,8 +12,8 @@
 	workers []*worker
 	// ready holds those that can take a start, as of the beginning of a plan.
 	ready []*worker
-	// largest is the largest capacity of each resource.
-	largest resource.Vector
+	// largest and smallest are the extreme capacities of each resource.
+	largest, smallest resource.Vector
 	// free is at least the room that any worker has, of each resource. It is
 	// computed at the start of a plan; room only shrinks while one is made.
 	free resource.Vector
@@ -40,11 +40,12 @@
 		}
 		p := s.pools[w.registration.Service]
 		if p == nil {
-			p = &pool{}
+			p = &pool{smallest: w.registration.Capacity}
 			s.pools[w.registration.Service] = p
 		}
 		p.workers = append(p.workers, w)
 		p.largest = p.largest.Max(w.registration.Capacity)
+		p.smallest = p.smallest.Min(w.registration.Capacity)
 	}
 }
 
@@ -64,23 +65,8 @@
 // candidates returns the workers of a service that could run tasks of a step.
 func (s *Scheduler) candidates(st *step, service string) []*worker {
 	p := s.poolOf(service)
-	if st.spec.Label == "" && st.spec.Room().Fits(smallest(p.workers)) {
+	if st.spec.Label == "" && st.spec.Room().Fits(p.smallest) {
 		return p.workers
 	}
 	return slices.DeleteFunc(slices.Clone(p.workers), func(w *worker) bool { return !usable(w, st) })
 }
-
-// smallest returns the smallest capacity of each resource.
-func smallest(workers []*worker) resource.Vector {
-	if len(workers) == 0 {
-		return resource.Vector{}
-	}
-	least := workers[0].registration.Capacity
-	for _, w := range workers[1:] {
-		c := w.registration.Capacity
-		least.Milliprocessors = min(least.Milliprocessors, c.Milliprocessors)
-		least.MemoryMebibytes = min(least.MemoryMebibytes, c.MemoryMebibytes)
-		least.Accelerators = min(least.Accelerators, c.Accelerators)
-	}
-	return least
-}
--- a/internal/cell/scheduler/report.go
+++ b/internal/cell/scheduler/report.go
@@ -122,9 +122,6 @@
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
-	if r.Percent > t.percent {
-		t.progressed = now
-	}
 	t.percent, t.figure = r.Percent, r.Figure
 	switch t.phase {
 	case phaseOrdered:
--- a/internal/node/entryvm/isolation.go
+++ b/internal/node/entryvm/isolation.go
@@ -53,7 +53,7 @@
 	if i.node.store.down.Load() {
 		return false
 	}
-	if !i.node.store.answers(isolationTimeout) {
+	if !i.node.store.answers(isolationTimeout, verifiedParts[:]...) {
 		return false
 	}
 	i.heard()
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -43,51 +43,41 @@
 
 // State returns the state of a job; known is false when there is no such job.
 func (n *Node) State(ctx context.Context, id string) (state work.State, known bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, leaderWait)
-	defer cancel()
-	for {
-		r, err := n.askLeader(ctx, id)
-		if err == nil && r.Leading && (r.Known || r.Fresh) {
-			return r.State, r.Known, nil
-		}
-		if n.isolation.isolated.Load() || !pause(ctx, leaderPause) {
-			return "", false, fault.Newf("state", KindNoLeader, "no leader answers")
-		}
-	}
-}
-
-func (n *Node) askLeader(ctx context.Context, id string) (StateReply, error) {
-	if l := n.leading(); l != nil {
-		return l.status(id), nil
-	}
-	c, ok := n.election.leader()
-	if !ok {
-		return StateReply{}, nil
-	}
-	call, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
-	return link.Call[JobArgs, StateReply](call, n.client, c.Address, "State", JobArgs{ID: id})
+	r, err := askLeader(ctx, n, "State", JobArgs{ID: id},
+		func(l *leader) StateReply { return l.status(id) },
+		func(r StateReply) bool { return r.Leading && (r.Known || r.Fresh) })
+	return r.State, r.Known, err
 }
 
 // Pending counts the jobs of a queue that have not started.
 func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	r, err := askLeader(ctx, n, "Pending", PendingArgs{Queue: queue},
+		func(l *leader) PendingReply { return l.pending(queue) },
+		func(r PendingReply) bool { return r.Leading })
+	return r.Pending, err
+}
+
+// askLeader puts a question to the leader until the answer is good, which takes a
+// while where another VM takes over. local answers it where this VM leads.
+func askLeader[Args, Reply any](ctx context.Context, n *Node, method string, args Args, local func(*leader) Reply, good func(Reply) bool) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
 	for {
 		if l := n.leading(); l != nil {
-			if count, ok := l.pending(queue); ok {
-				return count, nil
+			if r := local(l); good(r) {
+				return r, nil
 			}
 		} else if c, ok := n.election.leader(); ok {
 			call, cancel := context.WithTimeout(ctx, stateTimeout)
-			r, err := link.Call[PendingArgs, PendingReply](call, n.client, c.Address, "Pending", PendingArgs{Queue: queue})
+			r, err := link.Call[Args, Reply](call, n.client, c.Address, method, args)
 			cancel()
-			if err == nil && r.Leading {
-				return r.Pending, nil
+			if err == nil && good(r) {
+				return r, nil
 			}
 		}
-		if !pause(ctx, leaderPause) {
-			return 0, fault.Newf("pending", KindNoLeader, "no leader answers")
+		if n.isolation.isolated.Load() || !pause(ctx, leaderPause) {
+			var none Reply
+			return none, fault.Newf("ask_leader", KindNoLeader, "no leader answers")
 		}
 	}
 }
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -264,8 +264,8 @@
 }
 
 // pending counts the jobs of a queue that have not started.
-func (l *leader) pending(queue string) (int, bool) {
+func (l *leader) pending(queue string) PendingReply {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.state.Pending(queue), l.serving && l.ctx.Err() == nil
+	return PendingReply{Leading: l.serving && l.ctx.Err() == nil, Pending: l.state.Pending(queue)}
 }
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -137,7 +137,7 @@
 // Pending counts the jobs of a queue that have not started.
 func (h *handler) Pending(a PendingArgs, r *PendingReply) error {
 	if l := h.node.leading(); l != nil {
-		r.Pending, r.Leading = l.pending(a.Queue)
+		*r = l.pending(a.Queue)
 	}
 	return nil
 }
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -34,6 +34,9 @@
 	relayTries = 2
 )
 
+// verifiedParts are looked at before the store is called lost.
+var verifiedParts = [jobPartitions]int{0, 1, 2, 3}
+
 // relayedStore reaches the store, through other entry VMs while this one can
 // not.
 type relayedStore struct {
@@ -113,7 +116,7 @@
 // partitions only. Those that fail can not be reached through other VMs either.
 func (s *relayedStore) verify(cause error) {
 	defer s.verifying.Store(false)
-	if s.answers(verifyTimeout) {
+	if s.answers(verifyTimeout, verifiedParts[:]...) {
 		s.failures.Store(0)
 		s.node.log.Info("store_partly_lost", "error", cause.Error())
 		return
@@ -123,18 +126,19 @@
 	go s.probe()
 }
 
-// answers reports whether a partition of the store answers this VM in time.
-func (s *relayedStore) answers(within time.Duration) bool {
+// answers reports whether one of several partitions of the store answers this VM in
+// time.
+func (s *relayedStore) answers(within time.Duration, parts ...int) bool {
 	ctx, cancel := context.WithTimeout(s.node.run, within)
 	defer cancel()
-	answered := make(chan bool, jobPartitions)
-	for part := range jobPartitions {
+	answered := make(chan bool, len(parts))
+	for _, part := range parts {
 		go func() {
 			_, err := s.direct.Read(ctx, store.Read{Topic: store.Claims, Part: part})
 			answered <- !unreachable(err)
 		}()
 	}
-	for range jobPartitions {
+	for range parts {
 		if <-answered {
 			return true
 		}
@@ -142,10 +146,11 @@
 	return false
 }
 
-// probe waits until the store is reached directly.
+// probe waits until the store is reached directly; it asks one partition after the
+// other.
 func (s *relayedStore) probe() {
-	for pause(s.node.run, probeInterval) {
-		if s.answers(mostPatience) {
+	for part := 0; pause(s.node.run, probeInterval); part = (part + 1) % jobPartitions {
+		if s.answers(mostPatience, part) {
 			s.failures.Store(0)
 			s.regained.Store(now().UnixNano())
 			s.down.Store(false)
--- a/internal/state/resource/vector.go
+++ b/internal/state/resource/vector.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// Min returns the smaller amount of each kind.
+func (v Vector) Min(o Vector) Vector {
+	return Vector{
+		min(v.Milliprocessors, o.Milliprocessors),
+		min(v.MemoryMebibytes, o.MemoryMebibytes),
+		min(v.Accelerators, o.Accelerators),
+		min(v.Slots, o.Slots),
+		min(v.Connections, o.Connections),
+	}
+}
+
 // DominantFraction returns the largest fraction of total that v takes in any
 // kind. A kind that total lacks is skipped unless v asks for it, which yields
 // a fraction above every real one.
