Wait for a slow store instead of repeating appends

After the usual time a read now tells a slow store from a lost answer: the append may take six times as long as the read.

TestSlowStore fails without the change.

--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -124,8 +124,9 @@
 	refused map[int]bool
 	// lose is how many answers to appends are lost from now on.
 	lose int
-	// delays hold the appends to a topic up on their way.
+	// delays hold the appends to a topic up on their way, and slow all calls.
 	delays map[store.Topic]time.Duration
+	slow   time.Duration
 }
 
 // NewLink returns a way without faults.
@@ -155,6 +156,13 @@
 	l.refused[part] = on
 }
 
+// Slow makes all calls of this VM take a time.
+func (l *Link) Slow(d time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.slow = d
+}
+
 // Lose loses the answers to the next appends, which are carried out.
 func (l *Link) Lose(n int) {
 	l.mutex.Lock()
@@ -163,6 +171,10 @@
 }
 
 func (l *Link) check(operation string, part int) error {
+	l.mutex.Lock()
+	slow := l.slow
+	l.mutex.Unlock()
+	time.Sleep(slow)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.refuse || l.refused[part] {
@@ -171,27 +183,45 @@
 	return nil
 }
 
-// Append implements store.Store.
+// Append implements store.Store. An append that the caller gives up is carried out
+// all the same.
 func (l *Link) Append(ctx context.Context, a store.Append) (int64, error) {
-	if err := l.check("append", a.Part); err != nil {
-		return 0, err
+	var end int64
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err = l.check("append", a.Part); err != nil {
+			return
+		}
+		l.mutex.Lock()
+		delay := l.delays[a.Topic]
+		l.mutex.Unlock()
+		time.Sleep(delay)
+		end, err = l.Store.Append(a)
+		if l.loses() {
+			<-ctx.Done()
+		}
+	}()
+	select {
+	case <-done:
+		if ctx.Err() == nil {
+			return end, err
+		}
+	case <-ctx.Done():
 	}
+	return 0, fault.New("append", store.KindUnknown, ctx.Err())
+}
+
+// loses reports whether the answer to an append is to be lost.
+func (l *Link) loses() bool {
 	l.mutex.Lock()
-	delay := l.delays[a.Topic]
-	l.mutex.Unlock()
-	time.Sleep(delay)
-	end, err := l.Store.Append(a)
-	l.mutex.Lock()
-	lost := l.lose > 0
-	if lost {
-		l.lose--
-	}
-	l.mutex.Unlock()
-	if lost {
-		<-ctx.Done()
-		return 0, fault.New("append", store.KindUnknown, ctx.Err())
+	defer l.mutex.Unlock()
+	if l.lose == 0 {
+		return false
 	}
-	return end, err
+	l.lose--
+	return true
 }
 
 // Read implements store.Store.
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -417,3 +417,27 @@
 		f.await(f.nodes[0], fmt.Sprintf("job-%d", i), work.Completed)
 	}
 }
+
+// The store answers slowly; nothing is sent twice, which would make it slower.
+func TestSlowStore(t *testing.T) {
+	f := newFixture(t, 2, 50*time.Millisecond)
+	f.is.NoErr(f.submit(f.nodes[0], "before"))
+	f.await(f.nodes[0], "before", work.Completed)
+	for _, l := range f.links {
+		l.Slow(350 * time.Millisecond)
+	}
+	for i := range 4 {
+		begun := time.Now()
+		f.is.NoErr(f.submit(f.nodes[i%2], fmt.Sprintf("job-%d", i)))
+		f.is.True(time.Since(begun) < time.Second)
+	}
+	copies := 0
+	for part := range 4 {
+		for _, r := range f.store.Records(store.Jobs, part) {
+			if len(r.Value) > 0 && r.Key != "before" {
+				copies++
+			}
+		}
+	}
+	f.is.Equal(copies, 4)
+}
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -14,11 +14,15 @@
 )
 
 const (
-	// leastPatience and mostPatience bound the time that a direct append gets;
-	// in between it follows the store's answers, times patienceFactor.
+	// leastPatience is the time after which a direct append is looked into; it
+	// follows the store's answers, times patienceFactor, up to mostPatience, which
+	// bounds every append: callers wait three seconds.
 	leastPatience  = 200 * time.Millisecond
-	mostPatience   = 1500 * time.Millisecond
+	mostPatience   = 2 * time.Second
 	patienceFactor = 5
+	// slowFactor times the time of a read is how long an append may take: it waits
+	// for those before it in its partition.
+	slowFactor = 6
 	// relayTimeout bounds a call through another VM.
 	relayTimeout = 800 * time.Millisecond
 	// probeInterval is the pause between tries to reach the store directly.
@@ -164,10 +168,8 @@
 // not repeated here; the caller knows whether that is safe.
 func (s *relayedStore) Append(ctx context.Context, a store.Append) (int64, error) {
 	if !s.down.Load() {
-		call, cancel := context.WithTimeout(ctx, s.patience())
-		defer cancel()
 		begun := now()
-		end, err := s.direct.Append(call, a)
+		end, err := s.appendDirect(ctx, a)
 		s.note(ctx, err, now().Sub(begun))
 		if kindOf(err) != store.KindRefused || err == nil {
 			return end, err
@@ -179,6 +181,46 @@
 	return reply.End, err
 }
 
+// appendDirect makes an append without other VMs. When it takes long, a read tells
+// whether the store is slow, or the answer is lost.
+//
+// It answers a slow store: appends that are given up are carried out all the same, and
+// repeating them fills the partitions until the store refuses all.
+func (s *relayedStore) appendDirect(ctx context.Context, a store.Append) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, mostPatience)
+	defer cancel()
+	begun := now()
+	var end int64
+	var err error
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		end, err = s.direct.Append(ctx, a)
+	}()
+	if !waitFor(answered, s.patience()) {
+		read := now()
+		limit := time.Duration(0)
+		if s.answers(mostPatience-s.patience(), verifiedParts[:]...) {
+			limit = slowFactor * now().Sub(read)
+		}
+		if !waitFor(answered, limit-now().Sub(begun)) {
+			cancel()
+			<-answered
+		}
+	}
+	return end, err
+}
+
+// waitFor reports whether a channel is closed within a time.
+func waitFor(done <-chan struct{}, within time.Duration) bool {
+	select {
+	case <-done:
+		return true
+	case <-time.After(max(within, 0)):
+		return false
+	}
+}
+
 // Read implements store.Store.
 func (s *relayedStore) Read(ctx context.Context, r store.Read) (store.Batch, error) {
 	if !s.down.Load() {
