Use all partitions of the store for jobs; tell the leader again

They are read every 1.2 s (was 0.5 s), as many reads as before, since the VM that stores a job now tells the leader until it knows it, also during a take-over. Deletions go only to the partitions that hold the job.

--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -183,8 +183,13 @@
 	return false
 }
 
-// sweepInterval is the pause between searches for jobs to drop or forget.
-const sweepInterval = 2 * time.Second
+const (
+	// sweepInterval is the pause between searches for jobs to drop or forget.
+	sweepInterval = 2 * time.Second
+	// dropDelay is how long the submission of an ended job is kept, so that the
+	// leader has read by then where it is stored.
+	dropDelay = 3 * time.Second
+)
 
 func (s *Scheduler) sweep(now time.Time) {
 	for id, at := range s.cancelledEarly {
@@ -196,7 +201,7 @@
 		if !j.shown.Ended() || j.running > 0 {
 			continue
 		}
-		if !j.dropped {
+		if !j.dropped && now.Sub(j.ended) >= dropDelay {
 			j.dropped = true
 			s.effects.Dropped = append(s.effects.Dropped, id)
 		}
--- a/internal/node/entryvm/commits.go
+++ b/internal/node/entryvm/commits.go
@@ -106,16 +106,33 @@
 // drop deletes the submissions of jobs that have ended, so that a take-over reads
 // little; their state stays in the progress records.
 func (l *leader) drop(ids []string) {
-	var jobs []store.Record
-	for _, id := range ids {
-		jobs = append(jobs, store.Record{Key: id}, store.Record{Key: id + cancelSuffix})
-	}
-	for part := range jobPartitions {
+	for part, records := range l.droppedRecords(ids) {
+		if len(records) == 0 {
+			continue
+		}
 		call, cancel := context.WithTimeout(l.ctx, storeTimeout)
-		_, err := l.node.store.Append(call, store.Append{Topic: store.Jobs, Part: part, Records: jobs})
+		_, err := l.node.store.Append(call, store.Append{Topic: store.Jobs, Part: part, Records: records})
 		cancel()
 		if err != nil {
-			l.node.log.Info("jobs_not_dropped", "jobs", len(ids), "partition", part, "error", err.Error())
+			l.node.log.Info("jobs_not_dropped", "records", len(records), "partition", part, "error", err.Error())
+		}
+	}
+}
+
+// droppedRecords returns, for each partition, the deletions of the records there; in
+// all of them for a job that was not read yet.
+func (l *leader) droppedRecords(ids []string) [][]store.Record {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	records := make([][]store.Record, l.node.settings.Partitions)
+	for _, id := range ids {
+		in, read := l.partitions[id]
+		for part := range records {
+			if !read || in&(1<<part) != 0 {
+				records[part] = append(records[part], store.Record{Key: id}, store.Record{Key: id + cancelSuffix})
+			}
 		}
+		delete(l.partitions, id)
 	}
+	return records
 }
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -24,10 +24,10 @@
 	planRest = 3
 	// tickInterval is the pause between looks at the clock.
 	tickInterval = 100 * time.Millisecond
-	// tailInterval is the pause between reads of new jobs, of which the VMs that
-	// store them tell the leader too. A read proves that every job accepted
-	// before is known.
-	tailInterval = 500 * time.Millisecond
+	// tailInterval is the pause between reads of a partition of new jobs, of which
+	// the VMs that store them tell the leader too. A read proves that every job
+	// accepted before is known, so it is well below freshness.
+	tailInterval = 1200 * time.Millisecond
 	// freshness is the age of that proof up to which a job that is not known is
 	// said not to exist.
 	freshness = 2 * time.Second
@@ -50,9 +50,6 @@
 	askMargin = 250 * time.Millisecond
 	// cancelSuffix marks the record that cancels a job.
 	cancelSuffix = "/cancel"
-	// jobPartitions spreads the jobs that entry VMs store: a partition takes one
-	// append at a time, and each VM writes to one.
-	jobPartitions = 4
 )
 
 // leader runs the cell while this VM holds the claim.
@@ -72,7 +69,9 @@
 	// stored is closed and replaced with each commit.
 	stored chan struct{}
 	// tailed is when each partition of jobs was last read to its end.
-	tailed [jobPartitions]time.Time
+	tailed []time.Time
+	// partitions holds in which partitions the records of a job are, as bits.
+	partitions map[string]uint64
 	// serving is false until the stored state is restored.
 	serving bool
 	// sequence is that of the last append as producer.
@@ -92,6 +91,7 @@
 		dirty: make(chan struct{}, 1), replan: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
 		state:    scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions: map[backend.Life]*session{}, stored: make(chan struct{}),
+		tailed: make([]time.Time, n.settings.Partitions), partitions: map[string]uint64{},
 		registrations: map[string]backend.Registration{}, answered: map[string]time.Time{}, began: now(),
 	}
 }
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -38,6 +38,9 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
+// defaultPartitions is the number of partitions for jobs where settings name none.
+const defaultPartitions = 4
+
 // Settings are what a Node has to be told.
 type Settings struct {
 	// Name is unique among entry VMs.
@@ -49,6 +52,9 @@
 	Fitness float64
 	// Peers is where other entry VMs connect, over TCP.
 	Peers netip.AddrPort
+	// Partitions is how many partitions of the store take jobs, the same on every VM;
+	// 0 stands for defaultPartitions. One takes one append at a time.
+	Partitions int
 	// Timing is that of the platform.
 	Timing scheduler.Timing
 }
@@ -97,6 +103,9 @@
 		return nil, oops.In("entryvm").With("address", s.Peers).Wrapf(err, "listen for entry VMs")
 	}
 	s.Peers = l.Addr().(*net.TCPAddr).AddrPort()
+	if s.Partitions == 0 {
+		s.Partitions = defaultPartitions
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{log: log, measures: measures, settings: s, peers: p, client: link.NewClient(serviceName), listener: l, run: ctx, stop: cancel}
 	n.members = newMembers(n)
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -64,6 +64,10 @@
 // JobsArgs carry job records that are stored.
 type JobsArgs struct{ Records []store.Record }
 
+// JobsReply tells whether the records are known; they are not where the VM does not
+// lead, or does not yet.
+type JobsReply struct{ Taken bool }
+
 // AdviceArgs ask a VM to get advice.
 type AdviceArgs struct {
 	Step    work.StepID
@@ -143,9 +147,9 @@
 }
 
 // Jobs takes job records that are stored, ahead of reading them there.
-func (h *handler) Jobs(a JobsArgs, _ *Nothing) error {
+func (h *handler) Jobs(a JobsArgs, r *JobsReply) error {
 	if l := h.node.leading(); l != nil {
-		l.takeJobs(a.Records)
+		r.Taken = l.takeJobs(a.Records)
 	}
 	return nil
 }
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -39,7 +39,7 @@
 )
 
 // verifiedParts are looked at before the store is called lost.
-var verifiedParts = [jobPartitions]int{0, 1, 2, 3}
+var verifiedParts = [...]int{0, 1, 2, 3}
 
 // relayedStore reaches the store, through other entry VMs while this one can
 // not.
@@ -153,7 +153,7 @@
 // probe waits until the store is reached directly; it asks one partition after the
 // other.
 func (s *relayedStore) probe() {
-	for part := 0; pause(s.node.run, probeInterval); part = (part + 1) % jobPartitions {
+	for part := 0; pause(s.node.run, probeInterval); part = (part + 1) % len(verifiedParts) {
 		if s.answers(mostPatience, part) {
 			s.failures.Store(0)
 			s.regained.Store(now().UnixNano())
--- a/internal/node/entryvm/tail.go
+++ b/internal/node/entryvm/tail.go
@@ -51,20 +51,33 @@
 		}
 		from = next
 		l.update(func(s *scheduler.Scheduler, at time.Time) {
+			l.notePartition(part, records)
 			l.applyJobs(s, records, nil, at)
 			l.tailed[part] = asked
 		})
 	}
 }
 
-// takeJobs hands job records to the scheduler that another VM has stored.
-func (l *leader) takeJobs(records []store.Record) {
+// notePartition remembers where records of jobs are, to delete them there. The caller
+// holds the lock.
+func (l *leader) notePartition(part int, records []store.Record) {
+	for i := range records {
+		if id := strings.TrimSuffix(records[i].Key, cancelSuffix); len(records[i].Value) > 0 {
+			l.partitions[id] |= 1 << part
+		}
+	}
+}
+
+// takeJobs hands job records to the scheduler that another VM has stored; it reports
+// whether they are known now.
+func (l *leader) takeJobs(records []store.Record) bool {
 	l.mutex.Lock()
-	serving := l.serving
+	serving := l.serving && l.ctx.Err() == nil
 	l.mutex.Unlock()
 	if serving {
 		l.update(func(s *scheduler.Scheduler, at time.Time) { l.applyJobs(s, records, nil, at) })
 	}
+	return serving
 }
 
 // tailWorkers reads what workers register.
--- a/internal/node/entryvm/takeover.go
+++ b/internal/node/entryvm/takeover.go
@@ -25,15 +25,16 @@
 // stored is what the store holds of the cell.
 type stored struct {
 	progress []store.Record
-	jobs     []store.Record
-	// jobsEnd is where to go on reading each partition of jobs.
-	jobsEnd [jobPartitions]int64
+	// jobs holds the records of each partition, and jobsEnd where to go on reading
+	// it.
+	jobs    [][]store.Record
+	jobsEnd []int64
 	workers []store.Record
 }
 
 // restore fences the last leader and reads what it has stored. It returns where
 // to go on reading jobs.
-func (l *leader) restore() ([jobPartitions]int64, error) {
+func (l *leader) restore() ([]int64, error) {
 	begun := now()
 	v, err := l.readStored()
 	if err != nil {
@@ -53,7 +54,10 @@
 		s.Confirmed(begun)
 		l.applyWorkers(v.workers)
 		s.SetWorkers(l.listed(), at)
-		l.applyJobs(s, v.jobs, done, at)
+		for part, records := range v.jobs {
+			l.notePartition(part, records)
+		}
+		l.applyJobs(s, slices.Concat(v.jobs...), done, at)
 		for id, p := range done {
 			s.RestoreEnded(id, p, at)
 		}
@@ -63,15 +67,15 @@
 		l.serving = true
 	})
 	l.node.measures.Observe(measure.Key{Name: "take_over"}, now().Sub(begun))
-	l.node.log.Info("take_over_done", "epoch", l.epoch, "jobs", len(v.jobs), "progress", len(v.progress), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
+	l.node.log.Info("take_over_done", "epoch", l.epoch, "partitions", len(v.jobs), "progress", len(v.progress), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
 	return v.jobsEnd, nil
 }
 
 // readStored reads everything at once; jobs and progress only after the last leader
 // is fenced, since it could start a job until then that was handed in meanwhile.
 func (l *leader) readStored() (stored, error) {
-	var v stored
-	var jobs [jobPartitions][]store.Record
+	parts := l.node.settings.Partitions
+	v := stored{jobs: make([][]store.Record, parts), jobsEnd: make([]int64, parts)}
 	var g, afterFence errgroup.Group
 	g.Go(func() error {
 		s, err := l.snapshot(store.Workers, 0)
@@ -87,18 +91,16 @@
 			v.progress = s.Records
 			return err
 		})
-		for part := range jobs {
+		for part := range parts {
 			afterFence.Go(func() error {
 				s, err := l.snapshot(store.Jobs, part)
-				jobs[part], v.jobsEnd[part] = s.Records, s.End
+				v.jobs[part], v.jobsEnd[part] = s.Records, s.End
 				return err
 			})
 		}
 		return afterFence.Wait()
 	})
-	err := g.Wait()
-	v.jobs = slices.Concat(jobs[:]...)
-	return v, err
+	return v, g.Wait()
 }
 
 func (l *leader) snapshot(t store.Topic, part int) (store.Snapshot, error) {
--- a/internal/node/entryvm/writer.go
+++ b/internal/node/entryvm/writer.go
@@ -56,7 +56,7 @@
 }
 
 func newJobWriter(n *Node) *jobWriter {
-	return &jobWriter{node: n, wake: make(chan struct{}, 1), partition: int(xxhash.Sum64String(n.settings.Name) % jobPartitions)}
+	return &jobWriter{node: n, wake: make(chan struct{}, 1), partition: int(xxhash.Sum64String(n.settings.Name) % uint64(n.settings.Partitions))}
 }
 
 // write stores a record. It returns KindNotStored only when the record is not
@@ -175,7 +175,7 @@
 	}
 	if err != nil {
 		w.node.log.Info("jobs_not_stored", "records", len(batch), "partition", w.partition, "error", err.Error())
-		w.partition = (w.partition + 1) % jobPartitions
+		w.partition = (w.partition + 1) % w.node.settings.Partitions
 		return false
 	}
 	for _, v := range batch {
@@ -194,19 +194,35 @@
 	return true
 }
 
+const (
+	// tellTries bounds how often the leader is told, and tellPause is the wait
+	// between: a take-over takes about their product. The leader reads the records
+	// some time later anyway.
+	tellTries = 8
+	tellPause = 150 * time.Millisecond
+)
+
 // tell hands stored records to the leader, which would read them a little later.
 func (w *jobWriter) tell(records []store.Record) {
+	for range tellTries {
+		if w.tellOnce(records) || !pause(w.node.run, tellPause) {
+			return
+		}
+	}
+	w.node.log.Info("leader_not_told", "records", len(records))
+}
+
+// tellOnce reports whether the leader knows the records.
+func (w *jobWriter) tellOnce(records []store.Record) bool {
 	if l := w.node.leading(); l != nil {
-		l.takeJobs(records)
-		return
+		return l.takeJobs(records)
 	}
 	c, ok := w.node.election.leader()
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(w.node.run, stateTimeout)
 	defer cancel()
-	if _, err := link.Call[JobsArgs, Nothing](ctx, w.node.client, c.Address, "Jobs", JobsArgs{Records: records}); err != nil {
-		w.node.log.Info("leader_not_told", "leader", c.Name, "records", len(records), "error", err.Error())
-	}
+	r, err := link.Call[JobsArgs, JobsReply](ctx, w.node.client, c.Address, "Jobs", JobsArgs{Records: records})
+	return err == nil && r.Taken
 }
