Let a leader without the store hand over; tell a silent store in half a second

A leader that has not reached the store for 0.7 s lets a VM lead that does; heartbeats tell which ones do. The read that tells a slow store from a lost one begins after half of the usual time and is given up after 0.45 s.

TestLeaderWithoutStoreYields fails without the change.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -317,10 +317,9 @@
 	e.waitFrom = now().Add(-leaderSilence / 2)
 }
 
-// handOver asks another VM to lead: of the fittest, first the one that was started
-// last, since VMs are often replaced in turn and that one has had its turn.
-func (e *election) handOver(ctx context.Context) {
-	others := e.node.members.others()
+// handOver asks one of the other VMs to lead: of the fittest, first the one that was
+// started last, since VMs are often replaced in turn and that one has had its turn.
+func (e *election) handOver(ctx context.Context, others []member) {
 	slices.SortStableFunc(others, func(a, b member) int {
 		return cmp.Or(cmp.Compare(b.Fitness, a.Fitness), cmp.Compare(b.Started, a.Started))
 	})
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -2,22 +2,28 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/peer/link"
 )
 
-// yields reports whether a much fitter VM answers.
-func (l *leader) yields() bool {
+// successors lists the VMs that should lead instead of this one: those that reach the
+// store while this one does not, or much fitter ones.
+func (l *leader) successors(at time.Time) []member {
 	l.mutex.Lock()
-	names := l.reachable(now())
+	names := l.reachable(at)
+	reaching := maps.Clone(l.reaching)
 	l.mutex.Unlock()
-	for _, name := range names {
-		if m, ok := l.node.members.find(name); ok && m.Fitness > fitterFactor*l.node.settings.Fitness {
-			return true
-		}
+	others := slices.DeleteFunc(l.node.members.others(), func(m member) bool { return !slices.Contains(names, m.Name) || !reaching[m.Name] })
+	switch led := at.Sub(l.began); {
+	case l.node.store.reached(at) < -lostAfter && led > lostAfter:
+		return others
+	case led > yieldAfter:
+		return slices.DeleteFunc(others, func(m member) bool { return m.Fitness <= fitterFactor*l.node.settings.Fitness })
 	}
-	return false
+	return nil
 }
 
 // reachable lists the entry VMs that answer. The caller holds the lock.
@@ -54,7 +60,7 @@
 		return
 	}
 	l.mutex.Lock()
-	l.answered[m.Name] = now()
+	l.answered[m.Name], l.reaching[m.Name] = now(), r.ReachesStore
 	l.mutex.Unlock()
 	if table == nil || r.Version >= args.Version {
 		return
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -43,8 +43,11 @@
 	// restoreTimeout is how long a leader may take to read the stored state before
 	// another VM may try.
 	restoreTimeout = 12 * time.Second
-	// yieldAfter is how long a leader leads before it yields to a fitter VM.
+	// yieldAfter is how long a leader leads before it yields to a fitter VM, and
+	// lostAfter how long it leads without reaching the store by itself: each record
+	// takes a detour then, and jobs of several steps are late.
 	yieldAfter = 3 * time.Second
+	lostAfter  = 700 * time.Millisecond
 	// askMargin is how long another VM may take beyond the time of a question: the
 	// way there and back, and some load.
 	askMargin = 250 * time.Millisecond
@@ -80,8 +83,10 @@
 	registrations map[string]backend.Registration
 	// began is when this VM began to lead, or last tried to yield.
 	began time.Time
-	// answered is when each entry VM last answered a heartbeat.
+	// answered is when each entry VM last answered a heartbeat, and reaching tells
+	// which of them reach the store by themselves.
 	answered map[string]time.Time
+	reaching map[string]bool
 }
 
 func newLeader(ctx context.Context, n *Node, epoch int64) *leader {
@@ -92,7 +97,7 @@
 		state:    scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions: map[backend.Life]*session{}, stored: make(chan struct{}),
 		tailed: make([]time.Time, n.settings.Partitions), partitions: map[string]uint64{},
-		registrations: map[string]backend.Registration{}, answered: map[string]time.Time{}, began: now(),
+		registrations: map[string]backend.Registration{}, answered: map[string]time.Time{}, reaching: map[string]bool{}, began: now(),
 	}
 }
 
@@ -225,9 +230,9 @@
 			s.Tick(at)
 			s.SetAdvisers(l.reachable(at))
 		})
-		if now().Sub(l.began) > yieldAfter && l.yields() {
+		if successors := l.successors(now()); len(successors) > 0 {
 			l.began = now() // The next try comes after another while.
-			l.node.election.handOver(l.ctx)
+			l.node.election.handOver(l.ctx, successors)
 		}
 	}
 }
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -146,7 +146,7 @@
 	n.mutex.Unlock()
 	n.log.Info("drain_started", "leading", lead != nil)
 	if lead != nil {
-		n.election.handOver(ctx)
+		n.election.handOver(ctx, n.members.others())
 	}
 }
 
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -189,6 +189,21 @@
 	f.await(f.nodes[first], "later", work.Completed)
 }
 
+// A leader that does not reach the store by itself lets a VM lead that does.
+func TestLeaderWithoutStoreYields(t *testing.T) {
+	f := newFixture(t, 3, 50*time.Millisecond)
+	first := f.leader()
+	f.is.NoErr(f.submit(f.nodes[first], "before"))
+	f.await(f.nodes[first], "before", work.Completed)
+	f.links[first].Refuse(true)
+	f.is.NoErr(f.submit(f.nodes[(first+1)%3], "during"))
+	for end := time.Now().Add(patience); f.leader() == first && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.is.True(f.leader() != first)
+	f.await(f.nodes[first], "during", work.Completed)
+}
+
 func TestStoreThroughAnotherVM(t *testing.T) {
 	f := newFixture(t, 3, 50*time.Millisecond)
 	first := f.leader()
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -30,6 +30,8 @@
 	Epoch int64
 	// Version is the follower's version of the configuration.
 	Version int64
+	// ReachesStore tells that the follower reaches the store by itself.
+	ReachesStore bool
 }
 
 // HeardReply tells when a VM last heard of a leader.
@@ -111,7 +113,7 @@
 
 // Heartbeat notes that a leader lives.
 func (h *handler) Heartbeat(a HeartbeatArgs, r *HeartbeatReply) error {
-	*r = HeartbeatReply{Epoch: h.node.election.heard(a), Version: h.node.tables.version()}
+	*r = HeartbeatReply{Epoch: h.node.election.heard(a), Version: h.node.tables.version(), ReachesStore: h.node.store.reached(now()) > 0}
 	return nil
 }
 
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -20,6 +20,8 @@
 	leastPatience  = 200 * time.Millisecond
 	mostPatience   = 2 * time.Second
 	patienceFactor = 5
+	// readPatience bounds the read that tells a slow store from a lost one.
+	readPatience = 450 * time.Millisecond
 	// slowFactor times the time of a read is how long an append may take: it waits
 	// for those before it in its partition.
 	slowFactor = 6
@@ -51,8 +53,8 @@
 	// verifying tells that a look at other partitions is on its way.
 	verifying atomic.Bool
 	failures  atomic.Int32
-	// regained is when the store was last reached again, in Unix nanoseconds.
-	regained atomic.Int64
+	// changed is when down last changed, in Unix nanoseconds.
+	changed atomic.Int64
 	// latency is a moving average of the answers to appends, in nanoseconds.
 	latency atomic.Int64
 }
@@ -61,13 +63,14 @@
 	return &relayedStore{direct: direct, node: n}
 }
 
-// reached returns for how long the store has answered this VM; it is negative while
-// it does not.
+// reached returns for how long the store has answered this VM, or as a negative time
+// for how long it has not.
 func (s *relayedStore) reached(at time.Time) time.Duration {
+	since := at.Sub(time.Unix(0, s.changed.Load()))
 	if s.down.Load() {
-		return -1
+		return min(-since, -1)
 	}
-	return at.Sub(time.Unix(0, s.regained.Load()))
+	return since
 }
 
 // kindOf returns the kind of an error of the store; errors of another type tell
@@ -125,9 +128,17 @@
 		s.node.log.Info("store_partly_lost", "error", cause.Error())
 		return
 	}
-	s.down.Store(true)
-	s.node.log.Info("store_lost", "error", cause.Error())
-	go s.probe()
+	s.lose(cause.Error())
+}
+
+// lose notes that the store is not reached directly. Only the one who verifies calls
+// it.
+func (s *relayedStore) lose(why string) {
+	if !s.down.Swap(true) {
+		s.changed.Store(now().UnixNano())
+		s.node.log.Info("store_lost", "error", why)
+		go s.probe()
+	}
 }
 
 // answers reports whether one of several partitions of the store answers this VM in
@@ -156,7 +167,7 @@
 	for part := 0; pause(s.node.run, probeInterval); part = (part + 1) % len(verifiedParts) {
 		if s.answers(mostPatience, part) {
 			s.failures.Store(0)
-			s.regained.Store(now().UnixNano())
+			s.changed.Store(now().UnixNano())
 			s.down.Store(false)
 			s.node.log.Info("store_regained")
 			return
@@ -197,11 +208,14 @@
 		defer close(answered)
 		end, err = s.direct.Append(ctx, a)
 	}()
-	if !waitFor(answered, s.patience()) {
+	if patience := s.patience(); !waitFor(answered, patience/2) {
 		read := now()
-		limit := time.Duration(0)
-		if s.answers(mostPatience-s.patience(), verifiedParts[:]...) {
-			limit = slowFactor * now().Sub(read)
+		limit := patience
+		if s.answers(readPatience, verifiedParts[:]...) {
+			limit = max(patience, slowFactor*now().Sub(read))
+		} else if s.verifying.CompareAndSwap(false, true) {
+			s.lose("neither appends nor reads are answered")
+			s.verifying.Store(false)
 		}
 		if !waitFor(answered, limit-now().Sub(begun)) {
 			cancel()
