Refresh tickets of large tasks for the workers that are kept for them

Large tasks renew tickets only for workers that the plan keeps for them, as soon as these should have room when the answer comes; a third of a service's workers may be kept (was eight steps).

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -48,6 +48,10 @@
 	asked map[backend.Life]bool
 	// pending tells that a question is waiting or on its way.
 	pending bool
+	// kept are the workers that the last plan keeps for the step, and keptIn is when
+	// they should have room, from that plan on.
+	kept   []backend.Life
+	keptIn time.Duration
 }
 
 type ticket struct {
@@ -210,7 +214,7 @@
 // It answers a backlog: tickets for steps far behind would expire unused, while
 // the steps in front wait for an adviser.
 func (s *Scheduler) worthAsking(st *step, q *queue.Queue, ahead map[string]int) bool {
-	if st.spec.Room().Fits(s.poolOf(q.Service).free) {
+	if st.spec.Room().Fits(s.poolOf(q.Service).free) || st.refreshable(q) {
 		return true
 	}
 	ahead[q.Service]++
@@ -330,14 +334,40 @@
 		need = st.spec.Count
 	}
 	switch {
-	case places >= need && len(stale) > 0:
+	case s.isLarge(st, q) && len(st.advice.kept) > 0:
+		if st.refreshable(q) {
+			return st.advice.staleKept(now)
+		}
+	case places >= need && len(stale) > 0 && !s.isLarge(st, q):
 		return s.firstByRoom(stale, st)
-	case places < need && len(unknown) > 0:
+	}
+	if places < need && len(unknown) > 0 {
 		return s.firstByRoom(unknown, st)
 	}
 	return nil
 }
 
+// refreshable reports whether the workers that are kept for a step should have room
+// when a question about them is answered.
+//
+// It answers many large tasks that wait in a full pool: tickets that are asked for
+// without a worker kept expire before the tasks get their turn, and tickets that are
+// asked for once there is room leave it unused meanwhile.
+func (st *step) refreshable(q *queue.Queue) bool {
+	return len(st.advice.kept) > 0 && st.advice.keptIn <= q.Advice.Of(len(st.advice.kept))
+}
+
+// staleKept returns the kept workers without a valid ticket.
+func (a *advice) staleKept(now time.Time) []backend.Life {
+	var stale []backend.Life
+	for _, life := range a.kept[:min(len(a.kept), mostAsked)] {
+		if !a.valid(life, now) {
+			stale = append(stale, life)
+		}
+	}
+	return stale
+}
+
 // placesFor returns how many times a task fits into free room.
 func placesFor(room, free resource.Vector) int {
 	places := int64(work.MaxTasks)
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -35,6 +35,7 @@
 }
 
 func (s *Scheduler) planStep(st *step, q *queue.Queue, reserved *reservations, now time.Time) {
+	st.advice.kept = nil
 	if st.left == 0 {
 		return
 	}
@@ -54,6 +55,11 @@
 	s.reserve(st, q, reserved, now)
 }
 
+// isLarge reports whether workers are kept for the tasks of a step while they wait.
+func (s *Scheduler) isLarge(st *step, q *queue.Queue) bool {
+	return st.spec.Gang || st.spec.Room().DominantFraction(s.poolOf(q.Service).largest) >= largeFraction
+}
+
 // placeStep places the tasks of an open step; it reports whether none is left
 // waiting.
 func (s *Scheduler) placeStep(st *step, q *queue.Queue, reserved *reservations, now time.Time) bool {
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -23,8 +23,10 @@
 }
 
 const (
-	// mostReservations bounds the steps for which workers are kept at a time.
-	mostReservations = 8
+	// workersPerReservation bounds the steps for which workers are kept at a time, by
+	// the size of the service; leastReservations are allowed anyway.
+	workersPerReservation = 3
+	leastReservations     = 8
 	// largeFraction is the share of a worker from which on a task is large.
 	largeFraction = 0.45
 )
@@ -41,16 +43,13 @@
 // reserve keeps the workers that will have room for the tasks of a step first.
 // Workers that can never take them stay free for others.
 func (s *Scheduler) reserve(st *step, q *queue.Queue, r *reservations, now time.Time) {
-	if r.steps >= mostReservations {
+	if !s.isLarge(st, q) || r.steps >= max(leastReservations, len(s.poolOf(q.Service).workers)/workersPerReservation) {
 		return
 	}
 	type candidate struct {
 		worker *worker
 		wait   time.Duration
 	}
-	if !st.spec.Gang && st.spec.Room().DominantFraction(s.poolOf(q.Service).largest) < largeFraction {
-		return
-	}
 	var candidates []candidate
 	places := 0
 	for _, w := range s.candidates(st, q.Service) {
@@ -79,6 +78,10 @@
 	}
 	for _, c := range candidates[:min(need, len(candidates))] {
 		r.byWorker[c.worker] = reservation{job: st.job, from: now.Add(c.wait)}
+		st.advice.kept = append(st.advice.kept, c.worker.registration.Life)
+		if st.spec.Gang || len(st.advice.kept) == 1 {
+			st.advice.keptIn = c.wait
+		}
 	}
 	r.steps++
 }
