Do not open a worker again whose address belongs to another

A life that another worker has replaced is remembered. TestReplacedWorkerIsNotOpenedAgain fails without the change.

--- a/internal/cell/scheduler/order.go
+++ b/internal/cell/scheduler/order.go
@@ -51,7 +51,7 @@
 		}
 		return
 	case backend.KindOtherLife:
-		s.lose(w, "address is in use by another worker", now)
+		s.replace(w, now)
 		return
 	case backend.KindFenced:
 		if w.token == t.token {
--- a/internal/cell/scheduler/report.go
+++ b/internal/cell/scheduler/report.go
@@ -51,7 +51,7 @@
 	}
 	switch kind {
 	case backend.KindOtherLife:
-		s.lose(w, "address is in use by another worker", now)
+		s.replace(w, now)
 	case backend.KindFenced:
 		s.log.Info("hold_fenced", "worker", life.ID, "token", w.token)
 		w.token += fencedStep
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -102,6 +102,9 @@
 	workers map[backend.Life]*worker
 	// byID holds the latest life of each worker.
 	byID map[string]*worker
+	// replaced holds the lives whose address another worker has, with the time: they
+	// are over, though their registration stays for a while.
+	replaced map[backend.Life]time.Time
 	// pools is nil when it has to be built again from workers.
 	pools    map[string]*pool
 	advisers advisers
@@ -128,6 +131,7 @@
 		cancelledEarly: map[string]time.Time{},
 		workers:        map[backend.Life]*worker{},
 		byID:           map[string]*worker{},
+		replaced:       map[backend.Life]time.Time{},
 		advisers:       newAdvisers(),
 		runTimes:       newRunTimes(),
 	}
@@ -197,6 +201,11 @@
 			delete(s.cancelledEarly, id)
 		}
 	}
+	for life, at := range s.replaced {
+		if now.Sub(at) > s.timing.Retention {
+			delete(s.replaced, life)
+		}
+	}
 	for id, j := range s.jobs {
 		if !j.shown.Ended() || j.running > 0 {
 			continue
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -454,3 +454,21 @@
 	is.Equal(state("large"), work.Completed) // "long" did not start before it.
 	is.Equal(w.problems, nil)
 }
+
+// The registration of a worker outlives it for a while when its address belongs to
+// another one.
+func TestReplacedWorkerIsNotOpenedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, Right: 8 * time.Second, Retention: time.Hour}, 1, now, now, logr.Discard())
+	gone := backend.Registration{Life: backend.Life{ID: "gone", Born: 1}, Service: "desk", Capacity: workerSize}
+	s.SetWorkers([]backend.Registration{gone}, now)
+	is.Equal(len(s.Take().Opened), 1)
+	_, _, _ = s.HoldRequest(gone.Life, now)
+	s.HoldFailed(gone.Life, backend.KindOtherLife, now)
+	s.SetWorkers([]backend.Registration{gone}, now)
+	is.Equal(len(s.Take().Opened), 0)
+	gone.Life.Born = 2
+	s.SetWorkers([]backend.Registration{gone}, now)
+	is.Equal(len(s.Take().Opened), 1) // Another life of it, at an address of its own.
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -100,6 +100,9 @@
 }
 
 func (s *Scheduler) register(r backend.Registration, now time.Time) {
+	if _, over := s.replaced[r.Life]; over {
+		return
+	}
 	if latest := s.byID[r.Life.ID]; latest != nil && latest.registration.Life.Born > r.Life.Born {
 		return
 	}
@@ -167,6 +170,12 @@
 	}
 }
 
+// replace notes that another worker has the address of a worker, which is over then.
+func (s *Scheduler) replace(w *worker, now time.Time) {
+	s.replaced[w.registration.Life] = now
+	s.lose(w, "address is in use by another worker", now)
+}
+
 // closeIdle leaves a worker that is not registered and runs nothing.
 func (s *Scheduler) closeIdle(w *worker, now time.Time) {
 	if !w.listed && len(w.tasks) == 0 && len(w.left) == 0 {
