Avoid slow workers; place no copy beside the run that it replaces

One copy went to the same worker, which listed both runs; they were kept by task, so the first one's room counted as free while it ran. The same was possible for the copies of silent workers. Listed runs are kept by task and run, a copy is not placed where an earlier run may be, and such runs count for the limit of a step per worker.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -20,7 +20,7 @@
 // choose returns the best worker for a task, or nil. racks counts the members of
 // its gang that have a place.
 func (s *Scheduler) choose(st *step, q *queue.Queue, t *task, reserved *reservations, racks map[string]int, now time.Time) *worker {
-	c := choice{scheduler: s, task: t, reserved: reserved, racks: racks, room: st.spec.Room(), until: now.Add(s.runTimes.expectLasting(st))}
+	c := choice{scheduler: s, task: t, reserved: reserved, racks: racks, room: st.spec.Room(), now: now, until: now.Add(s.runTimes.expectLasting(st))}
 	if q.Advice == nil {
 		for _, w := range s.poolOf(q.Service).ready {
 			c.consider(w)
@@ -43,19 +43,22 @@
 	reserved  *reservations
 	racks     map[string]int
 	room      resource.Vector
-	// until is when the task should end.
-	until time.Time
-	best  *worker
-	score float64
+	// until is when the task should end if it starts now.
+	now, until time.Time
+	best       *worker
+	score      float64
 }
 
 // consider takes a worker if it is better than the best so far.
 func (c *choice) consider(w *worker) {
 	st := c.task.step
-	if !c.room.Fits(w.free()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocks(w, st.job, c.until) || !keepsApart(w, st) {
+	if !c.room.Fits(w.free()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocks(w, st.job, c.until) || !keepsApart(w, st) || w.leftRunOf(c.task.id) {
 		return
 	}
 	score := c.scheduler.score(w, st, c.task, c.racks)
+	if c.now.Before(w.slowUntil) {
+		score -= weightSlow
+	}
 	if c.best == nil || score > c.score || (score == c.score && compareLives(w.registration.Life, c.best.registration.Life) < 0) {
 		c.best, c.score = w, score
 	}
@@ -76,6 +79,11 @@
 			n++
 		}
 	}
+	for v := range w.left {
+		if v.task.StepID == st.id {
+			n++
+		}
+	}
 	return max(st.spec.MostPerWorker-n, 0)
 }
 
@@ -86,6 +94,8 @@
 	weightRack = 4.0
 	// weightFailed is against the worker on which the task failed last.
 	weightFailed = 3.0
+	// weightSlow is against workers that are slow at the moment.
+	weightSlow = 6.0
 	// weightMixed is against putting filling tasks beside serving ones.
 	weightMixed = 2.0
 )
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -45,10 +45,20 @@
 	w.used = w.used.Add(room)
 }
 
+// leftRunOf reports whether a run of a task that was given up may go on here.
+func (w *worker) leftRunOf(id work.TaskID) bool {
+	for v := range w.left {
+		if v.task == id {
+			return true
+		}
+	}
+	return false
+}
+
 // settleLeft frees the room of runs that have ended.
-func (w *worker) settleLeft(running map[work.TaskID]*backend.Run, sent HoldSent) {
+func (w *worker) settleLeft(listed map[leftRun]bool, sent HoldSent) {
 	for v, r := range w.left {
-		if row := running[v.task]; (row == nil || row.Run != v.run) && sent.sequence > r.sequence {
+		if !listed[v] && sent.sequence > r.sequence {
 			delete(w.left, v)
 			w.used = w.used.Sub(r.room)
 		}
--- a/internal/cell/scheduler/report.go
+++ b/internal/cell/scheduler/report.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 )
 
@@ -81,19 +80,21 @@
 			s.applyEnd(w, e, now)
 		}
 	}
-	running := make(map[work.TaskID]*backend.Run, len(r.Running))
+	// Two runs of one task may be listed.
+	listed := make(map[leftRun]bool, len(r.Running))
 	for i := range r.Running {
-		running[r.Running[i].Task] = &r.Running[i]
+		listed[leftRun{r.Running[i].Task, r.Running[i].Run}] = true
 		s.applyRun(w, &r.Running[i], now)
 	}
-	s.settleMissing(w, running, sent, r.Truncated, now)
+	s.settleMissing(w, listed, sent, r.Truncated, now)
 	if !r.Truncated {
-		w.settleLeft(running, sent)
+		w.settleLeft(listed, sent)
 	}
 	if w.heldToken < sent.token {
 		w.heldToken = sent.token
 		s.planNeeded = true
 	}
+	s.judgeSpeed(w, now)
 	s.paceFillers(w)
 	s.closeIdle(w, now)
 }
@@ -151,9 +152,9 @@
 }
 
 // settleMissing frees the tasks that a report proves not to run.
-func (s *Scheduler) settleMissing(w *worker, running map[work.TaskID]*backend.Run, sent HoldSent, truncated bool, now time.Time) {
+func (s *Scheduler) settleMissing(w *worker, listed map[leftRun]bool, sent HoldSent, truncated bool, now time.Time) {
 	for _, t := range w.sortedTasks() {
-		if r := running[t.id]; r != nil && r.Run == t.run {
+		if listed[leftRun{t.id, t.run}] {
 			continue
 		}
 		switch {
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -472,3 +472,39 @@
 	s.SetWorkers([]backend.Registration{gone}, now)
 	is.Equal(len(s.Take().Opened), 1) // Another life of it, at an address of its own.
 }
+
+// A copy that was given up still runs on the only worker; the task gets no second run
+// beside it.
+func TestCopyIsNotPlacedBesideTheFirstRun(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, Right: 8 * time.Second, HoldWait: time.Second, Retention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(newWorld(1, faults{}).table)
+	r := backend.Registration{Life: backend.Life{ID: "worker", Born: 1}, Service: "desk", Capacity: workerSize}
+	s.SetWorkers([]backend.Registration{r}, now)
+	hold := func(runs ...backend.Run) {
+		_, sent, _ := s.HoldRequest(r.Life, now)
+		s.HoldAnswered(r.Life, sent, &backend.Report{Life: r.Life, Clock: time.Second + now.Sub(time.Unix(1_700_000_000, 0)), Running: runs}, now)
+	}
+	plan := func() []scheduler.Order[backend.Start] {
+		s.Plan(now)
+		if c := s.NextCommit(now); c != nil {
+			s.Committed(c, now)
+		}
+		return s.Take().Starts
+	}
+	hold()
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Speculative: true}}}, now)
+	starts := plan()
+	is.Equal(len(starts), 1)
+	first := backend.Run{Task: starts[0].Order.Task, Run: 1, Percent: 10}
+	s.StartAnswered(r.Life, &starts[0].Order, "", 0, now)
+	hold(first)
+	now = now.Add(3 * time.Second)
+	s.Tick(now) // The worker was silent; its task waits again.
+	hold(first)
+	is.Equal(len(plan()), 0)
+	now = now.Add(time.Second)
+	hold()
+	is.Equal(len(plan()), 1) // The first run is gone.
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -46,6 +46,8 @@
 	// failures counts failed runs since the last that completed.
 	failures   int
 	avoidUntil time.Time
+	// slowUntil is until when the worker counts as slow.
+	slowUntil time.Time
 }
 
 // fencing reports whether orders sent now could be refused, or whether runs may
