--- /dev/null
+++ b/internal/cell/scheduler/questions.go
@@ -0,0 +1,179 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+// dealQuestions hands waiting questions to idle VMs, in the order of the jobs.
+func (s *Scheduler) dealQuestions(order []*job, now time.Time) {
+	if len(s.advisers.waiting) == 0 {
+		return
+	}
+	idle := s.advisers.idle(now)
+	ahead := map[string]int{}
+	limits := s.newAskLimits()
+	for _, j := range order {
+		if len(idle) == 0 {
+			return
+		}
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				q := s.advisers.waiting[st]
+				if q == nil || len(idle) == 0 || !limits.allow(q) || (st.open && !s.worthAsking(st, q, ahead)) {
+					continue
+				}
+				if lives := s.toAsk(st, q, now); len(lives) > 0 {
+					s.ask(st, question{lives, q.Advice}, idle[0], now)
+					idle = s.advisers.idle(now)
+					limits.add(q)
+				}
+			}
+		}
+	}
+}
+
+// askLimits keep VMs free for the questions of other services and for short ones.
+//
+// They answer the end of an outage, when all jobs ask at once: without them the long
+// questions of a few large jobs keep every VM busy while hundreds of urgent jobs
+// wait for an answer that takes a thirtieth of the time.
+type askLimits struct {
+	// byService and slow count the questions on their way.
+	byService               map[string]int
+	slow                    int
+	mostByService, mostSlow int
+}
+
+func (s *Scheduler) newAskLimits() *askLimits {
+	vms := float64(len(s.advisers.vms))
+	l := &askLimits{byService: map[string]int{}, mostByService: max(int(adviserShare*vms), 1), mostSlow: max(int(slowShare*vms), 1)}
+	for _, o := range s.advisers.open {
+		if q := s.table.Queue(o.step.job.spec.Queue); q != nil {
+			l.add(q)
+		}
+	}
+	return l
+}
+
+func isSlow(q *queue.Queue) bool { return q.Advice != nil && q.Advice.Fixed >= slowQuestion }
+
+func (l *askLimits) allow(q *queue.Queue) bool {
+	return l.byService[q.Service] < l.mostByService && (!isSlow(q) || l.slow < l.mostSlow)
+}
+
+func (l *askLimits) add(q *queue.Queue) {
+	l.byService[q.Service]++
+	if isSlow(q) {
+		l.slow++
+	}
+}
+
+// worthAsking reports whether tickets could be used before they expire: there is
+// room, or the step is among the first that wait for it. ahead counts those by
+// service.
+//
+// It answers a backlog: tickets for steps far behind would expire unused, while
+// the steps in front wait for an adviser.
+func (s *Scheduler) worthAsking(st *step, q *queue.Queue, ahead map[string]int) bool {
+	if st.spec.Room().Fits(s.poolOf(q.Service).free) || st.refreshable(q) {
+		return true
+	}
+	ahead[q.Service]++
+	return len(st.advice.asked) == 0 && ahead[q.Service] <= askedAhead
+}
+
+// toAsk returns the workers to ask about where the tickets of a step do not
+// suffice.
+func (s *Scheduler) toAsk(st *step, q *queue.Queue, now time.Time) []backend.Life {
+	var stale, unknown []backend.Life
+	places := 0
+	for _, w := range s.candidates(st, q.Service) {
+		life := w.registration.Life
+		switch _, good := st.advice.tickets[life]; {
+		case good:
+			places += min(placesFor(st.spec.Room(), w.free()), placesApart(w, st))
+			if !st.advice.valid(life, now) {
+				stale = append(stale, life)
+			}
+		case !st.advice.asked[life]:
+			unknown = append(unknown, life)
+		}
+	}
+	need := 1
+	if st.spec.Gang {
+		need = st.spec.Count
+	}
+	switch {
+	case s.isLarge(st, q) && len(st.advice.kept) > 0:
+		if st.refreshable(q) {
+			return st.advice.staleKept(now)
+		}
+	case places >= need && len(stale) > 0 && !s.isLarge(st, q):
+		return s.firstByRoom(stale, st)
+	}
+	if places < need && len(unknown) > 0 {
+		return s.firstByRoom(unknown, st)
+	}
+	return nil
+}
+
+// refreshable reports whether the workers that are kept for a step should have room
+// when a question about them is answered.
+//
+// It answers many large tasks that wait in a full pool: tickets that are asked for
+// without a worker kept expire before the tasks get their turn, and tickets that are
+// asked for once there is room leave it unused meanwhile.
+func (st *step) refreshable(q *queue.Queue) bool {
+	return len(st.advice.kept) > 0 && st.advice.keptIn <= q.Advice.Of(len(st.advice.kept))
+}
+
+// staleKept returns the kept workers without a valid ticket.
+func (a *advice) staleKept(now time.Time) []backend.Life {
+	var stale []backend.Life
+	for _, life := range a.kept[:min(len(a.kept), mostAsked)] {
+		if !a.valid(life, now) {
+			stale = append(stale, life)
+		}
+	}
+	return stale
+}
+
+// placesFor returns how many times a task fits into free room.
+func placesFor(room, free resource.Vector) int {
+	places := int64(work.MaxTasks)
+	sizes, left := room.Amounts(), free.Amounts()
+	for i := range sizes {
+		if sizes[i] > 0 {
+			places = min(places, max(left[i], 0)/sizes[i])
+		}
+	}
+	return int(places)
+}
+
+// firstByRoom returns the workers most likely to have room soon.
+func (s *Scheduler) firstByRoom(lives []backend.Life, st *step) []backend.Life {
+	free := func(l backend.Life) float64 {
+		w := s.workers[l]
+		score := 1 - w.used.DominantFraction(w.registration.Capacity)
+		if st.spec.Rack != "" && w.rack() == st.spec.Rack {
+			score++
+		}
+		return score
+	}
+	slices.SortFunc(lives, func(a, b backend.Life) int {
+		if x, y := free(a), free(b); x != y {
+			if x > y {
+				return -1
+			}
+			return 1
+		}
+		return compareLives(a, b)
+	})
+	return lives[:min(len(lives), mostAsked)]
+}
