--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -91,7 +91,7 @@
 	return err != nil && (k == store.KindRefused || k == store.KindUnknown)
 }
 
-// patience is how long a direct append may take before it is given up.
+// patience is how long a direct append takes at most while all is well.
 func (s *relayedStore) patience() time.Duration {
 	return min(max(patienceFactor*time.Duration(s.latency.Load()), leastPatience), mostPatience)
 }
