Delete submissions that are stored again after their job has ended

Found while reading the change: a caller may hand a job in once more seconds after it was accepted. When its submission had been deleted by then, the new record stayed in the store, outlived what is known of the job, and a leader that took over two minutes later would have run the job again. The leader deletes it again. TestSubmissionOfAnEndedJobIsDroppedAgain fails without the change. A name that stood for two things is split, and a failed call to the leader leaves a line.

--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -106,9 +106,12 @@
 // onWorker reports whether the task takes room on a worker.
 func (t *task) onWorker() bool { return t.phase != phaseWaiting && t.phase != phaseDone }
 
-// Submit takes a job that is stored. A job that is known already is ignored.
+// Submit takes a job that is stored. A job that is known already is ignored; if it has
+// ended, its submission was stored once more and is deleted again, so that it does not
+// outlive what is known of the job.
 func (s *Scheduler) Submit(spec *work.Job, now time.Time) {
-	if s.jobs[spec.ID] != nil {
+	if j := s.jobs[spec.ID]; j != nil {
+		j.dropped = false
 		return
 	}
 	j := s.add(spec, now)
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -508,3 +508,25 @@
 	hold()
 	is.Equal(len(plan()), 1) // The first run is gone.
 }
+
+// A caller hands a job in once more after its submission was deleted.
+func TestSubmissionOfAnEndedJobIsDroppedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, Right: 8 * time.Second, Retention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(newWorld(1, faults{}).table)
+	j := &work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize}}}
+	dropped := func() []string {
+		now = now.Add(4 * time.Second)
+		s.Tick(now)
+		return s.Take().Dropped
+	}
+	s.Submit(j, now)
+	is.Equal(dropped(), nil)
+	s.Cancel(j.ID, now)
+	is.Equal(dropped(), []string{j.ID})
+	is.Equal(dropped(), nil)
+	s.Submit(j, now)
+	is.Equal(dropped(), []string{j.ID})
+	is.Equal(dropped(), nil)
+}
--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -174,7 +174,7 @@
 	}
 	v := candidacy{
 		epoch: c.Epoch, silence: silence, reached: e.node.store.reached(now()),
-		rank: e.rank(c.Epoch, c.Name), fitness: e.node.settings.Fitness, isolated: e.isolated(),
+		rank: e.rank(c.Epoch, c.Name), fitness: e.node.settings.Fitness, mostSilent: e.mostSilent(),
 	}
 	if !v.due() {
 		return false
@@ -195,8 +195,8 @@
 	// reached is for how long the store has answered this VM; negative while it
 	// does not.
 	reached time.Duration
-	// isolated tells that most other VMs left calls without an answer lately.
-	isolated bool
+	// mostSilent tells that most other VMs left calls without an answer lately.
+	mostSilent bool
 	// rank is the number of VMs that are to try first.
 	rank    int
 	fitness float64
@@ -212,14 +212,14 @@
 	switch {
 	case c.epoch == 0:
 		wait = time.Duration(float64(firstWait) * (1 - min(c.fitness, 1)))
-	case c.reached < 0, c.isolated && c.reached < storeSettled:
+	case c.reached < 0, c.mostSilent && c.reached < storeSettled:
 		return false
 	}
 	return c.silence >= wait+time.Duration(c.rank)*rankPause
 }
 
-// isolated reports whether most other VMs left calls without an answer lately.
-func (e *election) isolated() bool {
+// mostSilent reports whether most other VMs left calls without an answer lately.
+func (e *election) mostSilent() bool {
 	others := e.node.members.others()
 	silent := 0
 	for _, m := range others {
--- a/internal/node/entryvm/election_test.go
+++ b/internal/node/entryvm/election_test.go
@@ -20,8 +20,8 @@
 		{"fitter VMs try first", candidacy{epoch: 3, silence: leaderSilence, reached: time.Hour, rank: 2}, false},
 		{"fitter VMs had their time", candidacy{epoch: 3, silence: leaderSilence + 2*rankPause, reached: time.Hour, rank: 2}, true},
 		{"the VM is cut off", candidacy{epoch: 3, silence: 6 * time.Second, reached: -1}, false},
-		{"a cut has just ended", candidacy{epoch: 3, silence: 6 * time.Second, reached: 10 * time.Millisecond, isolated: true}, false},
-		{"a cut has ended and nobody is heard", candidacy{epoch: 3, silence: 6 * time.Second, reached: storeSettled, isolated: true}, true},
+		{"a cut has just ended", candidacy{epoch: 3, silence: 6 * time.Second, reached: 10 * time.Millisecond, mostSilent: true}, false},
+		{"a cut has ended and nobody is heard", candidacy{epoch: 3, silence: 6 * time.Second, reached: storeSettled, mostSilent: true}, true},
 		{"the store is back, the leader is gone", candidacy{epoch: 3, silence: 6 * time.Second, reached: 10 * time.Millisecond}, true},
 	}
 	for _, s := range scenarios {
--- a/internal/node/entryvm/writer.go
+++ b/internal/node/entryvm/writer.go
@@ -224,5 +224,8 @@
 	ctx, cancel := context.WithTimeout(w.node.run, stateTimeout)
 	defer cancel()
 	r, err := link.Call[JobsArgs, JobsReply](ctx, w.node.client, c.Address, "Jobs", JobsArgs{Records: records})
+	if err != nil {
+		w.node.log.V(1).Info("leader_did_not_answer", "leader", c.Name, "records", len(records), "error", err.Error())
+	}
 	return err == nil && r.Taken
 }
