Send the leader's address with its heartbeat

Ruled out: isolation (no line), a leader that does not answer (the other VMs reached it). TestUnknownLeaderIsReached fails without the change.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -112,8 +112,7 @@
 	defer e.mutex.Unlock()
 	if a.Epoch >= e.claim.Epoch {
 		if a.Epoch > e.claim.Epoch {
-			m, _ := e.node.members.find(a.Leader)
-			e.claim = claim{Epoch: a.Epoch, Name: a.Leader, Address: m.Address}
+			e.claim = claim{Epoch: a.Epoch, Name: a.Leader, Address: a.Address}
 			e.node.log.Info("leader_heard", "leader", a.Leader, "epoch", a.Epoch)
 			e.node.deposed(a.Epoch)
 		}
--- a/internal/node/entryvm/election_test.go
+++ b/internal/node/entryvm/election_test.go
@@ -1,12 +1,27 @@
 package entryvm
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 )
 
+// A VM that has just started hears the leader before it knows any other VM.
+func TestUnknownLeaderIsReached(t *testing.T) {
+	is := is.New(t)
+	n := &Node{settings: Settings{Name: "vm-0", Domain: "domain-0"}, log: logr.Discard()}
+	n.members, n.isolation = newMembers(n), &isolation{node: n}
+	n.election = newElection(n)
+	address := netip.MustParseAddrPort("127.0.0.1:7000")
+	n.election.heard(HeartbeatArgs{Epoch: 5, Leader: "vm-1", Address: address})
+	leader, known := n.election.leader()
+	is.True(known)
+	is.Equal(leader.Address, address)
+}
+
 func TestCandidacy(t *testing.T) {
 	scenarios := []struct {
 		testName  string
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -54,7 +54,7 @@
 		for _, m := range l.node.members.others() {
 			go l.beatTo(m)
 		}
-		l.node.election.heard(HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name})
+		l.node.election.heard(HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name, Address: l.node.settings.Peers})
 		if !pause(l.ctx, heartbeatInterval) {
 			return
 		}
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, leaderSilence)
 	defer cancel()
 	table := l.node.tables.current()
-	args := HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name, Version: l.node.tables.version()}
+	args := HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name, Address: l.node.settings.Peers, Version: l.node.tables.version()}
 	r, err := link.Call[HeartbeatArgs, HeartbeatReply](ctx, l.node.client, m.Address, "Heartbeat", args)
 	if err != nil {
 		return
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
@@ -20,6 +21,8 @@
 type HeartbeatArgs struct {
 	Epoch  int64
 	Leader string
+	// Address is the leader's: a VM that has just started may know no other VM.
+	Address netip.AddrPort
 	// Version is the leader's version of the configuration.
 	Version int64
 }
