Let one test body serve both cases of copied tasks

Found in the last read of the change: the test for the next leader repeated that of the same leader. Every assertion stays, and the second case now also checks the first six starts.

--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -206,25 +206,37 @@
 	l.state.HoldFailed(backend.Life{ID: "nobody"}, backend.KindUnknown, w.now)
 }
 
-func TestCopiedTaskKeepsItsRoom(t *testing.T) {
+func TestCopiedTaskKeepsItsRoom(t *testing.T) { copiedTaskKeepsItsRoom(t, 5*time.Second, false) }
+
+// The next leader does not know the copies that were given up, which still run.
+func TestCopiedTaskKeepsItsRoomForTheNextLeader(t *testing.T) {
+	copiedTaskKeepsItsRoom(t, 8*time.Second, true)
+}
+
+// copiedTaskKeepsItsRoom cuts a worker off until its tasks have copies; another leader
+// may take over then.
+func copiedTaskKeepsItsRoom(t *testing.T, runTime time.Duration, nextLeader bool) {
 	is := is.New(t)
 	w := newWorld(1, faults{})
 	w.addWorkers(3, workerSize)
-	w.elect()
-	w.submit(&work.Job{ID: "first", Queue: "urgent", Steps: []work.Step{{Count: 6, Size: taskSize, Speculative: true}}}, fleet.Demand{RunTime: 5 * time.Second})
+	leader := w.elect()
+	w.submit(&work.Job{ID: "first", Queue: "urgent", Steps: []work.Step{{Count: 6, Size: taskSize, Speculative: true}}}, fleet.Demand{RunTime: runTime})
 	w.run(500 * time.Millisecond)
 	is.Equal(w.starts, 6)
 	lives := w.lives()
 	w.cut[lives[0]] = true
 	w.run(2500 * time.Millisecond)
 	is.Equal(w.starts, 9) // The three tasks there have copies.
+	if nextLeader {
+		leader = w.elect()
+	}
 	w.submit(&work.Job{ID: "second", Queue: "urgent", Steps: []work.Step{{Count: 3, Size: taskSize}}}, fleet.Demand{RunTime: 5 * time.Second})
 	w.run(500 * time.Millisecond)
 	clear(w.cut)
 	w.run(30 * time.Second)
 	is.Equal(w.problems, nil)
 	for _, id := range []string{"first", "second"} {
-		state, _ := w.leaders[0].state.Status(id, false)
+		state, _ := leader.state.Status(id, false)
 		is.Equal(state, work.Completed)
 	}
 }
@@ -404,30 +416,6 @@
 	is.Equal(hold.Acknowledged, int64(1))
 }
 
-// The next leader does not know the copies that were given up, which still run.
-func TestCopiedTaskKeepsItsRoomForTheNextLeader(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(1, faults{})
-	w.addWorkers(3, workerSize)
-	w.elect()
-	w.submit(&work.Job{ID: "first", Queue: "urgent", Steps: []work.Step{{Count: 6, Size: taskSize, Speculative: true}}}, fleet.Demand{RunTime: 8 * time.Second})
-	w.run(500 * time.Millisecond)
-	lives := w.lives()
-	w.cut[lives[0]] = true
-	w.run(2500 * time.Millisecond)
-	is.Equal(w.starts, 9) // The three tasks there have copies.
-	w.elect()
-	w.submit(&work.Job{ID: "second", Queue: "urgent", Steps: []work.Step{{Count: 3, Size: taskSize}}}, fleet.Demand{RunTime: 5 * time.Second})
-	w.run(500 * time.Millisecond)
-	clear(w.cut)
-	w.run(30 * time.Second)
-	is.Equal(w.problems, nil)
-	for _, id := range []string{"first", "second"} {
-		state, _ := w.leaders[1].state.Status(id, false)
-		is.Equal(state, work.Completed)
-	}
-}
-
 // A large task waits for a worker; short tasks use the room there until then, and
 // long ones do not delay it.
 func TestShortTasksFillTheRoomBeforeAReservation(t *testing.T) {
