Let small tasks ask about full workers beside large ones

Small tasks asked about the roomiest workers, got tickets there and took a piece of each whole worker; questions of several gangs named the same workers.

Change: in a service where workers are kept for large tasks, small ones ask about the fullest workers with room for their share; all prefer workers that no open question names, and leave out those kept for others.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -172,6 +172,7 @@
 	a.open[a.number] = openAsk{step: st, vm: vm, workers: q.workers, cost: cost, sent: now, expires: now.Add(timeout + askTimeout)}
 	ids := make([]string, len(q.workers))
 	for i, w := range q.workers {
+		w.questions++
 		ids[i] = w.registration.Life.ID
 	}
 	s.effects.Asks = append(s.effects.Asks, Ask{Number: a.number, VM: vm, Step: st.id, Workers: ids, Timeout: timeout})
@@ -185,6 +186,9 @@
 		return
 	}
 	delete(s.advisers.open, number)
+	for _, w := range o.workers {
+		w.questions--
+	}
 	o.step.advice.pending = false
 	s.advisers.settle(o.vm, failed, now)
 	s.planNeeded = true
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -15,10 +15,12 @@
 	s.planNeeded = false
 	order := s.waitingOrder(now)
 	reserved := newReservations()
+	s.reserved = reserved
 	clear(s.advisers.waiting)
 	s.poolOf("")
 	for _, p := range s.pools {
 		p.measure(now, s.holdWait()+answerDelay)
+		p.hasLarge = false
 	}
 	for _, j := range order {
 		q := s.table.Queue(j.spec.Queue)
@@ -52,6 +54,7 @@
 		return
 	}
 	s.advisers.want(st, q)
+	s.poolOf(q.Service).hasLarge = s.poolOf(q.Service).hasLarge || s.isLarge(st, q)
 	s.reserve(st, q, reserved, now)
 }
 
--- a/internal/cell/scheduler/pool.go
+++ b/internal/cell/scheduler/pool.go
@@ -19,10 +19,11 @@
 	// free is at least the room that any worker has, of each resource. It is
 	// computed at the start of a plan; room only shrinks while one is made.
 	free resource.Vector
-	// byRoom is what roomiest returns; nil until it is called in a plan. next is
-	// behind the last of them that was asked about in the plan.
-	byRoom []*worker
-	next   int
+	// byRoom is what roomiest returns, and byFullness what fullest does; nil until
+	// they are called in a plan.
+	byRoom, byFullness []*worker
+	// hasLarge tells that workers are kept for large tasks, as of the last plan.
+	hasLarge bool
 }
 
 // poolOf returns the workers of a service.
@@ -58,7 +59,8 @@
 // measure notes which workers are ready and what room they have at the start of a
 // plan. quiet is the silence after which a worker gets no new work.
 func (p *pool) measure(now time.Time, quiet time.Duration) {
-	p.free, p.ready, p.byRoom, p.next = resource.Vector{}, p.ready[:0], nil, 0
+	p.free, p.ready, p.byRoom = resource.Vector{}, p.ready[:0], nil
+	p.byFullness = nil
 	for _, w := range p.workers {
 		w.ready = !w.fencing() && !now.Before(w.avoidUntil) && now.Sub(w.answered) <= quiet && !w.clockAt.IsZero()
 		if w.ready {
@@ -87,6 +89,15 @@
 	return p.byRoom
 }
 
+// fullest is roomiest in the reverse order.
+func (p *pool) fullest() []*worker {
+	if p.byFullness == nil {
+		p.byFullness = slices.Clone(p.roomiest())
+		slices.Reverse(p.byFullness)
+	}
+	return p.byFullness
+}
+
 // candidates returns the workers of a service that could run tasks of a step.
 func (s *Scheduler) candidates(st *step, service string) []*worker {
 	p := s.poolOf(service)
--- a/internal/cell/scheduler/questions.go
+++ b/internal/cell/scheduler/questions.go
@@ -177,12 +177,17 @@
 	return 1
 }
 
+// goodOfQuestion is how many of the workers in a question can be expected to be good.
+const goodOfQuestion = 12
+
 // unasked returns workers about which a step has not asked yet: those in the rack that
-// holds its data, then those with room for a task, each behind the workers that other
-// steps ask about in this plan, then those with most room.
+// holds its data, then those with room that no other question names, then those with
+// room, then the rest; each from the roomiest on, or from the fullest on for small
+// tasks beside large ones.
 //
-// It answers many jobs that come at once: questions of all of them about the same few
-// workers bring tickets for room that the first of them takes.
+// It answers many jobs that come at once. Questions of all of them about the same few
+// workers bring tickets for room that the first of them takes. Small tasks that ask
+// about the roomiest workers leave no whole worker to the large ones.
 func (s *Scheduler) unasked(st *step, q *queue.Queue) []*worker {
 	p := s.poolOf(q.Service)
 	if len(st.advice.asked) >= len(p.workers) {
@@ -192,29 +197,38 @@
 		return nil
 	}
 	order := p.roomiest()
-	room := st.spec.Room()
+	least := 1
+	if p.hasLarge && !s.isLarge(st, q) {
+		order = p.fullest()
+		least = 1 + st.waitingTasks()/goodOfQuestion
+	}
+	fits := func(w *worker) bool {
+		return placesFor(st.spec.Room(), w.free()) >= least && !s.reserved.keeps(w, st.job)
+	}
 	var list []*worker
-	take := func(w *worker, wanted bool) {
-		if wanted && len(list) < mostAsked && !st.advice.asked[w] && usable(w, st) {
-			list = append(list, w)
+	take := func(wanted func(w *worker) bool) {
+		for i := 0; i < len(order) && len(list) < mostAsked; i++ {
+			if w := order[i]; wanted(w) && !st.advice.asked[w] && usable(w, st) && !slices.Contains(list, w) {
+				list = append(list, w)
+			}
 		}
 	}
 	if st.spec.Rack != "" {
-		for _, w := range order {
-			take(w, w.rack() == st.spec.Rack)
-		}
+		take(func(w *worker) bool { return w.rack() == st.spec.Rack })
 	}
-	for i := 0; i < len(order) && len(list) < mostAsked; i++ {
-		at := (p.next + i) % len(order)
-		w := order[at]
-		take(w, rackRank(w, st) > 0 && room.Fits(w.free()))
-		if len(list) == mostAsked {
-			p.next = at + 1
+	take(func(w *worker) bool { return w.questions == 0 && fits(w) })
+	take(fits)
+	take(func(*worker) bool { return true })
+	return list
+}
+
+// waitingTasks counts the tasks of a step that wait for a place.
+func (st *step) waitingTasks() int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.phase == phaseWaiting {
+			n++
 		}
 	}
-	for i := 0; i < len(order) && len(list) < mostAsked; i++ {
-		w := order[i]
-		take(w, rackRank(w, st) > 0 && !room.Fits(w.free()))
-	}
-	return list
+	return n
 }
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -40,6 +40,12 @@
 	return ok && v.job != j && until.After(v.from)
 }
 
+// keeps reports whether a worker is kept for another job.
+func (r *reservations) keeps(w *worker, j *job) bool {
+	v, ok := r.byWorker[w]
+	return ok && v.job != j
+}
+
 // reserve keeps the workers that will have room for the tasks of a step first.
 // Workers that can never take them stay free for others.
 func (s *Scheduler) reserve(st *step, q *queue.Queue, r *reservations, now time.Time) {
@@ -70,13 +76,7 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.wait, b.wait), compareLives(a.worker.registration.Life, b.worker.registration.Life))
 	})
-	need := 0
-	for _, t := range st.tasks {
-		if t.phase == phaseWaiting {
-			need++
-		}
-	}
-	for _, c := range candidates[:min(need, len(candidates))] {
+	for _, c := range candidates[:min(st.waitingTasks(), len(candidates))] {
 		r.byWorker[c.worker] = reservation{job: st.job, from: now.Add(c.wait)}
 		st.advice.kept = append(st.advice.kept, c.worker)
 		if st.spec.Gang || len(st.advice.kept) == 1 {
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -108,6 +108,8 @@
 	// pools is nil when it has to be built again from workers.
 	pools    map[string]*pool
 	advisers advisers
+	// reserved are the reservations of the last plan.
+	reserved *reservations
 	runTimes runTimes
 	effects  Effects
 	// planNeeded tells that something changed since the last plan.
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -41,6 +41,8 @@
 	answered time.Time
 	// unanswered counts the holds since then.
 	unanswered int
+	// questions counts the open questions that name the worker.
+	questions int
 	// fullness is the part of its capacity in use when workers were last sorted by it.
 	fullness float64
 	// leaves is the earliest time at which a draining worker ends.
