Ask for wide gangs side by side; keep only the workers that they need

Ruled out: room (half of the service was free).

Change: gangs ask until open questions should bring enough places, by the share of good workers learned for the queue; reservations take the first slots that come free together, several on a worker; only workers with tickets are looked at. Test: TestQuestionsForAWideGangGoSideBySide (one question before).

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -45,8 +45,8 @@
 	tickets map[*worker]ticket
 	// asked holds every worker with a known verdict.
 	asked map[*worker]bool
-	// pending tells that a question is waiting or on its way.
-	pending bool
+	// asking holds the workers in questions that are on their way.
+	asking map[*worker]bool
 	// kept are the workers that the last plan keeps for the step, and keptIn is when
 	// they should have room, from that plan on.
 	kept   []*worker
@@ -89,6 +89,24 @@
 	waiting map[*step]*queue.Queue
 	open    map[int64]openAsk
 	number  int64
+	// good is the share of workers that may run the steps of a queue, as learned.
+	good map[string]float64
+}
+
+// defaultGood is the share of good workers that is assumed before the first answer.
+const defaultGood = 0.4
+
+// goodShare returns the share of workers that should be good for steps of a queue.
+func (a *advisers) goodShare(queueName string) float64 {
+	if share, ok := a.good[queueName]; ok {
+		return share
+	}
+	return defaultGood
+}
+
+// learn notes which share of the workers in a question was good.
+func (a *advisers) learn(queueName string, share float64) {
+	a.good[queueName] = a.goodShare(queueName) + learnWeight*(share-a.goodShare(queueName))
 }
 
 type adviserVM struct {
@@ -115,7 +133,7 @@
 }
 
 func newAdvisers() advisers {
-	return advisers{vms: map[string]*adviserVM{}, waiting: map[*step]*queue.Queue{}, open: map[int64]openAsk{}}
+	return advisers{vms: map[string]*adviserVM{}, waiting: map[*step]*queue.Queue{}, open: map[int64]openAsk{}, good: map[string]float64{}}
 }
 
 // SetAdvisers names the entry VMs that can ask for advice.
@@ -137,7 +155,7 @@
 
 // want notes that a step lacks tickets.
 func (a *advisers) want(st *step, q *queue.Queue) {
-	if q.Advice != nil && !st.advice.pending {
+	if q.Advice != nil {
 		a.waiting[st] = q
 	}
 }
@@ -168,11 +186,14 @@
 	timeout := max(v.busyUntil.Sub(now), 0) + cost + askTimeout
 	v.open++
 	v.busyUntil = v.busyUntil.Add(cost)
-	st.advice.pending = true
+	if st.advice.asking == nil {
+		st.advice.asking = map[*worker]bool{}
+	}
 	a.open[a.number] = openAsk{step: st, vm: vm, workers: q.workers, cost: cost, sent: now, expires: now.Add(timeout + askTimeout)}
 	ids := make([]string, len(q.workers))
 	for i, w := range q.workers {
 		w.questions++
+		st.advice.asking[w] = true
 		ids[i] = w.registration.Life.ID
 	}
 	s.effects.Asks = append(s.effects.Asks, Ask{Number: a.number, VM: vm, Step: st.id, Workers: ids, Timeout: timeout})
@@ -188,8 +209,8 @@
 	delete(s.advisers.open, number)
 	for _, w := range o.workers {
 		w.questions--
+		delete(o.step.advice.asking, w)
 	}
-	o.step.advice.pending = false
 	s.advisers.settle(o.vm, failed, now)
 	s.planNeeded = true
 	if failed {
@@ -207,6 +228,7 @@
 			a.tickets[w] = ticket{text: text, expires: now.Add(answer.Validity)}
 		}
 	}
+	s.advisers.learn(o.step.job.spec.Queue, float64(len(answer.Tickets))/float64(len(o.workers)))
 	s.log.Info("advice_received", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm, "asked", len(o.workers), "good", len(answer.Tickets), "took_ms", now.Sub(o.sent).Milliseconds())
 }
 
--- a/internal/cell/scheduler/advice_test.go
+++ b/internal/cell/scheduler/advice_test.go
@@ -11,7 +11,9 @@
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/emulate/fleet"
 	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // adviceTable has a queue whose questions are short and one whose are long.
@@ -88,3 +90,27 @@
 	s.Plan(now)
 	is.Equal(answerAsks(s, now.Add(600*time.Millisecond)), 3) // They would expire before the answer.
 }
+
+// A gang needs more good workers than one question brings.
+func TestQuestionsForAWideGangGoSideBySide(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		gang     bool
+		expected int
+	}{
+		{"a gang needs all its places at once", true, 3},
+		{"other tasks start one by one", false, 1},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			w := largeWorld()
+			l := w.elect()
+			w.run(time.Second)
+			j := &work.Job{ID: "wide", Queue: "scan", Steps: []work.Step{{Count: 30, Gang: sc.gang, Size: resource.Vector{Milliprocessors: 62000, Accelerators: 8}, Estimate: 4 * time.Second}}}
+			w.submit(j, fleet.Demand{RunTime: 4 * time.Second})
+			w.run(300 * time.Millisecond)
+			is.Equal(l.asks, sc.expected)
+		})
+	}
+}
--- a/internal/cell/scheduler/bench_test.go
+++ b/internal/cell/scheduler/bench_test.go
@@ -59,7 +59,7 @@
 	for i := range mixOfKinds {
 		w.table.Queues = append(w.table.Queues, mixOfKinds[i].queue)
 	}
-	w.advisers = nil
+	w.advisers, w.slowAdvice = nil, true
 	for i := range 147 {
 		w.advisers = append(w.advisers, fmt.Sprintf("vm-%d", i))
 	}
--- a/internal/cell/scheduler/questions.go
+++ b/internal/cell/scheduler/questions.go
@@ -103,24 +103,38 @@
 			stale = append(stale, w)
 		}
 	}
-	need := 1
-	if st.spec.Gang {
-		need = st.spec.Count
-	}
-	switch {
-	case s.isLarge(st, q) && len(st.advice.kept) > 0:
-		if st.refreshable(q) {
-			return st.advice.staleKept(now.Add(q.Advice.Of(len(st.advice.kept))))
+	if len(st.advice.asking) == 0 {
+		switch {
+		case s.isLarge(st, q) && len(st.advice.kept) > 0:
+			if st.refreshable(q) {
+				return st.advice.staleKept(now.Add(q.Advice.Of(len(st.advice.kept))))
+			}
+		case places > 0 && len(stale) > 0 && !s.isLarge(st, q):
+			return firstByRoom(stale, st)
 		}
-	case places >= need && len(stale) > 0 && !s.isLarge(st, q):
-		return firstByRoom(stale, st)
 	}
-	if places < need {
+	if s.lacksPlaces(st, places) {
 		return s.unasked(st, q)
 	}
 	return nil
 }
 
+// lacksPlaces reports whether a step needs more workers than those with tickets, which
+// have places for it, and those that its open questions should bring.
+//
+// It answers wide gangs: their questions go out side by side, since the tickets of the
+// first would have expired when the last of several in turn is answered.
+func (s *Scheduler) lacksPlaces(st *step, places int) bool {
+	if !st.spec.Gang {
+		return places == 0 && len(st.advice.asking) == 0
+	}
+	expected := float64(places)
+	for w := range st.advice.asking {
+		expected += s.advisers.goodShare(st.job.spec.Queue) * float64(min(placesFor(st.spec.Room(), w.free()), placesApart(w, st)))
+	}
+	return expected < float64(st.spec.Count)
+}
+
 // refreshable reports whether the workers that are kept for a step should have room
 // when a question about them is answered.
 //
@@ -208,7 +222,7 @@
 	var list []*worker
 	take := func(wanted func(w *worker) bool) {
 		for i := 0; i < len(order) && len(list) < mostAsked; i++ {
-			if w := order[i]; wanted(w) && !st.advice.asked[w] && usable(w, st) && !slices.Contains(list, w) {
+			if w := order[i]; wanted(w) && !st.advice.asked[w] && !st.advice.asking[w] && usable(w, st) && !slices.Contains(list, w) {
 				list = append(list, w)
 			}
 		}
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // reservations keep workers for large tasks that would otherwise wait for ever
@@ -52,60 +53,84 @@
 	if !s.isLarge(st, q) || r.steps >= max(leastReservations, len(s.poolOf(q.Service).workers)/workersPerReservation) {
 		return
 	}
-	type candidate struct {
-		worker *worker
-		wait   time.Duration
-	}
-	var candidates []candidate
+	var slots []slot
 	places := 0
-	for _, w := range s.candidates(st, q.Service) {
-		if v, reserved := r.byWorker[w]; (reserved && v.job != st.job) || !keepsApart(w, st) {
-			continue
-		}
-		if _, good := st.advice.tickets[w]; q.Advice != nil && !good {
+	for _, w := range s.allowed(st, q) {
+		if r.keeps(w, st.job) || !keepsApart(w, st) {
 			continue
 		}
 		places += placesFor(st.spec.Room(), w.registration.Capacity)
-		if wait := s.roomIn(w, st, now); wait < lastingHorizon {
-			candidates = append(candidates, candidate{w, wait})
-		}
+		slots = s.slotsOn(w, st, slots, now)
 	}
 	if st.spec.Gang && places < st.spec.Count {
 		return // The gang does not fit, however long it waits.
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
+	slices.SortFunc(slots, func(a, b slot) int {
 		return cmp.Or(cmp.Compare(a.wait, b.wait), compareLives(a.worker.registration.Life, b.worker.registration.Life))
 	})
-	for _, c := range candidates[:min(st.waitingTasks(), len(candidates))] {
-		r.byWorker[c.worker] = reservation{job: st.job, from: now.Add(c.wait)}
-		st.advice.kept = append(st.advice.kept, c.worker)
+	for _, v := range slots[:min(st.waitingTasks(), len(slots))] {
+		if _, kept := r.byWorker[v.worker]; !kept {
+			st.advice.kept = append(st.advice.kept, v.worker)
+		}
+		r.byWorker[v.worker] = reservation{job: st.job, from: now.Add(v.wait)}
 		if st.spec.Gang || len(st.advice.kept) == 1 {
-			st.advice.keptIn = c.wait
+			st.advice.keptIn = v.wait
 		}
 	}
 	r.steps++
 }
 
-// roomIn returns the expected time until a worker has room for a task.
-func (s *Scheduler) roomIn(w *worker, st *step, now time.Time) time.Duration {
+// allowed returns the workers on which tasks of a step may run, as far as is known.
+func (s *Scheduler) allowed(st *step, q *queue.Queue) []*worker {
+	if q.Advice == nil {
+		return s.candidates(st, q.Service)
+	}
+	list := make([]*worker, 0, len(st.advice.tickets))
+	for w := range st.advice.tickets {
+		if w.takes(q) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// slot is room for one task on a worker.
+type slot struct {
+	worker *worker
+	// wait is the expected time until the room is free.
+	wait time.Duration
+}
+
+// slotsOn adds the slots for tasks of a step on a worker, as far as its tasks end.
+//
+// It answers wide gangs in a busy service: a gang takes the first slots that come free
+// together, several on one worker, and no more workers are kept than it needs.
+func (s *Scheduler) slotsOn(w *worker, st *step, slots []slot, now time.Time) []slot {
 	free, room := w.free(), st.spec.Room()
-	if room.Fits(free) {
-		return 0
+	most := min(placesApart(w, st), st.waitingTasks())
+	n := min(placesFor(room, free), most)
+	for range n {
+		slots = append(slots, slot{w, 0})
+	}
+	if n == most {
+		return slots
 	}
 	type ending struct {
-		task *task
+		room resource.Vector
 		in   time.Duration
 	}
 	endings := make([]ending, 0, len(w.tasks))
 	for _, t := range w.tasks {
-		endings = append(endings, ending{t, s.runTimes.remaining(t, now)})
+		if in := s.runTimes.remaining(t, now); in < lastingHorizon {
+			endings = append(endings, ending{t.step.spec.Room(), in})
+		}
 	}
 	slices.SortFunc(endings, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
 	for _, e := range endings {
-		free = free.Add(e.task.step.spec.Room())
-		if room.Fits(free) {
-			return e.in
+		free = free.Add(e.room)
+		for ; n < min(placesFor(room, free), most); n++ {
+			slots = append(slots, slot{w, e.in})
 		}
 	}
-	return lastingHorizon
+	return slots
 }
--- a/internal/cell/scheduler/world_test.go
+++ b/internal/cell/scheduler/world_test.go
@@ -76,6 +76,8 @@
 	log      logr.Logger
 	// advisers are the entry VMs that can ask for advice.
 	advisers []string
+	// slowAdvice tells that advice takes as long as the queue says.
+	slowAdvice bool
 }
 
 const quantum = time.Millisecond
@@ -279,6 +281,8 @@
 	dead     bool
 	// frozen leaders do nothing; what they have sent is still on its way.
 	frozen bool
+	// asks counts the questions to advisers.
+	asks int
 }
 
 func (l *leaderEmulation) do(change func(at time.Time)) {
@@ -383,7 +387,12 @@
 
 func (l *leaderEmulation) advise(a scheduler.Ask) {
 	w := l.world
-	w.after(w.between(20*quantum, 90*quantum), func() {
+	l.asks++
+	took := w.between(20*quantum, 90*quantum)
+	if q := w.table.Queue(w.queueOf(a.Step.Job)); q != nil && w.slowAdvice {
+		took = q.Advice.Of(len(a.Workers))
+	}
+	w.after(took, func() {
 		answer := backend.Advice{Tickets: map[string]string{}, Validity: 2 * time.Second}
 		for _, id := range a.Workers {
 			if goodWorker(a.Step, id) {
@@ -394,6 +403,11 @@
 	})
 }
 
+func (w *world) queueOf(id string) string {
+	i := slices.IndexFunc(w.jobs, func(j *work.Job) bool { return j.ID == id })
+	return w.jobs[i].Queue
+}
+
 // goodWorker tells whether a step may run on a worker: half of them, and always
 // the last.
 func goodWorker(step work.StepID, worker string) bool {
