--- /dev/null
+++ b/internal/cell/scheduler/commit_test.go
@@ -0,0 +1,63 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+)
+
+// heldWorkers are workers of one service that have answered a hold.
+func heldWorkers(s *scheduler.Scheduler, n int, now time.Time) []backend.Registration {
+	var list []backend.Registration
+	for i := range n {
+		list = append(list, backend.Registration{Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1}, Service: "desk", Capacity: workerSize})
+	}
+	s.SetWorkers(list, now)
+	for _, r := range list {
+		_, sent, _ := s.HoldRequest(r.Life, now)
+		s.HoldAnswered(r.Life, sent, &backend.Report{Life: r.Life, Clock: time.Second}, now)
+	}
+	return list
+}
+
+// A worker restarts while the record of a start there is on its way to the store; the
+// task gets another place, whose record is not.
+func TestStartWaitsForItsOwnRecord(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, Right: 8 * time.Second, HoldWait: time.Second, Retention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	list := heldWorkers(s, 2, now)
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}, now)
+	s.Plan(now)
+	first := s.NextCommit(now)
+	is.True(first != nil)
+	s.Take()
+
+	progress, err := work.Decode[work.Progress](first.Records[0].Value)
+	is.NoErr(err)
+	for i := range list {
+		if list[i].Life.ID == progress.Steps[0].Tasks[0].Worker {
+			list[i].Life.Born++
+		}
+	}
+	s.SetWorkers(list, now)
+	s.Plan(now)
+	s.Committed(first, now)
+	is.Equal(len(s.Take().Starts), 0) // The record of the second place is not stored.
+
+	second := s.NextCommit(now)
+	is.True(second != nil)
+	s.Committed(second, now)
+	starts := s.Take().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Order.Run, int64(2))
+}
