Place and ask for urgent jobs as they come; index queues by name

Queues were searched by name in a list, of 1,400 after big_config.

Change: urgent jobs are asked for and placed at hand-in, at their answer and when a step opens; plans leave out hopeless jobs beyond 500; the rest after a plan is twice its length.

--- a/internal/cell/queue/table.go
+++ b/internal/cell/queue/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -69,14 +70,32 @@
 	MaxBody int64
 	// Text is the configuration as published, for handing on to other VMs.
 	Text []byte
+
+	// indexed guards byName and byHost, which are made of Queues on first use; Queues
+	// must not change then.
+	indexed sync.Once
+	byName  map[string]*Queue
+	byHost  map[string][]*Queue
+}
+
+// index sorts the queues by name and host: a configuration may have thousands.
+func (t *Table) index() {
+	t.byName, t.byHost = make(map[string]*Queue, len(t.Queues)), map[string][]*Queue{}
+	for i := range t.Queues {
+		q := &t.Queues[i]
+		if _, known := t.byName[q.Name]; !known {
+			t.byName[q.Name] = q
+		}
+		t.byHost[q.Host] = append(t.byHost[q.Host], q)
+	}
 }
 
 // Match returns the queue for a request and the rest of its path, or nil.
 func (t *Table) Match(host, path string) (*Queue, string) {
 	var best *Queue
-	for i := range t.Queues {
-		q := &t.Queues[i]
-		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+	t.indexed.Do(t.index)
+	for _, q := range t.byHost[host] {
+		if !strings.HasPrefix(path, q.Prefix) {
 			continue
 		}
 		if best == nil || len(q.Prefix) > len(best.Prefix) {
@@ -91,10 +110,6 @@
 
 // Queue returns a queue by name, or nil.
 func (t *Table) Queue(name string) *Queue {
-	for i := range t.Queues {
-		if t.Queues[i].Name == name {
-			return &t.Queues[i]
-		}
-	}
-	return nil
+	t.indexed.Do(t.index)
+	return t.byName[name]
 }
--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -232,6 +232,7 @@
 	}
 	s.advisers.learn(o.step.job.spec.Queue, float64(len(answer.Tickets))/float64(len(o.workers)))
 	s.log.Info("advice_received", "job", o.step.id.Job, "step", o.step.id.Step, "vm", o.vm, "asked", len(o.workers), "good", len(answer.Tickets), "took_ms", now.Sub(o.sent).Milliseconds())
+	s.hasten(o.step.job, now)
 }
 
 // settle notes that a question has left a VM. The questions that are still there are
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -121,6 +121,7 @@
 		delete(s.cancelledEarly, spec.ID)
 		s.Cancel(spec.ID, now)
 	}
+	s.hasten(j, now)
 }
 
 // maxAge bounds the age of a job that clocks of two VMs give, since clocks jump.
@@ -270,6 +271,7 @@
 	o.left--
 	if o.left > 0 {
 		s.openSteps(o, now)
+		s.hasten(j, now)
 		return
 	}
 	s.finishOccurrence(j, now)
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -36,6 +36,27 @@
 	s.dealQuestions(order, now)
 }
 
+// urgentPriority is the priority of the queues whose jobs are placed as they come.
+const urgentPriority = 0
+
+// hasten places and asks for an urgent job between two plans, with the reservations of
+// the last one.
+//
+// It answers a backlog, when plans are long and rare: an urgent job would wait for one
+// to ask for advice and for another to use it.
+func (s *Scheduler) hasten(j *job, now time.Time) {
+	q := s.table.Queue(j.spec.Queue)
+	if q == nil || q.Priority != urgentPriority || j.state.Ended() || s.reserved == nil {
+		return
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			s.planStep(st, q, s.reserved, now)
+		}
+	}
+	s.dealQuestions([]*job{j}, now)
+}
+
 func (s *Scheduler) planStep(st *step, q *queue.Queue, reserved *reservations, now time.Time) {
 	st.advice.kept = nil
 	if st.left == 0 {
--- a/internal/cell/scheduler/prospect.go
+++ b/internal/cell/scheduler/prospect.go
@@ -27,6 +27,9 @@
 // for the job to be patient. Half leaves room for estimates that are twice too low.
 const patientSlack = 0.5
 
+// mostPlanned is the number of jobs in a plan from which on hopeless ones are left out.
+const mostPlanned = 500
+
 // rank orders waiting jobs.
 type rank struct {
 	job      *job
@@ -66,9 +69,12 @@
 	slices.SortFunc(ranks, func(a, b rank) int {
 		return cmp.Or(cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
-	order := make([]*job, len(ranks))
+	order := make([]*job, 0, len(ranks))
 	for i := range ranks {
-		order[i] = ranks[i].job
+		if ranks[i].prospect == hopeless && len(order) >= mostPlanned {
+			break // Nobody waits for them; the first ones make room for the others.
+		}
+		order = append(order, ranks[i].job)
 	}
 	return order
 }
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -21,7 +21,7 @@
 	planInterval = 4 * time.Millisecond
 	// planRest times the length of a plan is the pause after it, so that plans
 	// leave processor time for orders and reports.
-	planRest = 3
+	planRest = 2
 	// tickInterval is the pause between looks at the clock.
 	tickInterval = 100 * time.Millisecond
 	// tailInterval is the pause between reads of a partition of new jobs, of which
