Let only the leader hand a configuration on, compressed, to VMs that stay behind

Change: VMs read the store by themselves; the leader tells a VM that has been behind for 0.6 s, six at a time, compressed, in a call of its own; it reads the configuration with a shorter wait, for silent connections.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -69,7 +69,7 @@
 }
 
 func (e *election) run(ctx context.Context) {
-	go follow(ctx, e.node, store.Claims, followWait, e.apply)
+	go follow(ctx, e.node, store.Claims, always(followWait), e.apply)
 	for pause(ctx, electionPoll) {
 		select {
 		case <-e.invited:
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -1,7 +1,10 @@
 package entryvm
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -64,7 +67,6 @@
 func (l *leader) beatTo(m member) {
 	ctx, cancel := context.WithTimeout(l.ctx, leaderSilence)
 	defer cancel()
-	table := l.node.tables.current()
 	args := HeartbeatArgs{Epoch: l.epoch, Leader: l.node.settings.Name, Address: l.node.settings.Peers, Version: l.node.tables.version()}
 	r, err := link.Call[HeartbeatArgs, HeartbeatReply](ctx, l.node.client, m.Address, "Heartbeat", args)
 	if err != nil {
@@ -72,11 +74,83 @@
 	}
 	l.mutex.Lock()
 	l.answered[m.Name], l.reaching[m.Name] = now(), r.ReachesStore
+	tell := l.behind.tell(m.Name, r.Version < args.Version, now())
 	l.mutex.Unlock()
-	if table == nil || r.Version >= args.Version {
-		return
+	if tell {
+		go l.tellTable(m)
+	}
+}
+
+const (
+	// behindFor is how long a VM must be behind before it is told the configuration: it
+	// reads it by itself unless it does not reach the store.
+	behindFor = 600 * time.Millisecond
+	// tellTimeout bounds a call that hands a configuration on, over a narrow link.
+	tellTimeout = 3 * time.Second
+	// mostTold bounds the VMs that are told at a time, for the leader's link.
+	mostTold = 6
+)
+
+// laggards are the entry VMs with an older configuration than the leader.
+type laggards struct {
+	// since is when a VM was first seen behind.
+	since map[string]time.Time
+	// told holds the VMs that are being told.
+	told map[string]bool
+}
+
+func newLaggards() *laggards { return &laggards{map[string]time.Time{}, map[string]bool{}} }
+
+// tell notes whether a VM is behind; it reports whether it is to be told now.
+//
+// It answers large configurations: a VM that is told while it reads, or by several VMs,
+// gets the same text over its narrow link again and again.
+func (l *laggards) tell(name string, behind bool, at time.Time) bool {
+	if !behind {
+		delete(l.since, name)
+		return false
+	}
+	since, known := l.since[name]
+	if !known {
+		l.since[name] = at
+		return false
+	}
+	if at.Sub(since) < behindFor || l.told[name] || len(l.told) >= mostTold {
+		return false
 	}
-	if _, err := link.Call[TableArgs, Nothing](ctx, l.node.client, m.Address, "Table", TableArgs{Version: table.Version, Text: table.Text}); err != nil {
-		l.node.log.V(1).Info("configuration_not_told", "vm", m.Name, "version", table.Version, "error", err.Error())
+	l.told[name] = true
+	return true
+}
+
+// tellTable hands the configuration to a VM that is behind.
+func (l *leader) tellTable(m member) {
+	ctx, cancel := context.WithTimeout(l.ctx, tellTimeout)
+	defer cancel()
+	table := l.node.tables.current()
+	_, err := link.Call[TableArgs, Nothing](ctx, l.node.client, m.Address, "Table", TableArgs{Version: table.Version, Text: compress(table.Text)})
+	l.node.log.Info("configuration_told", "vm", m.Name, "version", table.Version, "told", err == nil)
+	l.mutex.Lock()
+	delete(l.behind.told, m.Name)
+	l.mutex.Unlock()
+}
+
+// compress packs the text of a configuration for the way to another VM.
+func compress(text []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(text) // A buffer takes everything.
+	_ = w.Close()
+	return b.Bytes()
+}
+
+// mostText bounds the text of a configuration.
+const mostText = 16 << 20
+
+// decompress is the reverse of compress.
+func decompress(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
 	}
+	return io.ReadAll(io.LimitReader(r, mostText))
 }
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -87,6 +87,8 @@
 	// which of them reach the store by themselves.
 	answered map[string]time.Time
 	reaching map[string]bool
+	// behind are the entry VMs with an older configuration.
+	behind *laggards
 }
 
 func newLeader(ctx context.Context, n *Node, epoch int64) *leader {
@@ -97,7 +99,7 @@
 		state:    scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions: map[backend.Life]*session{}, stored: make(chan struct{}),
 		tailed: make([]time.Time, n.settings.Partitions), partitions: map[string]uint64{},
-		registrations: map[string]backend.Registration{}, answered: map[string]time.Time{}, reaching: map[string]bool{}, began: now(),
+		registrations: map[string]backend.Registration{}, answered: map[string]time.Time{}, reaching: map[string]bool{}, behind: newLaggards(), began: now(),
 	}
 }
 
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -52,7 +52,7 @@
 
 func (m *members) run(ctx context.Context) {
 	go m.register(ctx)
-	follow(ctx, m.node, store.VMs, followWait, m.apply)
+	follow(ctx, m.node, store.VMs, always(followWait), m.apply)
 }
 
 // register records this VM, so that the others find it.
@@ -114,13 +114,16 @@
 	return slices.ContainsFunc(m.others(), func(v member) bool { return v.Fitness > fitterFactor*m.node.settings.Fitness })
 }
 
+// always returns a function that returns a time.
+func always(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // follow hands every change of a topic to apply: first the newest record of each
 // key, then what is appended. It starts again when the store has dropped what
 // comes next.
-func follow(ctx context.Context, n *Node, topic store.Topic, wait time.Duration, apply func([]store.Record)) {
+func follow(ctx context.Context, n *Node, topic store.Topic, wait func() time.Duration, apply func([]store.Record)) {
 	from := int64(-1)
 	for ctx.Err() == nil {
-		records, next, err := readOn(ctx, n.store, store.Read{Topic: topic, From: from, Wait: wait})
+		records, next, err := readOn(ctx, n.store, store.Read{Topic: topic, From: from, Wait: wait()})
 		if err != nil {
 			if kindOf(err) == store.KindDropped {
 				from = -1
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -83,7 +83,8 @@
 // TableArgs carry a configuration as published.
 type TableArgs struct {
 	Version int64
-	Text    []byte
+	// Text is compressed by gzip.
+	Text []byte
 }
 
 // AppendArgs ask a VM to append to the store.
@@ -170,9 +171,15 @@
 
 // Table takes a configuration from another VM.
 func (h *handler) Table(a TableArgs, _ *Nothing) error {
-	if a.Version > h.node.tables.version() {
-		h.node.tables.accept(a.Text, "peer")
+	if a.Version <= h.node.tables.version() {
+		return nil
+	}
+	text, err := decompress(a.Text)
+	if err != nil {
+		h.node.log.Error(err, "configuration_unreadable", "source", "peer")
+		return err
 	}
+	h.node.tables.accept(text, "peer")
 	return nil
 }
 
--- a/internal/node/entryvm/tables.go
+++ b/internal/node/entryvm/tables.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
-	"github.com/almondpost/almondpost/internal/peer/link"
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
 
@@ -36,7 +35,7 @@
 }
 
 func (t *tables) run(ctx context.Context) {
-	follow(ctx, t.node, store.Configuration, followWait, func(records []store.Record) {
+	follow(ctx, t.node, store.Configuration, t.followWait, func(records []store.Record) {
 		for i := range records {
 			if records[i].Key == configurationKey && len(records[i].Value) > 0 {
 				t.accept(records[i].Value, "store")
@@ -45,7 +44,7 @@
 	})
 }
 
-// accept puts a configuration in force if it is newer, and tells the others.
+// accept puts a configuration in force if it is newer.
 func (t *tables) accept(text []byte, source string) {
 	table, err := t.node.peers.DecodeTable(text)
 	if err != nil {
@@ -67,25 +66,16 @@
 	if l := t.node.leading(); l != nil {
 		l.setTable(table)
 	}
-	if old > 0 {
-		t.tell(table)
-	}
 }
 
-// tellTimeout bounds a call that hands a configuration on.
-const tellTimeout = time.Second
+// leaderFollowWait takes the place of followWait at a leader: the others learn a
+// configuration from it where their connections to the store have gone silent, and a
+// read that hangs must not keep it from the leader for long.
+const leaderFollowWait = 1500 * time.Millisecond
 
-// tell hands a configuration to the other entry VMs, so that none serves an older
-// one after a worker has seen its effect.
-func (t *tables) tell(table *queue.Table) {
-	for _, m := range t.node.members.others() {
-		go func() {
-			ctx, cancel := context.WithTimeout(t.node.run, tellTimeout)
-			defer cancel()
-			args := TableArgs{Version: table.Version, Text: table.Text}
-			if _, err := link.Call[TableArgs, Nothing](ctx, t.node.client, m.Address, "Table", args); err != nil {
-				t.node.log.V(1).Info("configuration_not_told", "vm", m.Name, "version", table.Version, "error", err.Error())
-			}
-		}()
+func (t *tables) followWait() time.Duration {
+	if t.node.leading() != nil {
+		return leaderFollowWait
 	}
+	return followWait
 }
