--- /dev/null
+++ b/internal/node/keeper/bench_test.go
@@ -0,0 +1,75 @@
+package keeper_test
+
+import (
+	"encoding/gob"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/node/keeper"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+// benchWorkers is the fleet of BenchmarkRun, and benchTasks are the tasks of its jobs.
+const (
+	benchWorkers = 1100
+	benchTasks   = 20
+)
+
+// held is a worker as the leader of BenchmarkRun sees it.
+type held struct {
+	life backend.Life
+	ends int64
+	sent scheduler.HoldSent
+}
+
+// BenchmarkRun measures what a leader does for one run of a task on 1,100 workers: it
+// places, records and orders it, and takes its end from a hold, with the encoding of
+// both messages. Reading messages and the log lines are not in it.
+func BenchmarkRun(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 10 * time.Second, Right: 12 * time.Second, HoldWait: time.Second, Retention: 5 * time.Second}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "batch", Service: "desk", Priority: 2, MaxAttempts: 3, Stretch: 4, Objective: 3 * time.Second}}})
+	workers := map[backend.Life]*held{}
+	var list []backend.Registration
+	for i := range benchWorkers {
+		r := backend.Registration{Life: backend.Life{ID: fmt.Sprintf("i-%010x", i), Born: 1}, Service: "desk", Capacity: resource.Vector{Milliprocessors: 64000, MemoryMebibytes: 131072}}
+		list = append(list, r)
+		workers[r.Life] = &held{life: r.Life}
+	}
+	s.SetWorkers(list, now)
+	for _, w := range workers {
+		_, w.sent, _ = s.HoldRequest(w.life, now)
+		s.HoldAnswered(w.life, w.sent, &backend.Report{Life: w.life, Clock: time.Second}, now)
+	}
+	batches := gob.NewEncoder(io.Discard)
+	runs := 0
+	for b.Loop() {
+		if runs++; runs%benchTasks != 1 {
+			continue
+		}
+		now = now.Add(10 * time.Millisecond)
+		s.Submit(&work.Job{ID: fmt.Sprintf("%016x", runs), Queue: "batch", Payload: "payload", Accepted: now, Steps: []work.Step{{Count: benchTasks, Size: resource.Vector{Milliprocessors: 17000, MemoryMebibytes: 20000}, Estimate: time.Second}}}, now)
+		s.Plan(now)
+		s.Committed(s.NextCommit(now), now)
+		for _, o := range s.Take().Starts {
+			w := workers[o.Worker]
+			_ = batches.Encode(keeper.Batch{Leader: leaderAddress, Calls: []keeper.Call{{Number: int64(runs), Life: w.life, Start: &o.Order}}})
+			s.StartAnswered(w.life, &o.Order, "", time.Second, now)
+			hold, sent, _ := s.HoldRequest(w.life, now)
+			_ = batches.Encode(keeper.Batch{Leader: leaderAddress, Calls: []keeper.Call{{Number: int64(runs), Life: w.life, Hold: &hold}}})
+			w.ends++
+			s.HoldAnswered(w.life, sent, &backend.Report{Life: w.life, Clock: time.Second, Ended: []backend.End{{Number: w.ends, Task: o.Order.Task, Run: o.Order.Run, Outcome: backend.Done}}}, now)
+		}
+		s.Committed(s.NextCommit(now), now)
+		s.Tick(now)
+		s.Take()
+	}
+}
