--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -162,19 +162,19 @@
 	}
 }
 
-// idle lists the VMs that can take a question, first those that have been idle
-// longest.
-func (a *advisers) idle(now time.Time) []string {
-	var names []string
+// idle returns the VM that can take a question and has been idle longest; ok is false
+// where there is none.
+func (a *advisers) idle(now time.Time) (name string, ok bool) {
+	var first *adviserVM
 	for n, v := range a.vms {
-		if now.After(v.pauseUntil) && (v.open == 0 || v.busyUntil.Sub(now) < questionOverlap) {
-			names = append(names, n)
+		if !now.After(v.pauseUntil) || (v.open > 0 && v.busyUntil.Sub(now) >= questionOverlap) {
+			continue
+		}
+		if first == nil || cmp.Or(v.busyUntil.Compare(first.busyUntil), cmp.Compare(n, name)) < 0 {
+			name, first = n, v
 		}
 	}
-	slices.SortFunc(names, func(x, y string) int {
-		return cmp.Or(a.vms[x].busyUntil.Compare(a.vms[y].busyUntil), cmp.Compare(x, y))
-	})
-	return names
+	return name, first != nil
 }
 
 func (s *Scheduler) ask(st *step, q question, vm string, now time.Time) {
--- a/internal/cell/scheduler/bench_test.go
+++ b/internal/cell/scheduler/bench_test.go
@@ -103,3 +103,20 @@
 		})
 	}
 }
+
+// BenchmarkHandIn hands urgent jobs in while others wait at a large fleet.
+func BenchmarkHandIn(b *testing.B) {
+	w := largeWorld()
+	l := w.elect()
+	w.submitMix(10 * time.Second)
+	w.run(3 * time.Second)
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		l.state.Submit(&work.Job{ID: fmt.Sprintf("urgent-%d", n), Queue: "sort", Accepted: w.now, Steps: []work.Step{mixOfKinds[0].step}}, w.now)
+		for _, a := range l.state.Take().Asks {
+			l.state.AdviceAnswered(a.Number, backend.Advice{}, false, w.now)
+		}
+	}
+}
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -116,7 +116,7 @@
 	}
 	j := s.add(spec, now)
 	s.log.Info("job_received", "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "age_ms", now.Sub(j.arrived).Milliseconds())
-	s.openDue(now)
+	s.openOccurrences(j, now)
 	if _, cancelled := s.cancelledEarly[spec.ID]; cancelled {
 		delete(s.cancelledEarly, spec.ID)
 		s.Cancel(spec.ID, now)
@@ -175,11 +175,16 @@
 // openDue opens the occurrences whose time has come.
 func (s *Scheduler) openDue(now time.Time) {
 	for _, j := range s.active {
-		for j.next < j.spec.Occurrences() && (j.spec.Repeat == nil || !now.Before(s.instant(j.spec.Due(j.next)).Add(-s.timing.Early))) {
-			o := s.newOccurrence(j, j.next, now)
-			j.next++
-			s.openSteps(o, now)
-		}
+		s.openOccurrences(j, now)
+	}
+}
+
+// openOccurrences opens those of one job.
+func (s *Scheduler) openOccurrences(j *job, now time.Time) {
+	for j.next < j.spec.Occurrences() && (j.spec.Repeat == nil || !now.Before(s.instant(j.spec.Due(j.next)).Add(-s.timing.Early))) {
+		o := s.newOccurrence(j, j.next, now)
+		j.next++
+		s.openSteps(o, now)
 	}
 }
 
--- a/internal/cell/scheduler/plan.go
+++ b/internal/cell/scheduler/plan.go
@@ -49,12 +49,20 @@
 	if q == nil || q.Priority != urgentPriority || j.state.Ended() || s.reserved == nil {
 		return
 	}
+	if p := s.prospectOf(j, q, s.allowance(j, q), now); p == late || p == hopeless {
+		return
+	}
+	asks := false
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			s.planStep(st, q, s.reserved, now)
+			_, wants := s.advisers.waiting[st]
+			asks = asks || wants
 		}
 	}
-	s.dealQuestions([]*job{j}, now)
+	if asks {
+		s.dealQuestions([]*job{j}, now)
+	}
 }
 
 func (s *Scheduler) planStep(st *step, q *queue.Queue, reserved *reservations, now time.Time) {
--- a/internal/cell/scheduler/prospect.go
+++ b/internal/cell/scheduler/prospect.go
@@ -56,11 +56,7 @@
 		if q == nil {
 			continue
 		}
-		chain := time.Duration(0)
-		if len(j.chain) > 0 {
-			chain = slices.Max(j.chain)
-		}
-		allowance := q.Allowance(chain)
+		allowance := s.allowance(j, q)
 		ranks = append(ranks, rank{
 			job: j, priority: q.Priority, due: j.arrived.Add(allowance),
 			prospect: s.prospectOf(j, q, allowance, now),
@@ -79,6 +75,15 @@
 	return order
 }
 
+// allowance returns in which time a job should complete.
+func (s *Scheduler) allowance(j *job, q *queue.Queue) time.Duration {
+	chain := time.Duration(0)
+	if len(j.chain) > 0 {
+		chain = slices.Max(j.chain)
+	}
+	return q.Allowance(chain)
+}
+
 // recordTime is about the time from a placement to its order.
 const recordTime = 30 * time.Millisecond
 
--- a/internal/cell/scheduler/questions.go
+++ b/internal/cell/scheduler/questions.go
@@ -16,22 +16,22 @@
 	if len(s.advisers.waiting) == 0 {
 		return
 	}
-	idle := s.advisers.idle(now)
+	idle, ok := s.advisers.idle(now)
 	ahead := map[string]int{}
 	limits := s.newAskLimits()
 	for _, j := range order {
-		if len(idle) == 0 {
+		if !ok {
 			return
 		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				q := s.advisers.waiting[st]
-				if q == nil || len(idle) == 0 || !limits.allow(q) || (st.open && !s.worthAsking(st, q, ahead)) {
+				if q == nil || !ok || !limits.allow(q) || (st.open && !s.worthAsking(st, q, ahead)) {
 					continue
 				}
 				if workers := s.toAsk(st, q, now); len(workers) > 0 {
-					s.ask(st, question{workers, q.Advice}, idle[0], now)
-					idle = s.advisers.idle(now)
+					s.ask(st, question{workers, q.Advice}, idle, now)
+					idle, ok = s.advisers.idle(now)
 					limits.add(q)
 				}
 			}
