--- a/internal/cell/scheduler/advice_test.go
+++ b/internal/cell/scheduler/advice_test.go
@@ -32,15 +32,7 @@
 		names[i] = fmt.Sprintf("vm-%d", i)
 	}
 	s.SetAdvisers(names)
-	var list []backend.Registration
-	for i := range 6 {
-		list = append(list, backend.Registration{Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1}, Service: []string{"bench", "desk"}[i%2], Capacity: workerSize})
-	}
-	s.SetWorkers(list, now)
-	for _, r := range list {
-		_, sent, _ := s.HoldRequest(r.Life, now)
-		s.HoldAnswered(r.Life, sent, &backend.Report{Life: r.Life, Clock: time.Second}, now)
-	}
+	heldWorkers(s, 6, now, "bench", "desk")
 	return s
 }
 
--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -14,11 +14,11 @@
 	"github.com/almondpost/almondpost/internal/peer/backend"
 )
 
-// heldWorkers are workers of one service that have answered a hold.
-func heldWorkers(s *scheduler.Scheduler, n int, now time.Time) []backend.Registration {
+// heldWorkers adds workers of some services in turn that have answered a hold.
+func heldWorkers(s *scheduler.Scheduler, n int, now time.Time, services ...string) []backend.Registration {
 	var list []backend.Registration
 	for i := range n {
-		list = append(list, backend.Registration{Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1}, Service: "desk", Capacity: workerSize})
+		list = append(list, backend.Registration{Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1}, Service: services[i%len(services)], Capacity: workerSize})
 	}
 	s.SetWorkers(list, now)
 	for _, r := range list {
@@ -35,7 +35,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, Right: 8 * time.Second, HoldWait: time.Second, Retention: time.Hour}, 1, now, now, logr.Discard())
 	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
-	list := heldWorkers(s, 2, now)
+	list := heldWorkers(s, 2, now, "desk")
 	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}, now)
 	s.Plan(now)
 	first := s.NextCommit(now)
