Put a constant back under the comment that explains it

Cause: shortQuestion was added between slowQuestion and slowShare, whose comment they share. The scheduler's tests pass.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -31,9 +31,9 @@
 	// slowQuestion is the length from which on a question holds a VM up for longer
 	// than urgent jobs can wait; at most slowShare of the VMs are busy with such.
 	slowQuestion = 300 * time.Millisecond
+	slowShare    = 0.5
 	// shortQuestion is the length up to which questions hold nobody up.
 	shortQuestion = 60 * time.Millisecond
-	slowShare     = 0.5
 	// askedAhead bounds the steps without room that are asked about, for each
 	// service.
 	askedAhead = 6
