Renew the claim of a quiet cell; offer requests again during a hand-over

The commit loop reset its renewal timer at each wake-up, and the tick wakes it every 100 ms, so a cell that stores nothing never renewed its claim and its leases ended. The timer now starts again only after an append.

A request that reached an entry VM of the earlier engine during a rolling replacement was refused by the draining owner and by successors that had not adopted its workers yet. The runner now offers it again for up to 800 ms when all refused it as draining or without workers.

--- a/internal/node/entryvm/commits.go
+++ b/internal/node/entryvm/commits.go
@@ -37,7 +37,6 @@
 		case <-l.renewClaimSignal:
 			renew = true
 		}
-		renewal.Reset(claimRenewInterval)
 		l.mutex.Lock()
 		commit := l.scheduler.NextCommit(now())
 		l.mutex.Unlock()
@@ -57,6 +56,7 @@
 				l.node.log.Info("claim_lost", "epoch", l.epoch, "error", err.Error())
 				return
 			}
+			renewal.Reset(claimRenewInterval)
 		}
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
 			if commit != nil {
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -40,9 +40,8 @@
 	// commitPause is the pause between two commits. It lets more changes accumulate for
 	// each commit.
 	commitPause = 6 * time.Millisecond
-	// claimRenewInterval is intended as the longest interval between two appends of
-	// the commit loop, each of which proves the claim. The loop renews the claim when
-	// it has received no signal for this long.
+	// claimRenewInterval is the longest pause between two appends of the commit loop,
+	// each of which proves the claim.
 	claimRenewInterval = time.Second
 	// claimRenewalKey is the key of records that contain no progress and only renew the
 	// claim.
--- a/internal/node/request/runner.go
+++ b/internal/node/request/runner.go
@@ -167,7 +167,7 @@
 			status = r.followAttempt(ctx, w, w.ExistingAttemptOwner, w.ExistingAttempt.Attempt, w.ExistingAttempt.Status, time.Now())
 			w.ExistingAttempt = entry.FoundAttempt{}
 		} else {
-			status = r.tryOwners(ctx, w, &nextAttempt)
+			status = r.findOwner(ctx, w, &nextAttempt)
 		}
 		if status.State != entry.NotRun {
 			out.Attempts++
@@ -229,6 +229,37 @@
 	out.WaitedMilliseconds = s.Waited.Milliseconds()
 }
 
+const (
+	// maxHandOverWait limits how long a task is offered again while workers move from
+	// a stopping entry VM to others.
+	maxHandOverWait = 800 * time.Millisecond
+	// handOverRetryPause is the pause between two rounds of offers in this time.
+	handOverRetryPause = 50 * time.Millisecond
+)
+
+// findOwner calls tryOwners. If all owners refuse the task because they have no workers
+// or are draining, their workers may be on the way to other owners, so findOwner calls
+// it again for up to maxHandOverWait.
+func (r *Runner) findOwner(ctx context.Context, w Work, nextAttempt *int) entry.Status {
+	for giveUpAt := time.Now().Add(maxHandOverWait); ; {
+		status := r.tryOwners(ctx, w, nextAttempt)
+		if !isHandOverRefusal(status) || !time.Now().Before(giveUpAt) || w.isAbandoned() {
+			return status
+		}
+		select {
+		case <-ctx.Done():
+			return status
+		case <-time.After(handOverRetryPause):
+		}
+	}
+}
+
+// isHandOverRefusal reports whether an attempt was refused for a reason that can end
+// as soon as another owner has adopted the workers of a stopping one.
+func isHandOverRefusal(s entry.Status) bool {
+	return s.State == entry.NotRun && (s.Reason == string(allocator.KindDraining) || s.Reason == string(allocator.KindNoWorkers))
+}
+
 // tryOwners offers the task to one owner after another until one accepts it, and
 // follows the attempt to its end. Each offer is an attempt of its own, numbered
 // by nextAttempt. If no owner accepts the task, tryOwners returns the status of
--- a/internal/node/request/runner_test.go
+++ b/internal/node/request/runner_test.go
@@ -715,11 +715,13 @@
 	is.True(p.lastTask.Resumed)
 }
 
-// scriptedPeers has one owner, which returns the given statuses in turn.
+// scriptedPeers has one owner, which returns the given statuses in turn. If repeatLast
+// is true, it returns the last one for all further calls.
 type scriptedPeers struct {
 	fakeDomain
-	statuses []entry.Status
-	lastTask entry.Task
+	statuses   []entry.Status
+	repeatLast bool
+	lastTask   entry.Task
 }
 
 func (p *scriptedPeers) Targets() []request.Target {
@@ -728,6 +730,42 @@
 
 func (p *scriptedPeers) Run(_ context.Context, _ request.Target, a entry.RunArgs) (entry.Status, error) {
 	s := p.statuses[0]
-	p.statuses, p.lastTask = p.statuses[1:], a.Task
+	p.lastTask = a.Task
+	if len(p.statuses) > 1 || !p.repeatLast {
+		p.statuses = p.statuses[1:]
+	}
 	return s, nil
 }
+
+// TestRefusedDuringHandOver checks that a task is offered again while workers move
+// from a stopping entry VM to its successor: the former refuses it because it drains,
+// the latter because it has not adopted the workers yet.
+func TestRefusedDuringHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &scriptedPeers{statuses: []entry.Status{
+			{State: entry.NotRun, Reason: string(allocator.KindDraining)},
+			{State: entry.NotRun, Reason: string(allocator.KindNoWorkers)},
+			{State: entry.Finished},
+		}}
+		r := request.New(p, request.NewTwoChoiceRouter("o", "d", rand.New(rand.NewPCG(1, 1))), retry.New(1, 1), request.DefaultTiming, logr.Discard())
+		o := r.Run(t.Context(), request.Work{ID: "t", Spec: request.Spec{Class: plan.Urgent}})
+		is.Equal(o.State, request.Done)
+		is.Equal(o.Attempts, 1)
+	})
+}
+
+// TestRefusedWithoutWorkers checks that a task is refused soon if no owner gets
+// workers.
+func TestRefusedWithoutWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &scriptedPeers{repeatLast: true, statuses: []entry.Status{{State: entry.NotRun, Reason: string(allocator.KindNoWorkers)}}}
+		r := request.New(p, request.NewTwoChoiceRouter("o", "d", rand.New(rand.NewPCG(1, 1))), retry.New(1, 1), request.DefaultTiming, logr.Discard())
+		begun := time.Now()
+		o := r.Run(t.Context(), request.Work{ID: "t", Spec: request.Spec{Class: plan.Urgent}})
+		is.Equal(o.State, request.NotRun)
+		is.Equal(o.Reason, string(allocator.KindNoWorkers))
+		is.True(time.Since(begun) <= time.Second)
+	})
+}
