Size requests for advice about gangs by the places that they lack

Requests for gangs keep half of the VMs busy; each names 30 workers, takes 0.8 s of which 0.56 s are fixed, and brings 9 approvals.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -132,29 +132,39 @@
 			return workersMostLikelyFree(stale, st)
 		}
 	}
-	if s.needsMorePlaces(st, places) {
-		return s.workersWithoutRequest(st, q)
+	if missing := s.countMissingPlaces(st, places); missing > 0 {
+		return s.workersWithoutRequest(st, q, missing)
 	}
 	return nil
 }
 
-// needsMorePlaces reports whether a step should ask about further workers, because
-// its tickets and unanswered requests are not expected to bring enough places. A
-// place is free capacity for one task; the parameter places is the number of places
-// on the workers with tickets.
+// countMissingPlaces returns how many places a step lacks beyond those that its tickets
+// and unanswered requests are expected to bring. It asks about further workers while
+// this is above 0. A place is free capacity for one task; the parameter places is the
+// number of places on the workers with tickets.
 //
 // A wide gang has several requests in flight at the same time. If they were sent one
 // after the other, the tickets from the first would have expired by the time the last
 // was answered.
-func (s *Scheduler) needsMorePlaces(st *step, places int) bool {
+func (s *Scheduler) countMissingPlaces(st *step, places int) float64 {
 	if !st.spec.Gang {
-		return places == 0 && len(st.advice.workersAwaitingAnswer) == 0
+		if places == 0 && len(st.advice.workersAwaitingAnswer) == 0 {
+			return 1
+		}
+		return 0
 	}
 	expected := float64(places)
 	for w := range st.advice.workersAwaitingAnswer {
-		expected += s.dispatcher.approvalRate(st.job.spec.Queue) * float64(min(countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()), remainingTaskLimit(w, st)))
+		expected += s.expectedPlacesAfterAnswer(st, w)
 	}
-	return expected < float64(st.spec.Count)
+	return float64(st.spec.Count) - expected
+}
+
+// expectedPlacesAfterAnswer returns the number of places on a worker, weighted by how
+// likely the adviser approves the worker.
+func (s *Scheduler) expectedPlacesAfterAnswer(st *step, w *worker) float64 {
+	places := min(countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()), remainingTaskLimit(w, st))
+	return s.dispatcher.approvalRate(st.job.spec.Queue) * float64(places)
 }
 
 // areReservedWorkersSoonFree reports whether the workers reserved for a step are
@@ -177,7 +187,7 @@
 // the tickets of the gang would never all be valid at once.
 func (a *advice) reservedWorkersWithoutValidTicket(at time.Time) []*worker {
 	var stale []*worker
-	for _, w := range a.reservedWorkers[:min(len(a.reservedWorkers), maxWorkersPerRequest)] {
+	for _, w := range a.reservedWorkers[:min(len(a.reservedWorkers), maxWorkersPerGangRequest)] {
 		if !a.hasValidTicket(w, at) {
 			stale = append(stale, w)
 		}
@@ -225,7 +235,8 @@
 const expectedApprovalsPerRequest = 12
 
 // workersWithoutRequest returns workers about which a step has not requested advice
-// yet, at most maxWorkersPerRequest. The order is: workers in the rack that holds the
+// yet: maxWorkersPerRequest, or for a gang as many more as are expected to bring the
+// missing places, at most maxWorkersPerGangRequest. The order is: workers in the rack that holds the
 // input data, then workers with enough free capacity that no unanswered request of
 // any step names, then other workers with enough free capacity, then the rest. Within
 // each group, the least used workers come first. While a large step waits, the most
@@ -234,7 +245,7 @@
 // When many jobs come at once, requests of all of them about the same few workers
 // would bring tickets for capacity that the first job takes. Small tasks on the least
 // used workers would leave no entire worker free for large tasks.
-func (s *Scheduler) workersWithoutRequest(st *step, q *queue.Queue) []*worker {
+func (s *Scheduler) workersWithoutRequest(st *step, q *queue.Queue, missingPlaces float64) []*worker {
 	p := s.poolOfService(q.Service)
 	if len(st.advice.answered) >= len(p.workers) {
 		maps.DeleteFunc(st.advice.answered, func(w *worker, _ bool) bool { return w.removed })
@@ -252,10 +263,14 @@
 		return countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()) >= minPlaces && !s.reservations.isReservedForOtherJob(w, st.job)
 	}
 	var list []*worker
+	isFull := func() bool {
+		return len(list) >= maxWorkersPerRequest && (!st.spec.Gang || missingPlaces <= 0 || len(list) >= maxWorkersPerGangRequest)
+	}
 	addMatching := func(matches func(w *worker) bool) {
-		for i := 0; i < len(candidates) && len(list) < maxWorkersPerRequest; i++ {
+		for i := 0; i < len(candidates) && !isFull(); i++ {
 			if w := candidates[i]; matches(w) && !st.advice.answered[w] && !st.advice.workersAwaitingAnswer[w] && isCapable(w, st) && !slices.Contains(list, w) {
 				list = append(list, w)
+				missingPlaces -= s.expectedPlacesAfterAnswer(st, w)
 			}
 		}
 	}
