Let a question about an active job wait for its end

Cause: clients ask for the state some 10 ms after the last run has ended, and again 250 ms later.

Change: the leader answers a question about an active job when the job ends, or after 200 ms. The scheduler reports ended jobs as an effect. StateArgs has a new field Wait; earlier builds ignore it.

TestTasksRunOnceWhileKeepersChange asked about 40 running jobs one after the other within 1.5 s; it now asks about them at the same time and checks the same states.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -67,6 +67,7 @@
 	for j, state := range c.jobStates {
 		if !j.storedState.Ended() {
 			j.storedState = state
+			s.reportIfEnded(j, state)
 		}
 	}
 	for w, number := range c.lastEndNumberByWorker {
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -176,8 +176,8 @@
 		return
 	}
 	s.log.Info("job_cancelled", "job", id, "running", j.tasksOnWorkers, "waiting", j.waitingTasks)
-	s.endJob(j, work.Cancelled, now)
 	j.storedState = work.Cancelled
+	s.endJob(j, work.Cancelled, now)
 }
 
 // endJob moves a job to a final state and orders the workers to stop its tasks.
@@ -194,6 +194,14 @@
 	}
 	j.waitingTasks = 0
 	s.markJobDirty(j)
+	s.reportIfEnded(j, state)
+}
+
+// reportIfEnded adds a job to the effects if the given state is final.
+func (s *Scheduler) reportIfEnded(j *job, state work.State) {
+	if state.Ended() {
+		s.effects.EndedJobs = append(s.effects.EndedJobs, j.spec.ID)
+	}
 }
 
 // markJobDirty notes that the progress of a job has changed and must be stored.
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -80,6 +80,9 @@
 	// SubmissionsToDelete lists the IDs of ended jobs whose submissions the caller must delete
 	// from the store.
 	SubmissionsToDelete []string
+	// EndedJobs lists the IDs of jobs whose state, as Status returns it, may have become
+	// final. A job is listed when it ends and again when its final state is stored.
+	EndedJobs []string
 }
 
 // Observation is a measured duration for the metrics of a queue.
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -16,6 +16,11 @@
 	// askLeaderTimeout limits a question to the leader including all retries. After
 	// that, callers can ask again.
 	askLeaderTimeout = 1500 * time.Millisecond
+	// maxStateWait is how long the answer to a question about an active job is delayed,
+	// in case the job ends meanwhile. Callers often ask just before the leader has the
+	// report of the last run; without the delay they learn of the end only with their
+	// next question. It is well below leaderCallTimeout.
+	maxStateWait = 200 * time.Millisecond
 	// askLeaderRetryPause is the pause before a question to the leader is repeated.
 	askLeaderRetryPause = 100 * time.Millisecond
 )
@@ -43,12 +48,17 @@
 	return n.writer.write(ctx, r)
 }
 
-// State returns the state of a job; known is false if the job does not exist. The
+// State returns the state of a job; known is false if the job does not exist. While the
+// job is active, State waits for its end for up to maxStateWait. The
 // error has KindNoLeader if no leader answers within askLeaderTimeout, or this VM is
 // isolated.
 func (n *Node) State(ctx context.Context, id string) (state work.State, known bool, err error) {
-	r, err := askLeader(ctx, n, "State", StateArgs{ID: id},
-		func(l *leader) StateReply { return l.jobStatus(id) },
+	wait := maxStateWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = max(min(wait, time.Until(deadline)/2), 0)
+	}
+	r, err := askLeader(ctx, n, "State", StateArgs{ID: id, Wait: wait},
+		func(l *leader) StateReply { return l.awaitJobStatus(id, wait) },
 		func(r StateReply) bool { return r.Leading && (r.Known || r.Fresh) })
 	return r.State, r.Known, err
 }
--- a/internal/node/entryvm/keepers_test.go
+++ b/internal/node/entryvm/keepers_test.go
@@ -48,19 +48,19 @@
 			leader := f.leaderIndex()
 			survivor := (leader + 3) % 4
 			const jobCount = 40
-			for i := range jobCount {
-				is.NoErr(f.submit(f.nodes[survivor], fmt.Sprintf("job-%d", i)))
-			}
-			for i := range jobCount {
-				f.awaitState(f.nodes[survivor], fmt.Sprintf("job-%d", i), work.Running)
+			ids := make([]string, jobCount)
+			for i := range ids {
+				ids[i] = fmt.Sprintf("job-%d", i)
+				is.NoErr(f.submit(f.nodes[survivor], ids[i]))
 			}
+			f.awaitStates(f.nodes[survivor], ids, work.Running)
 			for _, i := range sc.closed(leader) {
 				f.nodes[i].Close()
 			}
-			for i := range jobCount {
-				f.awaitState(f.nodes[survivor], fmt.Sprintf("job-%d", i), work.Completed)
+			for _, id := range ids {
+				f.awaitState(f.nodes[survivor], id, work.Completed)
 				for k := range 2 {
-					task := firstTask(fmt.Sprintf("job-%d", i))
+					task := firstTask(id)
 					task.Index = k
 					is.Equal(f.fleet.StartCount(task), 1)
 				}
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -78,7 +78,10 @@
 
 	mutex     sync.Mutex
 	scheduler *scheduler.Scheduler
-	sessions  map[backend.Life]*workerSession
+	// stateWaiters holds, for each job whose end a call of awaitJobStatus waits for, a
+	// channel that is closed when the job may have ended.
+	stateWaiters map[string]chan struct{}
+	sessions     map[backend.Life]*workerSession
 	// nextCommitDone is closed and replaced by a new channel after each commit.
 	nextCommitDone chan struct{}
 	// jobsReadStartTimes holds when the last successful read of each job partition began.
@@ -113,7 +116,7 @@
 		node: n, epoch: epoch, ctx: ctx, stop: stop,
 		commitSignal: make(chan struct{}, 1), schedulingSignal: make(chan struct{}, 1), renewClaimSignal: make(chan struct{}, 1),
 		scheduler: scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
-		sessions:  map[backend.Life]*workerSession{}, nextCommitDone: make(chan struct{}),
+		sessions:  map[backend.Life]*workerSession{}, nextCommitDone: make(chan struct{}), stateWaiters: map[string]chan struct{}{},
 		jobsReadStartTimes: make([]time.Time, n.settings.Partitions), jobPartitions: map[string]uint64{},
 		registrations: map[string]backend.Registration{}, lastHeartbeatAnswer: map[string]time.Time{}, vmReachesStore: map[string]bool{}, outdatedVMs: newOutdatedVMTracker(), handOverTimerStart: now(),
 	}
@@ -226,6 +229,12 @@
 	for _, o := range e.Observations {
 		l.node.measures.Observe(measure.Key{Name: o.Name, Label: o.Queue}, o.Duration)
 	}
+	for _, id := range e.EndedJobs {
+		if waiter := l.stateWaiters[id]; waiter != nil {
+			close(waiter)
+			delete(l.stateWaiters, id)
+		}
+	}
 	if len(e.SubmissionsToDelete) > 0 {
 		go l.deleteSubmissions(e.SubmissionsToDelete)
 	}
@@ -290,15 +299,43 @@
 	l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) { s.AdviceAnswered(a.Number, answer, err != nil, at) })
 }
 
-// jobStatus returns the reply to a question about the state of a job.
-func (l *leader) jobStatus(id string) StateReply {
+// awaitJobStatus returns the reply to a question about the state of a job. While the job
+// is active, it waits for the end of the job for up to the given time.
+func (l *leader) awaitJobStatus(id string, wait time.Duration) StateReply {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		reply, ended := l.jobStatus(id)
+		if ended == nil || wait <= 0 {
+			return reply
+		}
+		select {
+		case <-ended:
+		case <-timeout.C:
+			return reply
+		case <-l.ctx.Done():
+			return StateReply{}
+		}
+	}
+}
+
+// jobStatus returns the current reply to a question about the state of a job. If the
+// job is active, it also returns a channel that is closed when the job may have ended.
+func (l *leader) jobStatus(id string) (reply StateReply, ended chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if !l.restored || l.ctx.Err() != nil {
-		return StateReply{}
+		return StateReply{}, nil
 	}
 	state, known := l.scheduler.Status(id, l.hasQuorum(now()))
-	return StateReply{Leading: true, Known: known, State: state, Fresh: l.jobsUpToDate()}
+	reply = StateReply{Leading: true, Known: known, State: state, Fresh: l.jobsUpToDate()}
+	if !known || state.Ended() {
+		return reply, nil
+	}
+	if l.stateWaiters[id] == nil {
+		l.stateWaiters[id] = make(chan struct{})
+	}
+	return reply, l.stateWaiters[id]
 }
 
 // pendingJobs returns the reply to a question about the number of jobs of a queue that
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -92,6 +92,24 @@
 
 // awaitState waits until an entry VM returns the expected state for a job.
 func (f *fixture) awaitState(n *entryvm.Node, id string, expected work.State) {
+	f.is.Helper()
+	f.is.NoErr(pollState(n, id, expected))
+}
+
+// awaitStates waits until an entry VM returns the expected state for all jobs. It asks
+// about all of them at the same time, since the answer for an active job is delayed.
+func (f *fixture) awaitStates(n *entryvm.Node, ids []string, expected work.State) {
+	var g errgroup.Group
+	for _, id := range ids {
+		g.Go(func() error { return pollState(n, id, expected) })
+	}
+	f.is.Helper()
+	f.is.NoErr(g.Wait())
+}
+
+// pollState asks an entry VM about a job until it returns the expected state. It returns
+// an error after testTimeout.
+func pollState(n *entryvm.Node, id string, expected work.State) error {
 	end := time.Now().Add(testTimeout)
 	var state work.State
 	var known bool
@@ -101,13 +119,11 @@
 		state, known, err = n.State(ctx, id)
 		cancel()
 		if err == nil && known && state == expected {
-			return
+			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	f.is.Helper()
-	f.is.NoErr(err)
-	f.is.Equal(state, expected)
+	return fmt.Errorf("job %s: state %q, known %t, error %v; expected %q", id, state, known, err, expected)
 }
 
 // leaderIndex returns the index of the VM with the last claim in the store. It waits
@@ -510,3 +526,31 @@
 	f.awaitState(f.nodes[(leader+1)%3], "job", work.Completed)
 	f.is.Equal(f.fleet.StartCount(firstTask("job")), 1)
 }
+
+// Callers ask for the state around the time at which they expect the job to end. A
+// question that arrives shortly before the end must be answered with it, also through a
+// VM that does not lead.
+func TestStateQuestionWaitsForTheEnd(t *testing.T) {
+	f := newFixture(t, 2, time.Second)
+	f.is.NoErr(f.submit(f.nodes[0], "job"))
+	f.awaitState(f.nodes[1], "job", work.Running)
+	for _, n := range f.nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+		begun := time.Now()
+		state, known, err := n.State(ctx, "job")
+		cancel()
+		f.is.NoErr(err)
+		f.is.True(known)
+		f.is.Equal(state, work.Running)                    // The job runs for longer than the caller waits.
+		f.is.True(time.Since(begun) < 60*time.Millisecond) // The answer reaches the caller in time.
+	}
+	for _, n := range f.nodes {
+		asked := 0
+		for state := work.Running; state == work.Running; asked++ {
+			var err error
+			state, _, err = n.State(t.Context(), "job")
+			f.is.NoErr(err)
+		}
+		f.is.True(asked <= 6) // Questions of 200 ms cover the second that the job runs.
+	}
+}
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -50,7 +50,12 @@
 }
 
 // StateArgs identifies the job whose state is asked for.
-type StateArgs struct{ ID string }
+type StateArgs struct {
+	ID string
+	// Wait is how long the leader may wait for the end of the job before it answers. A
+	// leader of an earlier build ignores it.
+	Wait time.Duration
+}
 
 // StateReply is the answer to a question about the state of a job.
 type StateReply struct {
@@ -163,7 +168,7 @@
 // State returns the state of a job, if this VM leads.
 func (h *rpcHandler) State(a StateArgs, r *StateReply) error {
 	if l := h.node.activeLeader(); l != nil {
-		*r = l.jobStatus(a.ID)
+		*r = l.awaitJobStatus(a.ID, a.Wait)
 	}
 	return nil
 }
