Return sooner from an outage of the store

A VM with a link of 10 Mbit/s claimed first, was isolated by its own reads, and restored the state after 3.8 s; a VM with 200 Mbit/s then took 0.3 s. - While no VM reaches the store, records were relayed to VMs that had just been cut off with their domain. They did not answer, so 32 records at a time became unknown, and their callers got a 504 after which they cannot submit the job again. - The end of the outage was noticed after up to 300 ms. - Deletions of submissions that failed were not retried, so a take-over read all jobs ended meanwhile.

Changes: a VM leaves much fitter VMs a head start of 300 ms after an outage; a relayed append is sent only to a VM that answers a call just before; the store is probed every 100 ms; deletions are retried.

TestJobIsNotStoredThroughSilentVM and two rows of TestCandidacy fail on the code before.

--- a/internal/node/entryvm/commits.go
+++ b/internal/node/entryvm/commits.go
@@ -108,19 +108,27 @@
 // appendRetryPause is the pause before an append is retried.
 const appendRetryPause = 50 * time.Millisecond
 
+// deleteRetryPause is the pause before the deletion of submissions is retried.
+const deleteRetryPause = time.Second
+
 // deleteSubmissions deletes the submissions and cancellations of ended jobs from the
 // job partitions, so that the next take-over has less to read. The final states remain
-// in the progress records.
+// in the progress records. It retries until the store accepts the deletion or the
+// leader is stopped: after an outage, a take-over would otherwise read all jobs that
+// ended during the outage.
 func (l *leader) deleteSubmissions(ids []string) {
 	for part, records := range l.submissionTombstones(ids) {
-		if len(records) == 0 {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(l.ctx, storeCallTimeout)
-		_, err := l.node.store.Append(callCtx, store.Append{Topic: store.Jobs, Part: part, Records: records})
-		cancel()
-		if err != nil {
+		for len(records) > 0 {
+			callCtx, cancel := context.WithTimeout(l.ctx, storeCallTimeout)
+			_, err := l.node.store.Append(callCtx, store.Append{Topic: store.Jobs, Part: part, Records: records})
+			cancel()
+			if err == nil {
+				break
+			}
 			l.node.log.Info("jobs_not_dropped", "records", len(records), "partition", part, "error", err.Error())
+			if !sleep(l.ctx, deleteRetryPause) {
+				return
+			}
 		}
 	}
 }
--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -35,6 +35,10 @@
 	// have reached the store again before it claims leadership. If there is a leader,
 	// its heartbeat arrives within two heartbeat intervals. See candidacy.mayClaim.
 	minStoreReachableTime = 2*heartbeatInterval + 100*time.Millisecond
+	// fitterVMHeadStart is how long a VM must have reached the store again, after an
+	// outage, before it claims leadership although a much fitter VM exists. In this
+	// time, the fitter one notices the end of the outage and claims.
+	fitterVMHeadStart = 2*storeProbeInterval + electionPollInterval
 	// electionPollInterval is the pause between two checks for a silent leader.
 	electionPollInterval = 100 * time.Millisecond
 	// peerCallTimeout limits a call to another VM during an election or a hand-over.
@@ -196,6 +200,7 @@
 	own := candidacy{
 		epoch: c.Epoch, leaderSilence: silence, storeReachableFor: e.node.store.reachableFor(now()),
 		rank: e.claimRank(c.Epoch, c.Name), fitness: e.node.settings.Fitness, majoritySilent: e.majoritySilent(),
+		muchFitterVM: e.node.members.hasMuchFitterVM(),
 	}
 	if !own.mayClaim() {
 		return false
@@ -219,6 +224,8 @@
 	storeReachableFor time.Duration
 	// majoritySilent is true if most other VMs have recently not answered calls.
 	majoritySilent bool
+	// muchFitterVM is true if there is a VM that is much fitter than this one.
+	muchFitterVM bool
 	// rank is the number of VMs that should claim before this one.
 	rank    int
 	fitness float64
@@ -231,6 +238,10 @@
 // the needless take-over. It therefore does not claim while the store is unreachable.
 // If most other VMs still count as silent, it also waits until the store has been
 // reachable for minStoreReachableTime. Neither applies to the very first claim.
+//
+// After an outage of the store, the leader has been silent for so long that the rank
+// delays no VM any more. A VM with a narrow link that claims then needs seconds to read
+// the stored state, so it leaves a much fitter VM a head start.
 func (c candidacy) mayClaim() bool {
 	wait := leaderTimeout
 	switch {
@@ -238,6 +249,8 @@
 		wait = time.Duration(float64(maxFirstClaimDelay) * (1 - min(c.fitness, 1)))
 	case c.storeReachableFor < 0, c.majoritySilent && c.storeReachableFor < minStoreReachableTime:
 		return false
+	case c.muchFitterVM && c.storeReachableFor < fitterVMHeadStart:
+		return false
 	}
 	return c.leaderSilence >= wait+time.Duration(c.rank)*claimDelayPerRank
 }
--- a/internal/node/entryvm/election_test.go
+++ b/internal/node/entryvm/election_test.go
@@ -41,6 +41,9 @@
 		{"the store is reachable again but most VMs are still silent", candidacy{epoch: 3, leaderSilence: 6 * time.Second, storeReachableFor: 10 * time.Millisecond, majoritySilent: true}, false},
 		{"the store has been reachable for a while and most VMs are still silent", candidacy{epoch: 3, leaderSilence: 6 * time.Second, storeReachableFor: minStoreReachableTime, majoritySilent: true}, true},
 		{"the store is reachable again and only the leader is silent", candidacy{epoch: 3, leaderSilence: 6 * time.Second, storeReachableFor: 10 * time.Millisecond}, true},
+		{"the store is reachable again and a much fitter VM exists", candidacy{epoch: 3, leaderSilence: 6 * time.Second, storeReachableFor: 10 * time.Millisecond, rank: 3, muchFitterVM: true}, false},
+		{"a much fitter VM has not claimed in its head start", candidacy{epoch: 3, leaderSilence: 6 * time.Second, storeReachableFor: fitterVMHeadStart, rank: 3, muchFitterVM: true}, true},
+		{"a much fitter VM exists and the store was reachable all the time", candidacy{epoch: 3, leaderSilence: leaderTimeout, storeReachableFor: time.Hour, muchFitterVM: true}, true},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) { is.New(t).Equal(s.candidacy.mayClaim(), s.due) })
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -31,8 +31,8 @@
 	// relayTimeout limits a call to the store through another VM.
 	relayTimeout = 800 * time.Millisecond
 	// storeProbeInterval is the pause between two attempts to reach the store directly
-	// again.
-	storeProbeInterval = 300 * time.Millisecond
+	// again. Callers wait for its end, so it is short.
+	storeProbeInterval = 100 * time.Millisecond
 	// partitionCheckTimeout limits the check whether any of several partitions answers
 	// after failed appends.
 	partitionCheckTimeout = 300 * time.Millisecond
@@ -207,11 +207,28 @@
 		}
 	}
 	reply, err := s.callThroughOthers(ctx, "Append", func(ctx context.Context, m member) (StoreReply, error) {
-		return link.Call[AppendArgs, StoreReply](ctx, s.node.peerClient, m.Address, "Append", AppendArgs{Append: a, Timeout: relayTimeout})
+		return s.appendThrough(ctx, m, a)
 	})
 	return reply.End, err
 }
 
+// relayCheckTimeout limits the call that shows whether a VM answers before an append is
+// relayed through it.
+const relayCheckTimeout = 150 * time.Millisecond
+
+// appendThrough relays an append through another VM. It first checks that the VM
+// answers. A VM that was cut off just now does not, and if the append were sent to it,
+// the callers would have to be told that their records may be stored, and could not
+// submit them elsewhere.
+func (s *relayedStore) appendThrough(ctx context.Context, m member, a store.Append) (StoreReply, error) {
+	checkCtx, cancel := context.WithTimeout(ctx, relayCheckTimeout)
+	defer cancel()
+	if _, err := link.Call[Nothing, LastHeartbeatReply](checkCtx, s.node.peerClient, m.Address, "Heard", Nothing{}); err != nil {
+		return StoreReply{Kind: store.KindRefused, Message: "the VM does not answer: " + err.Error()}, nil
+	}
+	return link.Call[AppendArgs, StoreReply](ctx, s.node.peerClient, m.Address, "Append", AppendArgs{Append: a, Timeout: relayTimeout})
+}
+
 // appendDirect appends to the store without relaying the call through another VM. If
 // half of the append timeout passes without an answer, it reads from the store: if a
 // partition answers, the store is only slow and the append gets more time, otherwise
--- /dev/null
+++ b/internal/node/entryvm/relay_test.go
@@ -0,0 +1,42 @@
+package entryvm_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/node/entryvm"
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+// addSilentVM records an entry VM in the store that accepts connections but answers
+// nothing, like one behind a network partition.
+func (f *fixture) addSilentVM(t *testing.T, name string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	record, err := json.Marshal(map[string]any{"name": name, "domain": "domain-9", "address": listener.Addr().String()})
+	f.is.NoErr(err)
+	_, err = f.store.Append(store.Append{Topic: store.VMs, Records: []store.Record{{Key: name, Value: record}}})
+	f.is.NoErr(err)
+}
+
+// The store is away for a VM, and the only other VM has just been cut off. A job that
+// could not be sent to either was certainly not stored, and its caller must be told so:
+// after an unknown outcome, it cannot submit the job elsewhere.
+func TestJobIsNotStoredThroughSilentVM(t *testing.T) {
+	f := newFixture(t, 1, 50*time.Millisecond)
+	f.leaderIndex()
+	f.addSilentVM(t, "silent")
+	f.is.NoErr(f.submit(f.nodes[0], "before"))
+	f.awaitState(f.nodes[0], "before", work.Completed)
+	f.storeLinks[0].RefuseCalls(true)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := f.nodes[0].Submit(ctx, &work.Job{ID: "job", Queue: "mail", Accepted: time.Now(), Steps: []work.Step{{Count: 1}}})
+	f.is.Equal(fault.KindOf[entryvm.Kind](err), entryvm.KindNotStored)
+}
