Lend idle VMs to slow requests for advice

Slow requests may use half of the VMs, all requests of one service 70 %; short requests, for which the rest is kept, use 2 of 36 VMs on average.

Change: VMs that stay idle within these limits are lent, first to other requests of the service, then to slow ones. VMs are kept for short requests by what these have lately used, three times that; a new leader keeps the earlier share until it has observed it for 5 s.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -35,13 +36,16 @@
 	// VM has already sent to it.
 	failedRequestPause = 600 * time.Millisecond
 	// maxVMSharePerService is the largest share of the VMs that may be busy with
-	// requests for one service. It keeps the slow requests of one service from
-	// delaying those of other services.
+	// requests for one service while requests for other services wait. It keeps the
+	// slow requests of one service from delaying those of other services.
 	maxVMSharePerService = 0.7
+	// shortRequestHeadroom is how many times the VMs that short requests have lately
+	// kept busy are kept free for them. It covers a burst of urgent jobs.
+	shortRequestHeadroom = 3.0
 	// A request is slow if its fixed duration (AdviceCost.Fixed) is at least
 	// minSlowRequestTime: it keeps a VM busy for longer than urgent jobs can wait. At
 	// most the share maxVMShareForSlowRequests of the VMs may be busy with slow
-	// requests.
+	// requests while others wait.
 	minSlowRequestTime        = 300 * time.Millisecond
 	maxVMShareForSlowRequests = 0.5
 	// A request is short if its fixed duration (AdviceCost.Fixed) is at most
@@ -121,6 +125,28 @@
 	// approvalRates maps the name of a queue to a moving average: the share of the
 	// workers named in a request that the adviser approves.
 	approvalRates map[string]float64
+	// shortRequestUsage is the mean number of VMs that are busy with short requests.
+	shortRequestUsage usageMeter
+}
+
+// usageMeter measures how much of a resource is used on average. Older use counts less,
+// by a factor of e for each usageMeterPeriod.
+type usageMeter struct {
+	lastRate float64
+	lastAt   time.Time
+}
+
+// usageMeterPeriod is the time constant of a usageMeter.
+const usageMeterPeriod = 5 * time.Second
+
+// add records that one unit is used for the given time.
+func (m *usageMeter) add(used time.Duration, now time.Time) {
+	m.lastRate, m.lastAt = m.rate(now)+used.Seconds()/usageMeterPeriod.Seconds(), now
+}
+
+// rate returns the mean number of units in use.
+func (m *usageMeter) rate(now time.Time) float64 {
+	return m.lastRate * math.Exp(-now.Sub(m.lastAt).Seconds()/usageMeterPeriod.Seconds())
 }
 
 // defaultApprovalRate is the approval rate assumed for a queue until the adviser has
--- a/internal/cell/scheduler/advice_test.go
+++ b/internal/cell/scheduler/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,7 +27,13 @@
 // newAdvisedScheduler returns a scheduler with three workers for each of two
 // services. Each worker has answered a hold.
 func newAdvisedScheduler(now time.Time, vms int) *scheduler.Scheduler {
-	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, now, now, logr.Discard())
+	return newAdvisedSchedulerSince(now, now, vms)
+}
+
+// newAdvisedSchedulerSince is newAdvisedScheduler for a leader that has led since the
+// time start.
+func newAdvisedSchedulerSince(start, now time.Time, vms int) *scheduler.Scheduler {
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, start, start, logr.Discard())
 	s.SetTable(adviceTestTable)
 	names := make([]string, vms)
 	for i := range names {
@@ -197,3 +204,66 @@
 		})
 	}
 }
+
+// After a burst of large jobs, slow requests are all that waits. They may use every VM
+// that the other requests leave idle, since the gangs would otherwise wait for advice
+// while capacity is free. Requests of medium length that arrive later get the next VMs,
+// and VMs stay free for as many short requests as came lately.
+func TestIdleVMsAreLentToSlowRequests(t *testing.T) {
+	const vms = 20
+	cost := func(fixed time.Duration) *queue.AdviceCost {
+		return &queue.AdviceCost{Fixed: fixed, Validity: 2 * time.Second}
+	}
+	table := &queue.Table{Version: 2, Queues: []queue.Queue{
+		{Name: "slow", Service: "desk", Priority: 1, Stretch: 4, Objective: time.Second, Advice: cost(600 * time.Millisecond)},
+		{Name: "medium", Service: "desk", Priority: 2, Stretch: 4, Objective: time.Second, Advice: cost(200 * time.Millisecond)},
+		{Name: "short", Service: "desk", Priority: 0, Stretch: 4, Objective: time.Second, Advice: cost(50 * time.Millisecond)},
+	}}
+	scenarios := []struct {
+		testName string
+		// leadsFor is how long the leader has led before the burst.
+		leadsFor time.Duration
+		// shortBefore is the number of short requests just before the burst. Each
+		// keeps a VM busy for 50 ms.
+		shortBefore int
+		// medium is the number of jobs with medium requests in the burst.
+		medium                       int
+		expectedSlow, expectedMedium int
+	}{
+		{"only slow requests wait", 10 * time.Second, 0, 0, 19, 0},
+		{"medium requests wait as well", 10 * time.Second, 0, 40, 10, 9},
+		{"short requests came lately", 10 * time.Second, 220, 0, 13, 0},
+		{"a new leader has observed no short requests yet", time.Second, 0, 0, 14, 0},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			s := newAdvisedSchedulerSince(now.Add(-sc.leadsFor), now, vms)
+			s.SetTable(table)
+			var ids []string
+			submit := func(queueName string, count int) {
+				for range count {
+					id := fmt.Sprintf("%s-%d", queueName, len(ids))
+					ids = append(ids, id)
+					s.Submit(&work.Job{ID: id, Queue: queueName, Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: 10 * time.Second}}}, now)
+				}
+			}
+			for range sc.shortBefore {
+				submit("short", 1)
+				s.Schedule(now)
+				is.Equal(approveAllRequests(s, now), 3)
+				s.Cancel(ids[len(ids)-1], now) // Its place is free again for the burst.
+			}
+			submit("slow", 40)
+			submit("medium", sc.medium)
+			s.Schedule(now)
+			requests := map[string]int{}
+			for _, a := range s.TakeEffects().AdviceRequests {
+				requests[strings.Split(a.Step.Job, "-")[0]]++
+			}
+			is.Equal(requests["slow"], sc.expectedSlow)
+			is.Equal(requests["medium"], sc.expectedMedium)
+		})
+	}
+}
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -17,9 +18,21 @@
 	if len(s.dispatcher.pendingSteps) == 0 {
 		return
 	}
+	limits := s.newRequestLimits(now)
+	s.dispatchWithinLimits(sortedJobs, limits, now)
+	// The VMs that are still idle are lent to the requests that the limits hold back,
+	// to slow requests last.
+	limits.maxRequestsPerService = limits.maxRequests
+	s.dispatchWithinLimits(sortedJobs, limits, now)
+	limits.maxSlowRequests = limits.maxRequests
+	s.dispatchWithinLimits(sortedJobs, limits, now)
+}
+
+// dispatchWithinLimits has idle VMs send requests until no VM is idle or the limits
+// allow no further request.
+func (s *Scheduler) dispatchWithinLimits(sortedJobs []*job, limits *requestLimits, now time.Time) {
 	idle, ok := s.dispatcher.idleVM(now)
 	stepsWithoutCapacity := map[string]int{}
-	limits := s.newRequestLimits()
 	for _, j := range sortedJobs {
 		if !ok {
 			return
@@ -32,6 +45,9 @@
 				}
 				if workers := s.workersForRequest(st, q, now); len(workers) > 0 {
 					s.sendAdviceRequest(st, requestSpec{workers, q.Advice}, idle, now)
+					if hasShortRequests(q) {
+						s.dispatcher.shortRequestUsage.add(q.Advice.RequestDuration(len(workers)), now)
+					}
 					idle, ok = s.dispatcher.idleVM(now)
 					limits.countRequestInFlight(q)
 				}
@@ -41,25 +57,29 @@
 }
 
 // requestLimits limits the number of VMs that are busy with requests for one service,
-// and with slow requests. The other VMs stay free for other services and for faster
-// requests.
+// with slow requests, and with all requests that are not short. The other VMs stay free
+// for other services and for faster requests.
 //
 // After an outage all jobs request advice at once. Without the limits, the slow
 // requests of a few large jobs keep every VM busy, while hundreds of urgent jobs wait
 // for answers that take a thirtieth of the time.
 type requestLimits struct {
-	// requestsInFlightByService and slowRequestsInFlight count the unanswered
-	// requests. Short requests are neither counted nor limited.
-	requestsInFlightByService              map[string]int
-	slowRequestsInFlight                   int
-	maxRequestsPerService, maxSlowRequests int
+	// requestsInFlightByService, slowRequestsInFlight and requestsInFlight count the
+	// unanswered requests. Short requests are neither counted nor limited.
+	requestsInFlightByService                           map[string]int
+	slowRequestsInFlight, requestsInFlight              int
+	maxRequestsPerService, maxSlowRequests, maxRequests int
 }
 
 // newRequestLimits returns the limits for the current number of VMs, with all
-// unanswered requests counted.
-func (s *Scheduler) newRequestLimits() *requestLimits {
-	vms := float64(len(s.dispatcher.vms))
-	l := &requestLimits{requestsInFlightByService: map[string]int{}, maxRequestsPerService: max(int(maxVMSharePerService*vms), 1), maxSlowRequests: max(int(maxVMShareForSlowRequests*vms), 1)}
+// unanswered requests counted. The VMs that short requests need are kept for them.
+func (s *Scheduler) newRequestLimits(now time.Time) *requestLimits {
+	vms := len(s.dispatcher.vms)
+	kept := s.vmsKeptForShortRequests(now)
+	l := &requestLimits{
+		requestsInFlightByService: map[string]int{}, maxRequestsPerService: max(int(maxVMSharePerService*float64(vms)), 1),
+		maxSlowRequests: max(int(maxVMShareForSlowRequests*float64(vms)), 1), maxRequests: max(vms-kept, 1),
+	}
 	for _, o := range s.dispatcher.inFlightRequests {
 		if q := s.table.Queue(o.step.job.spec.Queue); q != nil {
 			l.countRequestInFlight(q)
@@ -68,6 +88,18 @@
 	return l
 }
 
+// vmsKeptForShortRequests returns how many VMs only short requests may use: a multiple
+// of the number that they have lately kept busy. Until a new leader has observed that
+// for usageMeterPeriod, it is a fixed share.
+func (s *Scheduler) vmsKeptForShortRequests(now time.Time) int {
+	vms := len(s.dispatcher.vms)
+	if now.Sub(s.clockBase) < usageMeterPeriod {
+		return vms - int(maxVMSharePerService*float64(vms))
+	}
+	needed := math.Ceil(shortRequestHeadroom * s.dispatcher.shortRequestUsage.rate(now))
+	return min(max(int(needed), 1), vms/2)
+}
+
 func hasSlowRequests(q *queue.Queue) bool {
 	return q.Advice != nil && q.Advice.Fixed >= minSlowRequestTime
 }
@@ -78,7 +110,10 @@
 
 // allowsRequest reports whether another request for a step of a queue may be sent.
 func (l *requestLimits) allowsRequest(q *queue.Queue) bool {
-	return hasShortRequests(q) || (l.requestsInFlightByService[q.Service] < l.maxRequestsPerService && (!hasSlowRequests(q) || l.slowRequestsInFlight < l.maxSlowRequests))
+	if hasShortRequests(q) {
+		return true
+	}
+	return l.requestsInFlight < l.maxRequests && l.requestsInFlightByService[q.Service] < l.maxRequestsPerService && (!hasSlowRequests(q) || l.slowRequestsInFlight < l.maxSlowRequests)
 }
 
 // countRequestInFlight counts one unanswered request for a step of a queue.
@@ -86,6 +121,7 @@
 	if hasShortRequests(q) {
 		return
 	}
+	l.requestsInFlight++
 	l.requestsInFlightByService[q.Service]++
 	if hasSlowRequests(q) {
 		l.slowRequestsInFlight++
