Lend VMs in one step; count a job as pending until its run is reported

Trial without gain, reverted: tasks with ample time deferred while the free capacity was too small for the gangs that are due now. Its code is not kept.

Cause: Pending counted a job as begun once its tasks were placed; a domain was cut at 33.5 s, just after tasks were placed on its workers, and their start orders never arrived. Pending now counts jobs of which no worker has reported a run. TestPlacedJobIsPendingUntilItsRunIsReported failed before.

--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -62,3 +62,25 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Order.Run, int64(2))
 }
+
+// A failure domain is cut off just after tasks were placed on its workers. Their jobs
+// have not begun, so they still count as pending.
+func TestPlacedJobIsPendingUntilItsRunIsReported(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	addHeldWorkers(s, 1, now, "desk")
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}, now)
+	is.Equal(s.Pending("urgent"), 1)
+	s.Schedule(now)
+	s.Committed(s.NextCommit(now), now)
+	starts := s.TakeEffects().Starts
+	is.Equal(len(starts), 1)
+	s.StartAnswered(starts[0].Worker, &starts[0].Order, backend.KindUnknown, 0, now)
+	is.Equal(s.Pending("urgent"), 1) // The order may not have reached the worker.
+	_, sent, _ := s.NextHold(starts[0].Worker, now)
+	report := backend.Report{Life: starts[0].Worker, Clock: time.Second, Running: []backend.Run{{Task: starts[0].Order.Task, Run: starts[0].Order.Run}}}
+	s.HoldAnswered(starts[0].Worker, sent, &report, now)
+	is.Equal(s.Pending("urgent"), 0)
+}
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -20,11 +20,8 @@
 	}
 	limits := s.newRequestLimits(now)
 	s.dispatchWithinLimits(sortedJobs, limits, now)
-	// The VMs that are still idle are lent to the requests that the limits hold back,
-	// to slow requests last.
-	limits.maxRequestsPerService = limits.maxRequests
-	s.dispatchWithinLimits(sortedJobs, limits, now)
-	limits.maxSlowRequests = limits.maxRequests
+	// The VMs that are still idle are lent to the requests that the limits hold back.
+	limits.maxRequestsPerService, limits.maxSlowRequests = limits.maxRequests, limits.maxRequests
 	s.dispatchWithinLimits(sortedJobs, limits, now)
 }
 
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -151,6 +151,7 @@
 // confirmRun records that a worker has started the run of a task.
 func (s *Scheduler) confirmRun(t *task, now time.Time) {
 	t.phase, t.runConfirmed, t.confirmedAtSequence = phaseRunning, true, s.eventSequence
+	t.step.job.anyRunReported = true
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -17,6 +17,8 @@
 	// anyTaskPlaced is true once a worker was chosen for any task. anyStartOrdered is
 	// true once the start of any task was ordered.
 	anyTaskPlaced, anyStartOrdered bool
+	// anyRunReported is true once a worker has reported a run of any task, or its end.
+	anyRunReported bool
 	// submittedAt is when an entry VM accepted the job.
 	submittedAt time.Time
 	// endedAt is when state became final.
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -58,6 +58,7 @@
 	}
 	st := j.occurrences[p.Occurrence].steps[p.Step]
 	if p.Done {
+		j.anyRunReported = true
 		st.tasksLeft = 0
 		for _, t := range st.tasks {
 			t.phase = phaseDone
@@ -81,6 +82,7 @@
 // the task may still run there.
 func (s *Scheduler) restoreTask(t *task, p *work.TaskProgress, now time.Time) {
 	t.runNumber, t.failedRuns, t.checkpoint = p.Run, p.Failed, p.Checkpoint
+	t.step.job.anyRunReported = t.step.job.anyRunReported || p.Done || len(p.Failed) > 0 || p.Checkpoint != ""
 	if p.Done {
 		t.phase = phaseDone
 		t.step.tasksLeft--
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -79,6 +79,7 @@
 	if t == nil {
 		return
 	}
+	t.step.job.anyRunReported = true
 	if e.Run != t.runNumber || t.worker != w {
 		s.applyOrphanRunEnd(t, e, now)
 		return
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -279,12 +279,13 @@
 	return j.storedState, true
 }
 
-// Pending returns the number of active jobs of a queue that have not had a task
-// placed on a worker.
+// Pending returns the number of active jobs of a queue of which no worker has reported a
+// run. A job whose tasks were placed counts until then, because its workers may have been
+// cut off before the start orders arrived.
 func (s *Scheduler) Pending(queueName string) int {
 	n := 0
 	for _, j := range s.activeJobs {
-		if j.spec.Queue == queueName && !j.anyTaskPlaced && !j.state.Ended() {
+		if j.spec.Queue == queueName && !j.anyRunReported && !j.state.Ended() {
 			n++
 		}
 	}
