--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -28,7 +28,7 @@
 	if hold.Deadline > 0 {
 		w.extendLease(now, s.timing)
 	}
-	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, sentAt: now}, true
+	return hold, SentHold{eventSequence: s.eventSequence, token: w.token}, true
 }
 
 // ReportedEndsStored reports whether the effects of all ends of runs that a worker has listed
@@ -43,7 +43,6 @@
 type SentHold struct {
 	eventSequence int64
 	token         int64
-	sentAt        time.Time
 }
 
 // HoldFailed handles a hold that was not answered or that the worker refused. kind is
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -42,7 +42,6 @@
 // than one.
 type occurrence struct {
 	number int
-	due    time.Time
 	steps  []*step
 	// stepsLeft counts the steps that have not completed.
 	stepsLeft int
@@ -229,10 +228,7 @@
 }
 
 func (s *Scheduler) addOccurrence(j *job, number int, now time.Time) *occurrence {
-	o := &occurrence{number: number, due: now, stepsLeft: len(j.spec.Steps)}
-	if j.spec.Repeat == nil {
-		o.due = j.submittedAt
-	}
+	o := &occurrence{number: number, stepsLeft: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
 		st := &step{job: j, occurrence: o, id: work.StepID{Job: j.spec.ID, Occurrence: number, Step: i}, spec: spec, tasksLeft: spec.Count}
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -13,8 +13,9 @@
 // Without reservations, a large task could wait forever, while smaller tasks take all
 // capacity that becomes free.
 type reservations struct {
-	byWorker          map[*worker]reservation
-	reservedStepCount int
+	byWorker map[*worker]reservation
+	// stepCountByService counts, for each service, the steps that have reserved workers.
+	stepCountByService map[string]int
 }
 
 // reservation is the reservation of one worker for a job.
@@ -26,10 +27,9 @@
 }
 
 const (
-	// A step may reserve workers while fewer steps, counted over all services, have
-	// done so in this scheduling pass than the larger of two limits: the number of
-	// workers of its service divided by workersPerReservingStep, and
-	// minReservingSteps.
+	// A step may reserve workers while fewer steps of its service have done so in this
+	// scheduling pass than the larger of two limits: the number of workers of the
+	// service divided by workersPerReservingStep, and minReservingSteps.
 	workersPerReservingStep = 3
 	minReservingSteps       = 8
 	// A task is large if it needs at least the fraction minLargeTaskFraction of the
@@ -37,7 +37,9 @@
 	minLargeTaskFraction = 0.45
 )
 
-func newReservations() *reservations { return &reservations{byWorker: map[*worker]reservation{}} }
+func newReservations() *reservations {
+	return &reservations{byWorker: map[*worker]reservation{}, stepCountByService: map[string]int{}}
+}
 
 // blocksTask reports whether a reservation for another job keeps a task of job j from
 // a worker. It does so if the task would not end before the reserved capacity is
@@ -57,7 +59,7 @@
 // the workers that are expected to have enough free capacity soonest, and none that
 // can never run the tasks.
 func (s *Scheduler) reserveWorkers(st *step, q *queue.Queue, r *reservations, now time.Time) {
-	if !s.isLargeStep(st, q) || r.reservedStepCount >= max(minReservingSteps, len(s.poolOfService(q.Service).workers)/workersPerReservingStep) {
+	if !s.isLargeStep(st, q) || r.stepCountByService[q.Service] >= max(minReservingSteps, len(s.poolOfService(q.Service).workers)/workersPerReservingStep) {
 		return
 	}
 	var places []expectedPlace
@@ -84,7 +86,7 @@
 			st.advice.timeUntilReservedFree = p.timeUntilFree
 		}
 	}
-	r.reservedStepCount++
+	r.stepCountByService[q.Service]++
 }
 
 // permittedWorkers returns the workers that may run the tasks of a step. If the queue
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/peer/link"
 )
 
@@ -163,11 +164,16 @@
 // maxConfigurationSize limits the uncompressed size of a configuration in bytes.
 const maxConfigurationSize = 16 << 20
 
-// decompress is the inverse of compress. It truncates the text to maxConfigurationSize.
+// decompress is the inverse of compress. A text longer than maxConfigurationSize is an
+// error: a part of a configuration must not come into force.
 func decompress(data []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(r, maxConfigurationSize))
+	text, err := io.ReadAll(io.LimitReader(r, maxConfigurationSize+1))
+	if err == nil && len(text) > maxConfigurationSize {
+		return nil, fault.Newf("decompress", KindTooLarge, "the configuration has more than %d bytes", maxConfigurationSize)
+	}
+	return text, err
 }
--- a/internal/node/entryvm/heartbeats_test.go
+++ b/internal/node/entryvm/heartbeats_test.go
@@ -67,4 +67,6 @@
 	is.Equal(decompressed, text)
 	_, err = decompress([]byte("{}"))
 	is.True(err != nil)
+	_, err = decompress(compress(make([]byte, maxConfigurationSize+1)))
+	is.True(err != nil) // It is not cut off.
 }
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -40,6 +40,9 @@
 	// KindNoLeader means that the leader, or the entry VM that was addressed, is not
 	// available at the moment.
 	KindNoLeader Kind = "no_leader"
+	// KindTooLarge means that a configuration from another VM exceeds
+	// maxConfigurationSize.
+	KindTooLarge Kind = "too_large"
 )
 
 // Error is the error type of this package.
--- a/internal/operate/logbuffer/logbuffer_test.go
+++ b/internal/operate/logbuffer/logbuffer_test.go
@@ -52,7 +52,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	is.True(strings.Contains(r.String(), "event=log_lines_dropped lines="))
-	is.True(r.text.Len() < 3<<20) // Pending lines use a bounded amount of memory.
+	is.True(len(r.String()) < 3<<20) // Pending lines use a bounded amount of memory.
 }
 
 func TestCloseWritesPendingLines(t *testing.T) {
