--- a/internal/cell/scheduler/advice_test.go
+++ b/internal/cell/scheduler/advice_test.go
@@ -205,10 +205,10 @@
 	}
 }
 
-// After a burst of large jobs, slow requests are all that waits. They may use every VM
-// that the other requests leave idle, since the gangs would otherwise wait for advice
-// while capacity is free. Of the requests of medium length that wait as well, those within the
-// limits go first, and VMs stay free for as many short requests as came lately.
+// After a burst of large jobs, only slow requests wait. They may use every VM that the
+// other requests leave idle, since the gangs would otherwise wait for advice while
+// capacity is free. Requests of medium length go first as far as the limits allow, and
+// VMs stay free for short requests if these have come lately.
 func TestIdleVMsAreLentToSlowRequests(t *testing.T) {
 	const vms = 20
 	cost := func(fixed time.Duration) *queue.AdviceCost {
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -85,9 +85,9 @@
 	return l
 }
 
-// vmsKeptForShortRequests returns how many VMs only short requests may use: a multiple
-// of the number that they have lately kept busy. Until a new leader has observed that
-// for usageMeterPeriod, it is a fixed share.
+// vmsKeptForShortRequests returns the number of VMs that only short requests may use.
+// It is a multiple of the number that they have lately kept busy, or a fixed share
+// until a new leader has observed that for usageMeterPeriod.
 func (s *Scheduler) vmsKeptForShortRequests(now time.Time) int {
 	vms := len(s.dispatcher.vms)
 	if now.Sub(s.clockBase) < usageMeterPeriod {
@@ -268,12 +268,12 @@
 const expectedApprovalsPerRequest = 12
 
 // workersWithoutRequest returns workers about which a step has not requested advice
-// yet: maxWorkersPerRequest, or for a gang as many more as are expected to bring the
-// missing places, at most maxWorkersPerGangRequest. The order is: workers in the rack that holds the
-// input data, then workers with enough free capacity that no unanswered request of
-// any step names, then other workers with enough free capacity, then the rest. Within
-// each group, the least used workers come first. While a large step waits, the most
-// used come first for steps with small tasks.
+// yet: at most maxWorkersPerRequest, or for a gang as many as are expected to bring the
+// missing places, at most maxWorkersPerGangRequest. The order is: workers in the rack
+// that holds the input data, then workers with enough free capacity that no unanswered
+// request of any step names, then other workers with enough free capacity, then the
+// rest. Within each group, the least used workers come first. While a large step
+// waits, the most used come first for steps with small tasks.
 //
 // When many jobs come at once, requests of all of them about the same few workers
 // would bring tickets for capacity that the first job takes. Small tasks on the least
@@ -297,7 +297,10 @@
 	}
 	var list []*worker
 	isFull := func() bool {
-		return len(list) >= maxWorkersPerRequest && (!st.spec.Gang || missingPlaces <= 0 || len(list) >= maxWorkersPerGangRequest)
+		if st.spec.Gang && missingPlaces > 0 {
+			return len(list) >= maxWorkersPerGangRequest
+		}
+		return len(list) >= maxWorkersPerRequest
 	}
 	addMatching := func(matches func(w *worker) bool) {
 		for i := 0; i < len(candidates) && !isFull(); i++ {
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -49,9 +49,8 @@
 }
 
 // State returns the state of a job; known is false if the job does not exist. While the
-// job is active, State waits for its end for up to maxStateWait. The
-// error has KindNoLeader if no leader answers within askLeaderTimeout, or this VM is
-// isolated.
+// job is active, State waits for its end for up to maxStateWait. The error has
+// KindNoLeader if no leader answers within askLeaderTimeout, or this VM is isolated.
 func (n *Node) State(ctx context.Context, id string) (state work.State, known bool, err error) {
 	wait := maxStateWait
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -31,7 +31,7 @@
 	// relayTimeout limits a call to the store through another VM.
 	relayTimeout = 800 * time.Millisecond
 	// storeProbeInterval is the pause between two attempts to reach the store directly
-	// again. Callers wait for its end, so it is short.
+	// again. It is short, because callers wait until the store is noticed to be back.
 	storeProbeInterval = 100 * time.Millisecond
 	// partitionCheckTimeout limits the check whether any of several partitions answers
 	// after failed appends.
