--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -221,13 +221,13 @@
 // openDueOccurrencesOfJob opens the occurrences of one job that are due.
 func (s *Scheduler) openDueOccurrencesOfJob(j *job, now time.Time) {
 	for j.nextOccurrenceNumber < j.spec.Occurrences() && (j.spec.Repeat == nil || !now.Before(s.toSchedulerClock(j.spec.Due(j.nextOccurrenceNumber)).Add(-s.timing.EarlyStart))) {
-		o := s.addOccurrence(j, j.nextOccurrenceNumber, now)
+		o := s.addOccurrence(j, j.nextOccurrenceNumber)
 		j.nextOccurrenceNumber++
 		s.openReadySteps(o, now)
 	}
 }
 
-func (s *Scheduler) addOccurrence(j *job, number int, now time.Time) *occurrence {
+func (s *Scheduler) addOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{number: number, stepsLeft: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -53,7 +53,7 @@
 		return
 	}
 	for j.nextOccurrenceNumber <= p.Occurrence {
-		s.addOccurrence(j, j.nextOccurrenceNumber, now)
+		s.addOccurrence(j, j.nextOccurrenceNumber)
 		j.nextOccurrenceNumber++
 	}
 	st := j.occurrences[p.Occurrence].steps[p.Step]
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -123,7 +123,10 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return fmt.Errorf("job %s: state %q, known %t, error %v; expected %q", id, state, known, err, expected)
+	if err != nil {
+		return fmt.Errorf("job %s: %w", id, err)
+	}
+	return fmt.Errorf("job %s: state %q, known %t, expected %q", id, state, known, expected)
 }
 
 // leaderIndex returns the index of the VM with the last claim in the store. It waits
