Notice a silent store to be back; ignore obsolete requests to take over

Probes now follow each other every 100 ms without waiting for answers, and a request to take over is ignored if another VM has claimed since it came.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -76,12 +76,14 @@
 	// leaderWaitStart is the time from which the silence of the leader is counted. It
 	// is reset when a heartbeat arrives or a new claim is read, and by postponeClaim.
 	leaderWaitStart time.Time
-	// takeOverRequests receives a value when another VM asks this one to lead.
-	takeOverRequests chan struct{}
+	// takeOverRequests receives a value when another VM asks this one to lead: the
+	// highest epoch that is known then. If another VM has claimed leadership since, the
+	// request is obsolete.
+	takeOverRequests chan int64
 }
 
 func newElection(n *Node) *election {
-	return &election{node: n, processStart: now().UnixNano(), claimsEndOffset: -1, leaderWaitStart: now(), takeOverRequests: make(chan struct{}, 1)}
+	return &election{node: n, processStart: now().UnixNano(), claimsEndOffset: -1, leaderWaitStart: now(), takeOverRequests: make(chan int64, 1)}
 }
 
 // run follows the claims in the store and claims leadership when another VM asks for
@@ -90,9 +92,9 @@
 	go followTopic(ctx, e.node, store.Claims, fixedWait(longPollWait), e.applyClaims)
 	for sleep(ctx, electionPollInterval) {
 		select {
-		case <-e.takeOverRequests:
+		case epoch := <-e.takeOverRequests:
 			if !e.node.isStopping() {
-				e.claimLeadership(ctx, e.epoch(), "invited")
+				e.claimLeadership(ctx, epoch, "invited")
 			}
 			continue
 		default:
@@ -165,7 +167,7 @@
 // requestTakeOver makes this VM claim leadership soon. It does not block.
 func (e *election) requestTakeOver() {
 	select {
-	case e.takeOverRequests <- struct{}{}:
+	case e.takeOverRequests <- e.epoch():
 	default:
 	}
 }
--- a/internal/node/entryvm/election_test.go
+++ b/internal/node/entryvm/election_test.go
@@ -49,3 +49,21 @@
 		t.Run(s.testName, func(t *testing.T) { is.New(t).Equal(s.candidacy.mayClaim(), s.due) })
 	}
 }
+
+// Two stopping VMs hand the leadership over one after the other. The second request is
+// obsolete if the VM that got the first one has claimed leadership meanwhile: to claim
+// again would depose it.
+func TestObsoleteTakeOverRequest(t *testing.T) {
+	is := is.New(t)
+	n := &Node{settings: Settings{Name: "vm-0"}, log: logr.Discard()}
+	n.members = newMemberList(n)
+	n.election = newElection(n)
+	n.isolation = &isolationDetector{node: n}
+	n.election.recordHeartbeat(HeartbeatArgs{Epoch: 3, Leader: "vm-1"})
+	n.election.requestTakeOver()
+	n.election.recordHeartbeat(HeartbeatArgs{Epoch: 4, Leader: "vm-2"})
+	n.election.claimLeadership(t.Context(), <-n.election.takeOverRequests, "invited") // Without a store, a claim would panic.
+	leader, _ := n.election.knownLeader()
+	is.Equal(leader.Name, "vm-2")
+	is.True(n.activeLeader() == nil)
+}
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -181,16 +181,28 @@
 }
 
 // probeUntilReachable reads from one partition after the other until one answers
-// directly. Then it marks the store as reachable.
+// directly. Then it marks the store as reachable. It does not wait for the answer to
+// one read before it sends the next: a store that answers nothing would otherwise be
+// noticed to be back only when the last read has timed out.
 func (s *relayedStore) probeUntilReachable() {
-	for part := 0; sleep(s.node.ctx, storeProbeInterval); part = (part + 1) % len(probedPartitions) {
-		if s.anyPartitionAnswers(maxAppendTimeout, part) {
+	answered := make(chan struct{}, 1)
+	for part := 0; ; part = (part + 1) % len(probedPartitions) {
+		select {
+		case <-s.node.ctx.Done():
+			return
+		case <-answered:
 			s.consecutiveFailures.Store(0)
 			s.reachabilityChangedAt.Store(now().UnixNano())
 			s.unreachable.Store(false)
 			s.node.log.Info("store_regained")
 			return
+		case <-time.After(storeProbeInterval):
 		}
+		go func() {
+			if s.anyPartitionAnswers(maxAppendTimeout, part) {
+				trySignal(answered)
+			}
+		}()
 	}
 }
 
--- a/internal/node/entryvm/relay_test.go
+++ b/internal/node/entryvm/relay_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/node/entryvm"
 	"github.com/almondpost/almondpost/internal/node/fault"
@@ -40,3 +42,23 @@
 	err := f.nodes[0].Submit(ctx, &work.Job{ID: "job", Queue: "mail", Accepted: time.Now(), Steps: []work.Step{{Count: 1}}})
 	f.is.Equal(fault.KindOf[entryvm.Kind](err), entryvm.KindNotStored)
 }
+
+// The store answers nothing for a while, so that each probe of it hangs. Once the store
+// is back, the next probe must show that; callers wait meanwhile.
+func TestSilentStoreIsNoticedToBeBack(t *testing.T) {
+	f := newFixture(t, 1, 50*time.Millisecond)
+	f.leaderIndex()
+	f.is.NoErr(f.submit(f.nodes[0], "before"))
+	f.awaitState(f.nodes[0], "before", work.Completed)
+	f.storeLinks[0].DelayCalls(1500 * time.Millisecond)
+	f.storeLinks[0].RefuseCalls(true)
+	var g errgroup.Group
+	g.Go(func() error { return f.submit(f.nodes[0], "during") }) // Its append shows that the store is away.
+	time.Sleep(2300 * time.Millisecond)                          // A probe has been sent and hangs for another second.
+	f.storeLinks[0].DelayCalls(0)
+	f.storeLinks[0].RefuseCalls(false)
+	begun := time.Now()
+	f.is.NoErr(f.submit(f.nodes[0], "after"))
+	f.is.True(time.Since(begun) < 500*time.Millisecond)
+	f.is.NoErr(g.Wait())
+}
