Keep the submission of a cancelled job until its final state is stored

What callers saw: a job whose cancellation was accepted is answered 410 after a take-over, and runs if it is sent again, when the topic of progress records could not be written for 3 s or more before the take-over while the topic of jobs could.

Cause: Cancel makes storedState final as soon as the cancellation was read, since the cancellation itself is stored, so that callers see it at once. dropEndedJobs took storedState for "a final progress record is stored" and had the submission and the cancellation deleted after 3 s. The next leader then found neither these nor a final progress record.

Evidence: found by TestAnswersAboutJobsAreTrue, which follows ("job-0 is accepted, but not known": submit, begin and store a commit, cancel, 4 s, take over).

TestSubmissionOfAnEndedJobIsDroppedAgain expected the deletion without any commit, which is this fault. It now expects that nothing is deleted before the commit, and the same deletions after it.

The fix: a job remembers apart from the state to show whether a record with a final state was stored, by this leader or an earlier one, and only that allows the deletion.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -65,6 +65,7 @@
 		s.lastConfirmedAppendStart = c.startedAt
 	}
 	for j, state := range c.jobStates {
+		j.finalRecordStored = j.finalRecordStored || state.Ended()
 		if !j.storedState.Ended() {
 			j.storedState = state
 			s.reportIfEnded(j, state)
--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -63,6 +63,25 @@
 	is.Equal(starts[0].Order.Run, int64(2))
 }
 
+// A job is cancelled while its progress cannot be stored. If its submission were deleted
+// before, the next leader would not know the job, and would run it if it is sent again.
+func TestSubmissionOfACancelledJobOutlivesItsCancellationRecord(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize}}}, now)
+	s.Cancel("job", now)
+	state, _ := s.Status("job", false)
+	is.Equal(state, work.Cancelled)
+	now = now.Add(5 * time.Second)
+	s.Tick(now)
+	is.Equal(len(s.TakeEffects().SubmissionsToDelete), 0) // The record of the final state is not stored yet.
+	s.Committed(s.NextCommit(now), now)
+	s.Tick(now.Add(5 * time.Second))
+	is.Equal(s.TakeEffects().SubmissionsToDelete, []string{"job"})
+}
+
 // A failure domain is cut off just after tasks were placed on its workers. Their jobs
 // have not begun, so they still count as pending.
 func TestPlacedJobIsPendingUntilItsRunIsReported(t *testing.T) {
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -14,6 +14,9 @@
 	// state that was stored last and is safe to show to callers.
 	state       work.State
 	storedState work.State
+	// finalRecordStored is true once a progress record with a final state is stored.
+	// For a cancelled job, that is later than storedState becomes final.
+	finalRecordStored bool
 	// anyTaskPlaced is true once a worker was chosen for any task. anyStartOrdered is
 	// true once the start of any task was ordered.
 	anyTaskPlaced, anyStartOrdered bool
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -21,7 +21,7 @@
 	j.anyTaskPlaced, j.anyStartOrdered = p.Started, p.Started
 	j.state, j.storedState = p.State, p.State
 	if p.State.Ended() {
-		j.endedAt = now
+		j.endedAt, j.finalRecordStored = now, true
 		delete(s.activeJobs, spec.ID)
 	}
 	for i := range p.Steps {
@@ -45,7 +45,7 @@
 	if s.jobs[id] != nil || !p.State.Ended() {
 		return
 	}
-	s.jobs[id] = &job{spec: &work.Job{ID: id}, state: p.State, storedState: p.State, endedAt: now, submissionDropped: true}
+	s.jobs[id] = &job{spec: &work.Job{ID: id}, state: p.State, storedState: p.State, finalRecordStored: true, endedAt: now, submissionDropped: true}
 }
 
 func (s *Scheduler) restoreStep(j *job, p *work.StepProgress, now time.Time) {
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -249,7 +249,7 @@
 		}
 	}
 	for id, j := range s.jobs {
-		if !j.storedState.Ended() || j.tasksOnWorkers > 0 {
+		if !j.finalRecordStored || j.tasksOnWorkers > 0 {
 			continue
 		}
 		if !j.submissionDropped && now.Sub(j.endedAt) >= submissionDropDelay {
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -527,6 +527,8 @@
 	s.Submit(j, now)
 	is.Equal(dropped(), nil)
 	s.Cancel(j.ID, now)
+	is.Equal(dropped(), nil) // The final state is not stored yet.
+	s.Committed(s.NextCommit(now), now)
 	is.Equal(dropped(), []string{j.ID})
 	is.Equal(dropped(), nil)
 	s.Submit(j, now)
