Count no job as pending once any of its runs was reported

What callers saw: a queue counts a job as not started although a worker has told the leader of a run: the run of a gang that was being stopped when the answer to its start came, or a run whose start order arrived late, after the task had been placed again.

Cause: anyRunReported was set only where the current run of a task was confirmed, not for a run that is being stopped or that is no longer the current one. The end of such a run did set it.

The fix: each report of a run and each successful answer to a start counts, whichever run it is.

--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -103,3 +103,22 @@
 	s.HoldAnswered(starts[0].Worker, sent, &report, now)
 	is.Equal(s.Pending("urgent"), 0)
 }
+
+// A member of a gang cannot start, so that the others are stopped. The answer to the
+// start of one of these shows that the job has begun.
+func TestJobWhoseRunIsStoppedAtOnceIsNotPending(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	addHeldWorkers(s, 2, now, "desk")
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 2, Size: taskSize, Estimate: time.Second, Gang: true}}}, now)
+	s.Schedule(now)
+	s.Committed(s.NextCommit(now), now)
+	starts := s.TakeEffects().Starts
+	is.Equal(len(starts), 2)
+	s.StartAnswered(starts[0].Worker, &starts[0].Order, backend.KindNoRoom, 0, now)
+	is.Equal(s.Pending("urgent"), 1)
+	s.StartAnswered(starts[1].Worker, &starts[1].Order, "", time.Second, now)
+	is.Equal(s.Pending("urgent"), 0)
+}
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -115,6 +115,9 @@
 // stopped, unless the worker itself replaces it by a newer run of the task.
 func (s *Scheduler) applyReportedRun(w *worker, r *backend.Run, now time.Time) {
 	t := s.findTask(r.Task)
+	if t != nil {
+		t.step.job.anyRunReported = true
+	}
 	if t == nil || t.worker != w || t.runNumber != r.Run {
 		var st *step
 		if t != nil {
@@ -150,7 +153,6 @@
 // confirmRun records that a worker has started the run of a task.
 func (s *Scheduler) confirmRun(t *task, now time.Time) {
 	t.phase, t.runConfirmed, t.confirmedAtSequence = phaseRunning, true, s.eventSequence
-	t.step.job.anyRunReported = true
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -31,6 +31,9 @@
 	}
 	w.setClockReading(clock, now)
 	t := s.findTask(o.Task)
+	if t != nil && kind == "" {
+		t.step.job.anyRunReported = true
+	}
 	if t == nil || t.worker != w || t.runNumber != o.Run || t.startToken != o.Token {
 		return // The run has ended, or a report has shown that it does not exist.
 	}
