Add a soak that runs entry VMs as processes under random faults

Change: cmd/soak starts entry VM processes with stand-ins of the store and the workers, applies a seeded plan of overlapping faults (freeze, kill, planned replacement, reload; store cut, down, slow, answers lost, a partition down, history dropped; new configurations; slow and restarted workers), and checks by what callers and workers see: states, pending jobs, accepted and refused jobs, no task twice, step order, capacity, complete answers, configurations that never revert. -program runs an entry VM of another revision. The bodies of the platform's calls become named types, so that the stand-ins share them. Not covered: cuts between entry VMs (only SIGSTOP), gangs, failing tasks.

Processes are not scheduled the same way twice, so a seed fixes the plan, not the course.

--- a/internal/emulate/memory/fleet.go
+++ b/internal/emulate/memory/fleet.go
@@ -16,24 +16,46 @@
 // Fleet runs emulated workers in real time and connects the scheduler under test to
 // them. It is safe for concurrent use.
 type Fleet struct {
-	mutex   sync.Mutex
-	workers map[backend.Life]*fleet.Worker
-	// runTime is the run time of every task.
-	runTime time.Duration
+	mutex       sync.Mutex
+	workers     map[backend.Life]*fleet.Worker
+	taskProfile func(work.TaskID) fleet.TaskProfile
+	// observer is notified of what happens on the workers. Its methods are called while
+	// mutex is held.
+	observer fleet.Observer
 	// startCounts counts the started runs of each task.
 	startCounts map[work.TaskID]int
 }
 
 // NewFleet returns a fleet without workers, on which every task takes runTime.
 func NewFleet(runTime time.Duration) *Fleet {
-	return &Fleet{workers: map[backend.Life]*fleet.Worker{}, runTime: runTime, startCounts: map[work.TaskID]int{}}
+	f := NewObservedFleet(func(work.TaskID) fleet.TaskProfile { return fleet.TaskProfile{RunTime: runTime} }, nil)
+	f.observer = f
+	return f
+}
+
+// NewObservedFleet returns a fleet without workers. taskProfile returns how a task
+// behaves, and the observer is notified of what happens on the workers.
+func NewObservedFleet(taskProfile func(work.TaskID) fleet.TaskProfile, observer fleet.Observer) *Fleet {
+	return &Fleet{workers: map[backend.Life]*fleet.Worker{}, taskProfile: taskProfile, observer: observer, startCounts: map[work.TaskID]int{}}
+}
+
+// Start starts a worker without registering it.
+func (f *Fleet) Start(r backend.Registration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.workers[r.Life] = fleet.New(r, 1, time.Now(), f.taskProfile, f.observer)
+}
+
+// Remove ends a worker process with all its runs.
+func (f *Fleet) Remove(life backend.Life) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.workers, life)
 }
 
 // Add starts a worker and registers it in the store's Workers topic under its ID.
 func (f *Fleet) Add(s *Store, r backend.Registration) error {
-	f.mutex.Lock()
-	f.workers[r.Life] = fleet.New(r, 1, time.Now(), func(work.TaskID) fleet.TaskProfile { return fleet.TaskProfile{RunTime: f.runTime} }, f)
-	f.mutex.Unlock()
+	f.Start(r)
 	value, err := json.Marshal(r)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/emulate/soak/cell.go
@@ -0,0 +1,344 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/emulate/memory"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/peer/store"
+	"github.com/almondpost/almondpost/internal/state/resource"
+	"github.com/almondpost/almondpost/platform"
+)
+
+const (
+	// entryArgument is the argument with which the program runs as an entry VM.
+	entryArgument = "entry"
+	queueName     = "mail"
+	queueHost     = "soak.example"
+	queuePrefix   = "/mail/"
+	serviceName   = "desk"
+	// gracePeriod is the time from SIGTERM to SIGKILL, and finalGrace the part of it in
+	// which an entry VM closes its connections.
+	gracePeriod = 4 * time.Second
+	finalGrace  = 1200 * time.Millisecond
+	workerLease = 6 * time.Second
+	// domainCount is the number of failure domains.
+	domainCount = 3
+)
+
+// cell is a set of entry VM processes with the stand-ins of their platform.
+type cell struct {
+	folder string
+	ledger *ledger
+	store  *memory.Store
+	fleet  *memory.Fleet
+	vms    []*entryVM
+	// workers are the emulated workers, each at a fixed address.
+	workers []*worker
+	// configurationVersion is the version that was published last.
+	configurationVersion atomic.Int64
+}
+
+// worker is an address at which one life of an emulated worker after the other serves.
+type worker struct {
+	address netip.AddrPort
+	domain  string
+	// handler serves the current life.
+	handler atomic.Pointer[http.Handler]
+	// life is the current life.
+	life atomic.Pointer[backend.Life]
+	// delay is how long calls are held up before the worker executes them.
+	delay atomic.Int64
+}
+
+// entryVM is one entry VM process, which is started again whenever it has ended.
+type entryVM struct {
+	name string
+	// program is the command line of the process.
+	program []string
+	front   netip.AddrPort
+	// storeLink is the connection of the VM to the store.
+	storeLink *memory.Link
+	settings  string
+	logs      *os.File
+
+	mutex   sync.Mutex
+	process *os.Process
+	// exited is closed when the current process has ended.
+	exited chan struct{}
+	// healthySince is when the process became ready after its start or its last fault, or
+	// zero. stopBegun is when a planned stop began, or zero.
+	healthySince, stopBegun time.Time
+}
+
+// newCell starts the stand-ins and the entry VMs, which run the given command line. Logs
+// go to the folder.
+func newCell(folder string, vms, workers int, program []string, l *ledger) (*cell, error) {
+	c := &cell{folder: folder, ledger: l, store: memory.New()}
+	c.fleet = memory.NewObservedFleet(func(t work.TaskID) fleet.TaskProfile {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		if j := l.jobs[t.Job]; j != nil {
+			return fleet.TaskProfile{Size: j.spec.Steps[t.Step].Size, RunTime: j.spec.Steps[t.Step].Estimate}
+		}
+		return fleet.TaskProfile{}
+	}, l)
+	if err := c.publishConfiguration(); err != nil {
+		return nil, err
+	}
+	for i := range workers {
+		w := &worker{domain: fmt.Sprintf("domain-%d", i%domainCount)}
+		address, err := serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { (*w.handler.Load()).ServeHTTP(rw, r) }))
+		if err != nil {
+			return nil, err
+		}
+		w.address = address
+		c.workers = append(c.workers, w)
+		if err := c.startWorker(w, fmt.Sprintf("worker-%d-1", i)); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.addEntryVMs(vms, program); err != nil {
+		return nil, err
+	}
+	for _, vm := range c.vms {
+		if err := vm.start(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// loopback returns a loopback address of this process. Each soak uses another one, so that
+// soaks that run at the same time don't take each other's ports.
+func loopback() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>16&0x7f), byte(pid >> 8), byte(1 + pid%250)})
+}
+
+// listen listens on a free port.
+func listen() (net.Listener, error) {
+	return net.Listen("tcp", netip.AddrPortFrom(loopback(), 0).String())
+}
+
+// serve serves HTTP on a free port.
+func serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// publishConfiguration stores the next version of the configuration. Each version has one
+// more route than the one before.
+func (c *cell) publishConfiguration() error {
+	version := c.configurationVersion.Add(1)
+	q := queue.Queue{Name: queueName, Host: queueHost, Prefix: queuePrefix, Service: serviceName, MaxAttempts: 3, Stretch: 2, Objective: time.Second}
+	t := &queue.Table{Version: version, Queues: []queue.Queue{q}}
+	for v := int64(1); v <= version; v++ {
+		q.Name, q.Prefix = fmt.Sprintf("added-%d", v), addedPrefix(v)
+		t.Queues = append(t.Queues, q)
+	}
+	_, err := c.store.Append(store.Append{Topic: store.Configuration, Records: []store.Record{{Key: "config", Value: platform.EncodeTable(t)}}})
+	return err
+}
+
+// addedPrefix is the path prefix of the route that a version of the configuration adds.
+func addedPrefix(version int64) string { return fmt.Sprintf("/added-%d/", version) }
+
+// startWorker ends the current life of a worker, if there is one, and starts another.
+func (c *cell) startWorker(w *worker, id string) error {
+	old := w.life.Load()
+	r := backend.Registration{
+		Life: backend.Life{ID: id, Born: time.Now().UnixMilli()}, Address: w.address, Service: serviceName, Zone: w.domain,
+		Capacity: resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 4000},
+	}
+	c.fleet.Start(r)
+	handler := platform.NewWorkerHandler(c.fleet.Dial(r), r.Life, func() time.Duration { return time.Duration(w.delay.Load()) })
+	w.handler.Store(&handler)
+	w.life.Store(&r.Life)
+	records := []store.Record{{Key: id, Value: platform.EncodeRegistration(r)}}
+	if old != nil {
+		c.fleet.Remove(*old)
+		c.ledger.workerEnded(*old)
+		records = append(records, store.Record{Key: old.ID})
+	}
+	_, err := c.store.Append(store.Append{Topic: store.Workers, Records: records})
+	return err
+}
+
+// addEntryVMs prepares the entry VMs without starting their processes.
+func (c *cell) addEntryVMs(count int, program []string) error {
+	var stores []netip.AddrPort
+	for i := range count {
+		vm := &entryVM{name: fmt.Sprintf("vm-%d", i), program: program, storeLink: memory.NewLink(c.store)}
+		address, err := serve(platform.NewStoreHandler(vm.storeLink))
+		if err != nil {
+			return err
+		}
+		c.vms, stores = append(c.vms, vm), append(stores, address)
+	}
+	ports, err := freeAddresses(3 * count)
+	if err != nil {
+		return err
+	}
+	for i, vm := range c.vms {
+		own := ports[3*i : 3*i+3]
+		vm.front, vm.settings = own[0], filepath.Join(c.folder, vm.name+".json")
+		data := platform.EncodeSettings(platform.StandInSettings{
+			Name: vm.name, Zone: fmt.Sprintf("domain-%d", i%domainCount), Front: own[0], Ready: own[1], Peer: own[2],
+			Store: stores[i], Adviser: stores[i], Grace: gracePeriod, Lease: workerLease,
+		})
+		if err := os.WriteFile(vm.settings, data, 0o600); err != nil {
+			return err
+		}
+		if vm.logs, err = os.Create(filepath.Join(c.folder, vm.name+".log")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freeAddresses returns addresses at which nothing listens.
+func freeAddresses(n int) ([]netip.AddrPort, error) {
+	addresses := make([]netip.AddrPort, n)
+	for i := range addresses {
+		l, err := listen()
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().(*net.TCPAddr).AddrPort()
+	}
+	return addresses, nil
+}
+
+// start starts the process of an entry VM.
+func (vm *entryVM) start() error {
+	cmd := exec.Command(vm.program[0], vm.program[1:]...)
+	cmd.Env = append(os.Environ(), "ALMONDPOST_NODE_FILE="+vm.settings)
+	cmd.Stdout, cmd.Stderr = vm.logs, vm.logs
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	vm.mutex.Lock()
+	vm.process, vm.exited, vm.stopBegun = cmd.Process, exited, time.Time{}
+	vm.mutex.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// disturb records that a fault of the VM's process begins or ends, so that it need not
+// answer in time.
+func (vm *entryVM) disturb() {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	vm.healthySince = time.Time{}
+}
+
+// answered records that the VM has answered a call.
+func (vm *entryVM) answered() {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if vm.healthySince.IsZero() {
+		vm.healthySince = time.Now()
+	}
+}
+
+// owesAnswer reports whether the VM owes a complete answer to a request that was sent at
+// begun: its process ran without a fault and did not close its connections yet.
+func (vm *entryVM) owesAnswer(begun time.Time) bool {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if vm.healthySince.IsZero() || begun.Before(vm.healthySince) {
+		return false
+	}
+	return vm.stopBegun.IsZero() || time.Since(vm.stopBegun) < gracePeriod-finalGrace
+}
+
+// currentProcess returns the channel that is closed when the current process has ended.
+func (vm *entryVM) currentProcess() chan struct{} {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	return vm.exited
+}
+
+// signal sends a signal to the process of the VM, unless it has ended.
+func (vm *entryVM) signal(s syscall.Signal) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	_ = vm.process.Signal(s)
+}
+
+// freeze suspends the process of the VM.
+func (vm *entryVM) freeze(d time.Duration) {
+	vm.disturb()
+	vm.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	vm.disturb()
+	vm.signal(syscall.SIGCONT)
+}
+
+// kill ends the process of the VM at once and starts it again after a pause.
+func (vm *entryVM) kill(pause time.Duration) error {
+	vm.disturb()
+	vm.signal(syscall.SIGKILL)
+	<-vm.exited
+	time.Sleep(pause)
+	vm.disturb()
+	return vm.start()
+}
+
+// errKilledAfterGrace is the error of a planned stop that took longer than gracePeriod.
+var errKilledAfterGrace = errors.New("the process did not exit within its grace period")
+
+// replace stops the process of the VM as planned and starts it again after a pause.
+func (vm *entryVM) replace(pause time.Duration) error {
+	vm.mutex.Lock()
+	vm.stopBegun = time.Now()
+	vm.mutex.Unlock()
+	vm.signal(syscall.SIGTERM)
+	var late error
+	select {
+	case <-vm.exited:
+	case <-time.After(gracePeriod + time.Second):
+		late = errKilledAfterGrace
+		vm.signal(syscall.SIGKILL)
+		<-vm.exited
+	}
+	time.Sleep(pause)
+	vm.disturb()
+	return errors.Join(late, vm.start())
+}
+
+// close ends all processes.
+func (c *cell) close() {
+	for _, vm := range c.vms {
+		vm.disturb()
+		vm.signal(syscall.SIGCONT)
+		vm.signal(syscall.SIGKILL)
+		<-vm.exited
+		_ = vm.logs.Close()
+	}
+}
--- /dev/null
+++ b/internal/emulate/soak/soak.go
@@ -0,0 +1,176 @@
+// Package soak runs entry VMs as separate processes under random faults and checks the
+// promises of the scheduler by what callers and workers see.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/almondpost/almondpost/platform"
+)
+
+const (
+	callerCount = 24
+	// finishLimit is how long after the last fault the accepted jobs may take.
+	finishLimit = 25 * time.Second
+	// maxViolationsShown limits the violations that are printed.
+	maxViolationsShown = 10
+)
+
+// options are the command-line options.
+type options struct {
+	seed         uint64
+	duration     time.Duration
+	vms, workers int
+	folder       string
+	// program is the program that the entry VMs run; empty means this build.
+	program string
+}
+
+// Main runs the soak program and returns its exit status: 0 if all promises were kept, 1
+// if not, 2 for wrong arguments. With the argument "entry" it runs as an entry VM.
+func Main(args []string, stdout, stderr io.Writer) int {
+	if len(args) == 1 && args[0] == entryArgument {
+		return platform.Main(stdout, stderr)
+	}
+	var o options
+	f := flag.NewFlagSet("soak", flag.ContinueOnError)
+	f.SetOutput(stderr)
+	f.Uint64Var(&o.seed, "seed", 1, "random seed of the faults and the jobs")
+	f.DurationVar(&o.duration, "duration", time.Minute, "how long faults are applied")
+	f.IntVar(&o.vms, "vms", 5, "number of entry VMs")
+	f.IntVar(&o.workers, "workers", 6, "number of workers")
+	f.StringVar(&o.folder, "folder", "", "folder for the logs (default: a temporary one, which is kept if a promise is broken)")
+	f.StringVar(&o.program, "program", "", "program that the entry VMs run, such as an almondpost-entry of another revision (default: this build)")
+	if err := f.Parse(args); err != nil {
+		return 2
+	}
+	if reason := o.invalid(f.NArg()); reason != "" {
+		_, _ = fmt.Fprintln(stderr, "soak:", reason)
+		return 2
+	}
+	violations, err := run(o, stdout)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "soak:", err)
+		return 1
+	}
+	if violations > 0 {
+		return 1
+	}
+	return 0
+}
+
+// invalid returns what is wrong with the options, or an empty string.
+func (o *options) invalid(extraArguments int) string {
+	switch {
+	case extraArguments > 0:
+		return "there are no arguments besides the flags"
+	case o.duration < quietStart:
+		return fmt.Sprintf("flag -duration, value %s: must be at least %s", o.duration, quietStart)
+	case o.vms < 2 || o.vms > 100:
+		return fmt.Sprintf("flag -vms, value %d: must be from 2 to 100", o.vms)
+	case o.workers < 1 || o.workers > 1000:
+		return fmt.Sprintf("flag -workers, value %d: must be from 1 to 1000", o.workers)
+	}
+	return ""
+}
+
+// command returns the command line of an entry VM.
+func (o *options) command() ([]string, error) {
+	if o.program != "" {
+		return []string{o.program}, nil
+	}
+	program, err := os.Executable()
+	return []string{program, entryArgument}, err
+}
+
+// run runs one soak, prints its result and returns the number of broken promises.
+func run(o options, stdout io.Writer) (violations int, err error) {
+	folder, temporary := o.folder, o.folder == ""
+	if temporary {
+		if folder, err = os.MkdirTemp("", "almondpost-soak-"); err != nil {
+			return 0, err
+		}
+	} else if err := os.MkdirAll(folder, 0o700); err != nil {
+		return 0, err
+	}
+	l := newLedger()
+	command, err := o.command()
+	if err != nil {
+		return 0, err
+	}
+	c, err := newCell(folder, o.vms, o.workers, command, l)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for i := range callerCount {
+		callers.Go(func() { newCaller(c, o.seed, i).submitJobs(ctx) })
+	}
+	callers.Go(func() { newCaller(c, o.seed, callerCount).watchPending(ctx) })
+	for i, vm := range c.vms {
+		callers.Go(func() { newCaller(c, o.seed, callerCount+1+i).watchConfiguration(ctx, vm) })
+	}
+	c.runFaults(newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration))
+	cancel()
+	callers.Wait()
+	c.awaitUnfinishedJobs(newCaller(c, o.seed, 0))
+	c.close()
+	printResult(stdout, o, l, folder)
+	if len(l.violations) == 0 && temporary {
+		err = os.RemoveAll(folder)
+	}
+	return len(l.violations), err
+}
+
+// awaitUnfinishedJobs waits until all accepted jobs have completed and reports those that
+// do not within finishLimit.
+func (c *cell) awaitUnfinishedJobs(asking *caller) {
+	end := time.Now().Add(finishLimit)
+	ids := c.ledger.unfinishedJobs()
+	for len(ids) > 0 && time.Now().Before(end) {
+		for _, id := range ids {
+			asking.askState(id)
+		}
+		ids = c.ledger.unfinishedJobs()
+	}
+	for _, id := range ids {
+		c.ledger.report("accepted jobs complete", "job %s has not completed %s after the last fault", id, finishLimit)
+	}
+}
+
+// printResult prints a line with the totals and one for each of the first violations.
+func printResult(w io.Writer, o options, l *ledger, folder string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	accepted, completed, rejected := 0, 0, 0
+	for _, j := range l.jobs {
+		if !j.acceptedAt.IsZero() {
+			accepted++
+		}
+		if j.completed {
+			completed++
+		}
+		if j.rejected {
+			rejected++
+		}
+	}
+	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d refused=%d starts=%d broken=%d\n",
+		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, rejected, l.starts, len(l.violations))
+	for i, v := range l.violations {
+		if i == maxViolationsShown {
+			break
+		}
+		_, _ = fmt.Fprintln(w, "broken:", v)
+	}
+	if len(l.violations) > 0 {
+		_, _ = fmt.Fprintln(w, "logs:", folder)
+	}
+}
