Soak: count no answer from before a fault as a sign of health

A fault of the soak itself, not of the entry VM.

Change: a VM counts as healthy only after an answer to a request that was sent after its last fault.

--- a/internal/emulate/soak/callers.go
+++ b/internal/emulate/soak/callers.go
@@ -67,7 +67,7 @@
 		}
 		return a, false
 	}
-	vm.answered()
+	vm.answered(begun)
 	a.status = response.StatusCode
 	a.state, a.pending, err = platform.DecodeReply(data)
 	if err != nil {
--- a/internal/emulate/soak/cell.go
+++ b/internal/emulate/soak/cell.go
@@ -80,9 +80,11 @@
 	process *os.Process
 	// exited is closed when the current process has ended.
 	exited chan struct{}
-	// healthySince is when the process became ready after its start or its last fault, or
-	// zero. stopBegun is when a planned stop began, or zero.
-	healthySince, stopBegun time.Time
+	// faulty is true during a fault of the process, and faultEnded is when the last one
+	// ended. healthySince is when the process first answered after that, or zero. stopBegun
+	// is when a planned stop began, or zero.
+	faulty                              bool
+	faultEnded, healthySince, stopBegun time.Time
 }
 
 // newCell starts the stand-ins and the entry VMs, which run the given command line. Logs
@@ -249,19 +251,25 @@
 	return nil
 }
 
-// disturb records that a fault of the VM's process begins or ends, so that it need not
-// answer in time.
-func (vm *entryVM) disturb() {
+// beginFault records that a fault of the VM's process begins, so that it need not answer.
+func (vm *entryVM) beginFault() {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
-	vm.healthySince = time.Time{}
+	vm.faulty, vm.healthySince = true, time.Time{}
 }
 
-// answered records that the VM has answered a call.
-func (vm *entryVM) answered() {
+// endFault records that a fault of the VM's process has ended.
+func (vm *entryVM) endFault() {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
-	if vm.healthySince.IsZero() {
+	vm.faulty, vm.faultEnded = false, time.Now()
+}
+
+// answered records that the VM has answered a request that was sent at begun.
+func (vm *entryVM) answered(begun time.Time) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if !vm.faulty && vm.healthySince.IsZero() && begun.After(vm.faultEnded) {
 		vm.healthySince = time.Now()
 	}
 }
@@ -293,20 +301,20 @@
 
 // freeze suspends the process of the VM.
 func (vm *entryVM) freeze(d time.Duration) {
-	vm.disturb()
+	vm.beginFault()
+	defer vm.endFault()
 	vm.signal(syscall.SIGSTOP)
 	time.Sleep(d)
-	vm.disturb()
 	vm.signal(syscall.SIGCONT)
 }
 
 // kill ends the process of the VM at once and starts it again after a pause.
 func (vm *entryVM) kill(pause time.Duration) error {
-	vm.disturb()
+	vm.beginFault()
+	defer vm.endFault()
 	vm.signal(syscall.SIGKILL)
 	<-vm.exited
 	time.Sleep(pause)
-	vm.disturb()
 	return vm.start()
 }
 
@@ -327,15 +335,16 @@
 		vm.signal(syscall.SIGKILL)
 		<-vm.exited
 	}
+	vm.beginFault()
+	defer vm.endFault()
 	time.Sleep(pause)
-	vm.disturb()
 	return errors.Join(late, vm.start())
 }
 
 // close ends all processes.
 func (c *cell) close() {
 	for _, vm := range c.vms {
-		vm.disturb()
+		vm.beginFault()
 		vm.signal(syscall.SIGCONT)
 		vm.signal(syscall.SIGKILL)
 		<-vm.exited
