Check that a final state is shown only once it is stored

Cause: the property compared a state that is shown with the truth at workers, but not with what is stored, so that a leader that shows a completion too early would pass as soon as the tasks are done.

Change: without a quorum, a final state must have been stored.

--- a/internal/cell/scheduler/status_property_test.go
+++ b/internal/cell/scheduler/status_property_test.go
@@ -73,12 +73,14 @@
 	// cutDomains holds the failure domains whose workers no call reaches.
 	cutDomains map[string]bool
 	progress   map[string]*work.Progress
-	leaders    []*statusLeader
-	orders     []*statusOrder
+	// finalStates holds each final state that was ever stored.
+	finalStates map[string]work.State
+	leaders     []*statusLeader
+	orders      []*statusOrder
 }
 
 func newStatusModel() *statusModel {
-	m := &statusModel{now: time.Unix(1_700_000_000, 0), table: &queue.Table{Version: 1}, cutDomains: map[string]bool{}, progress: map[string]*work.Progress{}}
+	m := &statusModel{now: time.Unix(1_700_000_000, 0), table: &queue.Table{Version: 1}, cutDomains: map[string]bool{}, progress: map[string]*work.Progress{}, finalStates: map[string]work.State{}}
 	for i := range statusJobs {
 		// Each job has a queue of its own, so that the number of pending jobs shows
 		// whether this one is counted.
@@ -281,6 +283,9 @@
 						t.Fatalf("the progress of %s can not be read: %s", r.Key, err)
 					}
 					m.progress[r.Key] = p
+					if p.State.Ended() {
+						m.finalStates[r.Key] = p.State
+					}
 				}
 			}
 			l.commitStored = true
@@ -465,6 +470,8 @@
 			t.Fatalf("%s has the unknown state %q", name, state)
 		case state == work.Completed && !j.isDone():
 			t.Fatalf("%s is shown as completed (sole leader: %t), but only %v are done", name, soleLeader, j.doneTasks)
+		case !soleLeader && state.Ended() && state != m.finalStates[id] && (state != work.Cancelled || !j.cancelled):
+			t.Fatalf("%s is shown as %s, which is not stored", name, state)
 		case state == work.Failed && j.failedAt.IsZero(), state == work.Cancelled && !j.cancelled:
 			t.Fatalf("%s is shown as %s without cause", name, state)
 		case soleLeader && !state.Ended():
