Give no number of pending jobs that may lack accepted ones

What callers saw: a queue says that 0 jobs wait while jobs that other VMs have accepted wait for more than the 2 s by which the value may be old. The leader that answers can't read a partition of jobs and is out of touch with the VM that accepted them, for instance because it is cut off and does not know yet that another VM leads.

Cause: unlike questions about one job, those about the number of pending jobs did not look at how old the leader's knowledge of the job partitions was. Leading was true as long as it had not stopped.

The fix: the leader gives a number if each partition was read within maxJobsReadAge or, failing that, if each other VM has answered heartbeats without a pause since the oldest read. A majority in touch is not enough, as the VMs out of touch may accept jobs. No field of a message changes.

The cost: while reads fail for more than 2 s and a VM is silent, callers get 503 for the number.

--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -63,7 +63,7 @@
 }
 
 // Pending returns the number of jobs of a queue that have not started. It returns the
-// same errors as State.
+// same errors as State, also if the leader may not know all accepted jobs.
 func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
 	r, err := askLeader(ctx, n, "Pending", PendingJobsArgs{Queue: queue},
 		func(l *leader) PendingJobsReply { return l.pendingJobs(queue) },
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -106,6 +106,9 @@
 	// directly.
 	lastHeartbeatAnswer map[string]time.Time
 	vmReachesStore      map[string]bool
+	// answeringSince maps the name of an entry VM to the time since when it has answered
+	// heartbeats without a pause of leaderTimeout.
+	answeringSince map[string]time.Time
 	// outdatedVMs tracks the entry VMs whose configuration is older than the leader's.
 	outdatedVMs *outdatedVMTracker
 }
@@ -118,7 +121,7 @@
 		scheduler: scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions:  map[backend.Life]*workerSession{}, nextCommitDone: make(chan struct{}), stateWaiters: map[string]chan struct{}{},
 		jobsReadStartTimes: make([]time.Time, n.settings.Partitions), jobPartitions: map[string]uint64{},
-		registrations: map[string]backend.Registration{}, lastHeartbeatAnswer: map[string]time.Time{}, vmReachesStore: map[string]bool{}, outdatedVMs: newOutdatedVMTracker(), handOverTimerStart: now(),
+		registrations: map[string]backend.Registration{}, lastHeartbeatAnswer: map[string]time.Time{}, answeringSince: map[string]time.Time{}, vmReachesStore: map[string]bool{}, outdatedVMs: newOutdatedVMTracker(), handOverTimerStart: now(),
 	}
 }
 
@@ -339,9 +342,13 @@
 }
 
 // pendingJobs returns the reply to a question about the number of jobs of a queue that
-// have not started.
+// have not started. If this leader may not know of accepted jobs, it answers like a VM
+// that does not lead, so that the caller gets no number that is too low.
 func (l *leader) pendingJobs(queue string) PendingJobsReply {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return PendingJobsReply{Leading: l.restored && l.ctx.Err() == nil, Pending: l.scheduler.Pending(queue)}
+	if !l.restored || l.ctx.Err() != nil || !l.knowsAcceptedJobs(now()) {
+		return PendingJobsReply{}
+	}
+	return PendingJobsReply{Leading: true, Pending: l.scheduler.Pending(queue)}
 }
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -76,7 +76,8 @@
 // PendingJobsReply is the answer to a question about the number of jobs of a queue that
 // have not started.
 type PendingJobsReply struct {
-	// Leading is false if the VM does not lead; Pending is then unset.
+	// Leading is false if the VM does not lead, or may not know all accepted jobs.
+	// Pending is then unset.
 	Leading bool
 	Pending int
 }
--- a/internal/node/entryvm/tail.go
+++ b/internal/node/entryvm/tail.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -153,8 +154,30 @@
 // jobsUpToDate reports whether every job partition was read within maxJobsReadAge. The
 // caller must hold the mutex.
 func (l *leader) jobsUpToDate() bool {
-	for _, t := range l.jobsReadStartTimes {
-		if now().Sub(t) >= maxJobsReadAge {
+	return now().Sub(l.oldestJobsRead()) < maxJobsReadAge
+}
+
+// oldestJobsRead returns the start of the last successful read of the job partition that
+// was not read for longest. The caller must hold the mutex.
+func (l *leader) oldestJobsRead() time.Time {
+	return slices.MinFunc(l.jobsReadStartTimes, time.Time.Compare)
+}
+
+// knowsAcceptedJobs reports whether this leader knows all jobs that entry VMs have
+// accepted, except for those of about the last maxJobsReadAge. The caller must hold the
+// mutex.
+//
+// It does if it has read the job partitions lately. While the store is away or slow, it
+// does if each other VM has been in touch since the last read: a VM that stores a job
+// also sends it to the leader. A VM out of touch may have accepted jobs meanwhile.
+func (l *leader) knowsAcceptedJobs(at time.Time) bool {
+	oldestRead := l.oldestJobsRead()
+	if at.Sub(oldestRead) < maxJobsReadAge {
+		return true
+	}
+	for _, m := range l.node.members.otherMembers() {
+		since, answering := l.answeringSince[m.Name]
+		if !answering || since.After(oldestRead) || at.Sub(l.lastHeartbeatAnswer[m.Name]) >= leaderTimeout {
 			return false
 		}
 	}
