Stop a leader when the answer to a heartbeat shows that it is superseded

What callers saw: a leader that reads no claims, and that its successor does not reach, goes on answering questions about jobs from what it knows, for VMs that do not know the successor either.

The fix: a higher epoch comes from a stored claim, so the leader steps down as if it had read that claim. The answer does not count as contact.

--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -71,8 +71,9 @@
 	}
 }
 
-// sendHeartbeat sends one heartbeat to a VM and records the answer. It also starts to
-// send the configuration if the VM has an older one and shouldSend allows it.
+// sendHeartbeat sends one heartbeat to a VM and records the answer. The leader stops if
+// the VM knows a higher epoch. Otherwise it starts to send the configuration if the VM
+// has an older one and shouldSend allows it.
 func (l *leader) sendHeartbeat(m member) {
 	ctx, cancel := context.WithTimeout(l.ctx, leaderTimeout)
 	defer cancel()
@@ -81,6 +82,10 @@
 	if err != nil {
 		return
 	}
+	if r.Epoch > l.epoch {
+		l.node.stepDownIfSuperseded(r.Epoch)
+		return
+	}
 	l.mutex.Lock()
 	l.recordHeartbeatAnswer(m.Name, now())
 	l.vmReachesStore[m.Name] = r.ReachesStore
