Test that a placement that is being stored is in one commit only

NextCommit allows a caller to ask earlier. A second record of the placement would then move the lease in the start order to the later commit, while the leader counts it from the earlier one: the test with the mutation got a deadline of 7.3 s instead of 7 s on the worker's clock.

--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -122,3 +122,31 @@
 	s.StartAnswered(starts[1].Worker, &starts[1].Order, "", time.Second, now)
 	is.Equal(s.Pending("urgent"), 0)
 }
+
+// The progress of a job changes while the placement of one of its tasks is being stored.
+// The next commit must not take the placement again: its lease would be counted from the
+// later commit by the worker, but from the earlier one by the leader, which could start
+// the task elsewhere while it still runs.
+func TestPlacementBeingStoredIsInOneCommitOnly(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 20 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	addHeldWorkers(s, 1, now, "desk")
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 2, Size: workerCapacity, Estimate: time.Second}}}, now)
+	s.Schedule(now)
+	first := s.NextCommit(now)
+	addHeldWorkers(s, 2, now, "desk")
+	later := now.Add(300 * time.Millisecond)
+	s.Schedule(later) // There is now room for the second task.
+	second := s.NextCommit(later)
+	is.Equal(len(second.Records), 1)
+	s.Committed(first, later)
+	starts := s.TakeEffects().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Order.Deadline, time.Second+6*time.Second) // The worker's clock read one second at the first commit.
+	s.Committed(second, later)
+	starts = s.TakeEffects().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Order.Deadline, time.Second+300*time.Millisecond+6*time.Second)
+}
