--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -78,6 +78,8 @@
 
 	mutex     sync.Mutex
 	scheduler *scheduler.Scheduler
+	// updateTimes sums the times of updateScheduler since they were last logged.
+	updateTimes updateTimes
 	// stateWaiters holds, for each job whose end a call of awaitJobStatus waits for, a
 	// channel that is closed when the job may have ended.
 	stateWaiters map[string]chan struct{}
@@ -166,15 +168,18 @@
 // carries out the effects that the scheduler requests, such as sending orders. It does
 // nothing once the leader is stopped.
 func (l *leader) updateScheduler(change func(s *scheduler.Scheduler, at time.Time)) {
+	waiting := now()
 	l.mutex.Lock()
 	if l.ctx.Err() != nil {
 		l.mutex.Unlock()
 		return
 	}
-	change(l.scheduler, now())
+	begun := now()
+	change(l.scheduler, begun)
 	e := l.scheduler.TakeEffects()
 	needsScheduling := l.scheduler.NeedsScheduling()
 	l.applyEffects(&e)
+	l.updateTimes.add(begun.Sub(waiting), now().Sub(begun))
 	l.mutex.Unlock()
 	trySignal(l.commitSignal)
 	if needsScheduling {
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -22,6 +22,7 @@
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/node/keeper"
 	"github.com/almondpost/almondpost/internal/operate/measure"
+	"github.com/almondpost/almondpost/internal/operate/processload"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/peer/link"
 	"github.com/almondpost/almondpost/internal/peer/store"
@@ -144,6 +145,7 @@
 	go n.configuration.run(ctx)
 	go n.election.run(ctx)
 	go n.isolation.run(ctx)
+	go processload.Run(ctx, log, now, n.loadDetails)
 	log.Info("started", "domain", s.Domain, "peer_address", s.ListenAddress.String())
 	return n, nil
 }
--- a/internal/node/keeper/dispatcher.go
+++ b/internal/node/keeper/dispatcher.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// PendingCalls returns the number of calls that have no answer yet.
+func (d *Dispatcher) PendingCalls() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return len(d.pendingCalls)
+}
+
 // removePendingCall stops waiting for the answer to a call.
 func (d *Dispatcher) removePendingCall(number int64) {
 	d.mutex.Lock()
--- a/internal/node/keeper/forwarder.go
+++ b/internal/node/keeper/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -33,6 +34,8 @@
 	// sendToLeader sends answers to a leader and returns once the leader has confirmed them.
 	sendToLeader func(ctx context.Context, leader netip.AddrPort, a Answers) error
 	log          logr.Logger
+	// pendingCalls is the number of calls that workers have not answered yet.
+	pendingCalls atomic.Int64
 
 	mutex sync.Mutex
 	// answerBatchers maps the address of each leader that ever sent calls to the
@@ -49,11 +52,18 @@
 // leader later.
 func (f *Forwarder) Forward(b Batch) {
 	answers := f.answerBatcher(b.Leader)
+	f.pendingCalls.Add(int64(len(b.Calls)))
 	for i := range b.Calls {
-		go func() { answers.add(f.callWorker(&b.Calls[i])) }()
+		go func() {
+			answers.add(f.callWorker(&b.Calls[i]))
+			f.pendingCalls.Add(-1)
+		}()
 	}
 }
 
+// PendingCalls returns the number of calls that workers have not answered yet.
+func (f *Forwarder) PendingCalls() int64 { return f.pendingCalls.Load() }
+
 // answerBatcher returns the batcher that sends answers to a leader.
 func (f *Forwarder) answerBatcher(leader netip.AddrPort) *batcher[Answer] {
 	f.mutex.Lock()
