Keep the list of other entry VMs instead of sorting it for each question and election check

With 147 entry VMs, every VM sorted copies of the list of members each time it checked whether to claim leadership, also while it heard the leader, and the leader did so for each question about the state of a job, while it held its mutex.

The list is now kept until the next record of a VM. Callers that filter or sort take their own copy. A VM that has heard the leader within leaderTimeout does not determine its rank: with an epoch, mayClaim is false in that case, whatever the rank. The answers are the same.

--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -177,8 +177,7 @@
 // depends on the epoch. The previous leader does not count, unless it is this VM.
 func (e *election) claimRank(epoch int64, leader string) int {
 	self, _ := e.node.members.findByName(e.node.settings.Name)
-	candidates := append(e.node.members.otherMembers(), self)
-	candidates = slices.DeleteFunc(candidates, func(m member) bool { return m.Name == leader && m.Name != self.Name })
+	candidates := append(e.node.members.otherMembersWhere(func(m member) bool { return m.Name != leader }), self)
 	order := func(m member) uint64 { return xxhash.Sum64String(m.Name) ^ uint64(epoch) }
 	slices.SortFunc(candidates, func(a, b member) int {
 		return cmp.Or(cmp.Compare(b.Fitness, a.Fitness), cmp.Compare(order(a), order(b)))
@@ -199,6 +198,9 @@
 	if c.Name == e.node.settings.Name && c.ProcessStart != 0 && c.ProcessStart != e.processStart && !e.node.members.hasMuchFitterVM() {
 		return true // The claim belongs to an earlier process on this VM, which no longer runs.
 	}
+	if c.Epoch > 0 && silence < leaderTimeout {
+		return false // The usual case; the rank among all VMs need not be determined.
+	}
 	own := candidacy{
 		epoch: c.Epoch, leaderSilence: silence, storeReachableFor: e.node.store.reachableFor(now()),
 		rank: e.claimRank(c.Epoch, c.Name), fitness: e.node.settings.Fitness, majoritySilent: e.majoritySilent(),
@@ -273,7 +275,7 @@
 // leaderTimeout, and reports whether one has. It does not wait for VMs that have
 // recently not answered calls, unless these are at least half of the VMs asked.
 func (e *election) othersHearLeader(ctx context.Context, c claim) bool {
-	others := slices.DeleteFunc(e.node.members.otherMembers(), func(m member) bool { return m.Name == c.Name })
+	others := e.node.members.otherMembersWhere(func(m member) bool { return m.Name != c.Name })
 	heard := make(chan bool, len(others))
 	silent := 0
 	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
@@ -358,10 +360,10 @@
 	e.leaderWaitStart = now().Add(-leaderTimeout / 2)
 }
 
-// handOverLeadership asks the other VMs, one after the other, to take over the leadership, until
-// one accepts. Fitter VMs come first. Among VMs of equal fitness, the one that started
-// last comes first: in a rolling replacement it has already been replaced and does not
-// stop again soon.
+// handOverLeadership asks the other VMs, one after the other, to take over the leadership,
+// until one accepts. It sorts the list: fitter VMs come first. Among VMs of equal fitness,
+// the one that started last comes first: in a rolling replacement it has already been
+// replaced and does not stop again soon.
 func (e *election) handOverLeadership(ctx context.Context, others []member) {
 	slices.SortStableFunc(others, func(a, b member) int {
 		return cmp.Or(cmp.Compare(b.Fitness, a.Fitness), cmp.Compare(b.Started, a.Started))
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -23,7 +23,7 @@
 	names := l.reachableVMs(at)
 	vmReachesStore := maps.Clone(l.vmReachesStore)
 	l.mutex.Unlock()
-	others := slices.DeleteFunc(l.node.members.otherMembers(), func(m member) bool { return !slices.Contains(names, m.Name) || !vmReachesStore[m.Name] })
+	others := l.node.members.otherMembersWhere(func(m member) bool { return slices.Contains(names, m.Name) && vmReachesStore[m.Name] })
 	switch sinceTimerStart := at.Sub(l.handOverTimerStart); {
 	case l.node.store.reachableFor(at) < -handOverWithoutStoreDelay && sinceTimerStart > handOverWithoutStoreDelay:
 		return others
@@ -54,8 +54,13 @@
 // Without one, another VM may have become leader, and this one reports only stored
 // states.
 func (l *leader) hasQuorum(at time.Time) bool {
-	others := len(l.node.members.otherMembers())
-	return 2*(len(l.reachableVMs(at))-1) > others || others == 0
+	others, answering := len(l.node.members.otherMembers()), 0
+	for _, answered := range l.lastHeartbeatAnswer {
+		if at.Sub(answered) < leaderTimeout {
+			answering++
+		}
+	}
+	return 2*answering > others || others == 0
 }
 
 // sendHeartbeats sends heartbeats to the other entry VMs until the leader is stopped.
--- a/internal/node/entryvm/isolation.go
+++ b/internal/node/entryvm/isolation.go
@@ -73,10 +73,9 @@
 // first, since usually one call suffices, and all others only if that one does not
 // answer.
 func (i *isolationDetector) reachesOtherVMs(ctx context.Context) bool {
-	others := i.node.members.otherMembers()
-	otherDomains := slices.DeleteFunc(slices.Clone(others), func(m member) bool { return m.Domain == i.node.settings.Domain })
-	if len(otherDomains) > 0 {
-		others = otherDomains
+	others := i.node.members.otherMembersWhere(func(m member) bool { return m.Domain != i.node.settings.Domain })
+	if len(others) == 0 {
+		others = slices.Clone(i.node.members.otherMembers())
 	}
 	if len(others) == 0 {
 		return true
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -31,6 +31,8 @@
 	// byName maps the names of all known entry VMs, including this one, to their
 	// records.
 	byName map[string]member
+	// others caches the result of otherMembers. It is nil if it must be rebuilt.
+	others []member
 }
 
 func newMemberList(n *Node) *memberList {
@@ -79,6 +81,7 @@
 func (m *memberList) applyRecords(records []store.Record) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.others = nil
 	for i := range records {
 		var vm member
 		r := &records[i]
@@ -92,10 +95,14 @@
 	}
 }
 
-// otherMembers returns the other entry VMs, sorted by name.
+// otherMembers returns the other entry VMs, sorted by name. Callers share the list and
+// must not change it.
 func (m *memberList) otherMembers() []member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.others != nil {
+		return m.others
+	}
 	list := make([]member, 0, len(m.byName))
 	for _, vm := range m.byName {
 		if vm.Name != m.node.settings.Name {
@@ -103,6 +110,19 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b member) int { return strings.Compare(a.Name, b.Name) })
+	m.others = slices.Clip(list) // So that an append copies it.
+	return m.others
+}
+
+// otherMembersWhere returns a new list of the other entry VMs for which keep returns
+// true, sorted by name.
+func (m *memberList) otherMembersWhere(keep func(member) bool) []member {
+	var list []member
+	for _, vm := range m.otherMembers() {
+		if keep(vm) {
+			list = append(list, vm)
+		}
+	}
 	return list
 }
 
--- /dev/null
+++ b/internal/node/entryvm/members_test.go
@@ -0,0 +1,116 @@
+package entryvm
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/internal/peer/link"
+	"github.com/almondpost/almondpost/internal/peer/store"
+)
+
+// newMembersTestNode returns a node that knows the given number of other VMs, without
+// connections.
+func newMembersTestNode(others int) *Node {
+	n := &Node{settings: Settings{Name: "vm-0", Domain: "domain-0", Fitness: 0.5}, log: logr.Discard(), peerClient: link.NewClient(rpcServiceName)}
+	n.members, n.isolation = newMemberList(n), &isolationDetector{node: n}
+	n.store = &relayedStore{node: n}
+	n.election = newElection(n)
+	for i := range others {
+		n.members.applyRecords([]store.Record{memberRecord(i + 1)})
+	}
+	return n
+}
+
+func memberRecord(number int) store.Record {
+	name := fmt.Sprintf("vm-%d", number)
+	return store.Record{Key: name, Value: fmt.Appendf(nil, `{"name":%q,"domain":"domain-%d","address":"127.0.0.1:%d","fitness":%g}`, name, number%5, 7000+number, 0.1+0.05*float64(number%10))}
+}
+
+func memberNames(list []member) []string {
+	var names []string
+	for _, m := range list {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// The list of other VMs is shared between callers. A caller that sorts or filters what
+// it got must not change what the others get, and a later record must be seen.
+func TestOtherMembersAreSharedSafely(t *testing.T) {
+	is := is.New(t)
+	n := newMembersTestNode(3)
+	expected := []string{"vm-1", "vm-2", "vm-3"}
+	is.Equal(memberNames(n.members.otherMembers()), expected)
+	n.election.claimRank(3, "vm-1")
+	filtered := n.members.otherMembersWhere(func(m member) bool { return m.Name != "vm-2" })
+	is.Equal(memberNames(filtered), []string{"vm-1", "vm-3"})
+	filtered[0] = member{}
+	_ = append(n.members.otherMembers(), member{Name: "appended"})
+	is.Equal(memberNames(n.members.otherMembers()), expected)
+	n.members.applyRecords([]store.Record{memberRecord(4), {Key: "vm-1"}})
+	is.Equal(memberNames(n.members.otherMembers()), []string{"vm-2", "vm-3", "vm-4"})
+}
+
+// The VMs that answered heartbeats lately decide whether there is a quorum.
+func TestQuorum(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	scenarios := []struct {
+		testName string
+		others   int
+		// lately and longAgo count the VMs that answered a heartbeat lately or not
+		// within leaderTimeout.
+		lately, longAgo int
+		expected        bool
+	}{
+		{"there are no other VMs", 0, 0, 0, true},
+		{"no VM has answered", 3, 0, 0, false},
+		{"half of the other VMs have answered", 4, 2, 2, false},
+		{"most of the other VMs have answered", 3, 2, 1, true},
+		{"the answers are too old", 3, 0, 3, false},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			l := &leader{node: newMembersTestNode(sc.others), lastHeartbeatAnswer: map[string]time.Time{}}
+			for i := range sc.lately {
+				l.lastHeartbeatAnswer[fmt.Sprintf("vm-%d", i+1)] = at.Add(-leaderTimeout / 2)
+			}
+			for i := range sc.longAgo {
+				l.lastHeartbeatAnswer[fmt.Sprintf("vm-%d", sc.lately+i+1)] = at.Add(-leaderTimeout)
+			}
+			is.New(t).Equal(l.hasQuorum(at), sc.expected)
+		})
+	}
+}
+
+// benchVMs is the number of entry VMs in the benchmarks of this package.
+const benchVMs = 147
+
+// BenchmarkQuorum measures what each question about the state of a job costs the leader
+// to find out whether most other VMs answer.
+func BenchmarkQuorum(b *testing.B) {
+	l := &leader{node: newMembersTestNode(benchVMs - 1), lastHeartbeatAnswer: map[string]time.Time{}}
+	at := now()
+	for i := range benchVMs - 1 {
+		l.lastHeartbeatAnswer[fmt.Sprintf("vm-%d", i+1)] = at
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.hasQuorum(at)
+	}
+}
+
+// BenchmarkShouldClaim measures how a VM finds out that it need not claim leadership,
+// while it hears the leader.
+func BenchmarkShouldClaim(b *testing.B) {
+	n := newMembersTestNode(benchVMs - 1)
+	n.election.claimsEndOffset = 1
+	b.ReportAllocs()
+	for b.Loop() {
+		n.election.recordHeartbeat(HeartbeatArgs{Epoch: 3, Leader: "vm-1"})
+		n.election.shouldClaim(b.Context())
+	}
+}
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,7 +171,7 @@
 	n.mutex.Unlock()
 	n.log.Info("drain_started", "leading", l != nil)
 	if l != nil {
-		n.election.handOverLeadership(ctx, n.members.otherMembers())
+		n.election.handOverLeadership(ctx, slices.Clone(n.members.otherMembers()))
 	}
 }
 
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -319,7 +318,7 @@
 // has store.KindUnknown if the call may have been carried out, and store.KindRefused if
 // it was not.
 func (s *relayedStore) callThroughOthers(ctx context.Context, operation string, call func(context.Context, member) (StoreReply, error)) (StoreReply, error) {
-	others := slices.DeleteFunc(s.node.members.otherMembers(), func(m member) bool { return s.node.peerClient.IsPeerSilent(m.Address) })
+	others := s.node.members.otherMembersWhere(func(m member) bool { return !s.node.peerClient.IsPeerSilent(m.Address) })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	uncertain := false
 	for i, m := range others {
