Do less for a report without news, a tick and a commit

The leader of a large cell handles about a thousand reports a second. For each it sorted all tasks of the worker by ID, to find those that the report lacks; each tick sorted the 1,100 workers; each commit looked through all of them for ends that are not stored; and each of the log lines about a run built the name of the task with fmt.Sprintf.

Only tasks that the report lacks are sorted now; they are requeued in the same order, as neither their IDs nor their run numbers change meanwhile. The sorted list of workers is kept until one is added or removed, and the workers that have listed new ends are noted.

--- a/internal/cell/scheduler/bench_test.go
+++ b/internal/cell/scheduler/bench_test.go
@@ -125,3 +125,49 @@
 		}
 	}
 }
+
+// BenchmarkTick measures what depends only on the time, in a large fleet with work.
+func BenchmarkTick(b *testing.B) {
+	sm := newLargeSimulation()
+	l := sm.electLeader()
+	sm.submitWorkload(4 * time.Second)
+	sm.runFor(1500 * time.Millisecond)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.scheduler.Tick(sm.now)
+		l.scheduler.TakeEffects()
+	}
+}
+
+// BenchmarkHoldAnswered measures a hold whose answer lists five runs, none of which has
+// ended, and a commit after every tenth answer.
+func BenchmarkHoldAnswered(b *testing.B) {
+	const runs = 5
+	sm := newSimulation(1, faultProbabilities{})
+	sm.addWorkers(1100, resource.Vector{Milliprocessors: 64000, MemoryMebibytes: 131072})
+	l := sm.electLeader()
+	sm.submit(&work.Job{ID: "job", Queue: "batch", Steps: []work.Step{{Count: 1100, Size: resource.Vector{Milliprocessors: 64000 / runs, MemoryMebibytes: 1000}, Estimate: time.Hour, Checkpoints: true}}}, fleet.TaskProfile{RunTime: time.Hour})
+	sm.runFor(3 * time.Second)
+	var reports []backend.Report
+	for _, life := range sm.sortedLives() {
+		report, _ := sm.workers[life].Hold(backend.Hold{Token: 1 << 40}, sm.now)
+		if len(report.Running) == runs {
+			reports = append(reports, report)
+		}
+	}
+	if len(reports) == 0 {
+		b.Fatal("no worker has five runs")
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		r := &reports[n%len(reports)]
+		_, sent, _ := l.scheduler.NextHold(r.Life, sm.now)
+		l.scheduler.HoldAnswered(r.Life, sent, r, sm.now)
+		if n++; n%10 == 0 {
+			if c := l.scheduler.NextCommit(sm.now); c != nil {
+				l.scheduler.Committed(c, sm.now)
+			}
+		}
+	}
+}
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -46,10 +46,12 @@
 		c.Records = append(c.Records, store.Record{Key: id})
 	}
 	s.expiredJobs = nil
-	for _, w := range s.workers {
-		if w.lastHandledEndNumber > w.lastStoredEndNumber {
-			c.lastEndNumberByWorker[w] = w.lastHandledEndNumber
+	for w := range s.workersWithNewEnds {
+		if w.removed || w.lastHandledEndNumber == w.lastStoredEndNumber {
+			delete(s.workersWithNewEnds, w)
+			continue
 		}
+		c.lastEndNumberByWorker[w] = w.lastHandledEndNumber
 	}
 	if len(c.Records) == 0 && len(c.lastEndNumberByWorker) == 0 {
 		return nil
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -82,6 +82,7 @@
 	for i := range r.Ended {
 		if e := &r.Ended[i]; e.Number > w.lastHandledEndNumber {
 			w.lastHandledEndNumber = e.Number
+			s.workersWithNewEnds[w] = true
 			s.applyRunEnd(w, e, now)
 		}
 	}
@@ -165,10 +166,14 @@
 // worker. A task is not requeued if the run may have started after the report was
 // made.
 func (s *Scheduler) requeueMissingRuns(w *worker, listed map[runID]bool, sent SentHold, truncated bool, now time.Time) {
-	for _, t := range w.tasksSortedByID() {
-		if listed[runID{t.id, t.runNumber}] {
-			continue
+	var missing []*task // Most reports list all runs, so only the missing ones are sorted.
+	for _, t := range w.tasks {
+		if !listed[runID{t.id, t.runNumber}] {
+			missing = append(missing, t)
 		}
+	}
+	sortTasksByID(missing)
+	for _, t := range missing {
 		switch {
 		case t.phase == phasePlaced:
 			continue
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -168,7 +168,7 @@
 // expireLeases requeues the tasks of workers whose lease has ended. It also does the
 // other checks of workers that depend only on time.
 func (s *Scheduler) expireLeases(now time.Time) {
-	for _, life := range s.Workers() {
+	for _, life := range s.sortedLives() {
 		w := s.workers[life]
 		s.requeueSpeculativeTasks(w, now)
 		s.stopTasksWithCheckpointsIfDraining(w, now)
--- a/internal/cell/scheduler/pool.go
+++ b/internal/cell/scheduler/pool.go
@@ -47,7 +47,7 @@
 // buildPools groups the workers into pools, one for each service.
 func (s *Scheduler) buildPools() {
 	s.pools = map[string]*pool{}
-	for _, life := range s.Workers() {
+	for _, life := range s.sortedLives() {
 		w := s.workers[life]
 		if !w.registered || w.removed || w.registration.Draining {
 			continue
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -227,6 +227,13 @@
 
 // Workers returns the workers that the scheduler has not removed, sorted by ID and
 // start time. A life identifies one worker process.
-func (s *Scheduler) Workers() []backend.Life {
-	return slices.SortedFunc(maps.Keys(s.workers), compareLives)
+func (s *Scheduler) Workers() []backend.Life { return slices.Clone(s.sortedLives()) }
+
+// sortedLives is like Workers, but its result is shared and must not be changed. A
+// worker that is added or removed later does not change it either.
+func (s *Scheduler) sortedLives() []backend.Life {
+	if s.lives == nil {
+		s.lives = slices.SortedFunc(maps.Keys(s.workers), compareLives)
+	}
+	return s.lives
 }
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -126,6 +126,11 @@
 	// into a commit.
 	dirtyJobs map[string]*job
 	workers   map[backend.Life]*worker
+	// lives caches the result of sortedLives. It is nil if it must be rebuilt.
+	lives []backend.Life
+	// workersWithNewEnds contains every worker that has listed ends of runs whose effect
+	// is not stored yet. It may contain others too.
+	workersWithNewEnds map[*worker]bool
 	// latestWorkerByID maps the ID of a worker to its latest process.
 	latestWorkerByID map[string]*worker
 	// replacedLives contains the worker processes whose address now belongs to
@@ -166,6 +171,7 @@
 		earlyCancellations: map[string]time.Time{},
 		workers:            map[backend.Life]*worker{},
 		latestWorkerByID:   map[string]*worker{},
+		workersWithNewEnds: map[*worker]bool{},
 		replacedLives:      map[backend.Life]time.Time{},
 		dispatcher:         newAdviceDispatcher(),
 		runTimes:           newRunTimeEstimator(),
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -96,7 +96,13 @@
 
 // tasksSortedByID returns the tasks on the worker, sorted by their IDs.
 func (w *worker) tasksSortedByID() []*task {
-	return slices.SortedFunc(maps.Values(w.tasks), func(a, b *task) int { return a.id.Compare(b.id) })
+	tasks := slices.Collect(maps.Values(w.tasks))
+	sortTasksByID(tasks)
+	return tasks
+}
+
+func sortTasksByID(tasks []*task) {
+	slices.SortFunc(tasks, func(a, b *task) int { return a.id.Compare(b.id) })
 }
 
 // SetWorkers replaces the list of registered workers. A worker that is no longer in
@@ -107,7 +113,7 @@
 		listed[list[i].Life] = true
 		s.updateRegistration(list[i], now)
 	}
-	for _, life := range s.Workers() {
+	for _, life := range s.sortedLives() {
 		if w := s.workers[life]; w.registered && !listed[life] {
 			w.registered = false
 			s.pools = nil
@@ -153,7 +159,7 @@
 func (s *Scheduler) addWorker(r backend.Registration, now time.Time) *worker {
 	w := &worker{registration: r, token: s.epoch << tokenCounterBits, tasks: map[work.TaskID]*task{}, orphanedRuns: map[runID]orphanedRun{}, lastAnswerAt: now}
 	s.workers[r.Life] = w
-	s.pools = nil
+	s.pools, s.lives = nil, nil
 	if s.latestWorkerByID[r.Life.ID] == nil {
 		s.latestWorkerByID[r.Life.ID] = w
 	}
@@ -188,6 +194,7 @@
 		s.effects.SessionsToClose = append(s.effects.SessionsToClose, w.registration.Life)
 	}
 	delete(s.workers, w.registration.Life)
+	s.lives = nil
 	if s.latestWorkerByID[w.registration.Life.ID] == w {
 		delete(s.latestWorkerByID, w.registration.Life.ID)
 	}
--- a/internal/cell/work/job.go
+++ b/internal/cell/work/job.go
@@ -4,7 +4,7 @@
 
 import (
 	"cmp"
-	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/node/fault"
@@ -198,7 +198,12 @@
 
 // String formats the ID as job.occurrence.step.index, for logs.
 func (t TaskID) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+	text := make([]byte, 0, len(t.Job)+len(".0000.0000.0000"))
+	text = append(text, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		text = strconv.AppendInt(append(text, '.'), int64(n), 10)
+	}
+	return string(text)
 }
 
 // Compare orders tasks by job, occurrence, step and index.
