Don't order a start whose ticket has expired

What callers saw: urgent jobs placed just before the store went away were late by seconds after it was back.

Cause: a start is ordered once its placement is stored, and nothing looked at the ticket again. The worker refuses such a start, and the task is placed only then. If the worker's failure domain is cut off, the order isn't answered at all, and the task waits until the lease lapses.

Evidence: TestStartIsNotOrderedWithAnExpiredTicket failed before (1 start ordered, 0 wanted).

Why this works: the leader counts a ticket's validity from the arrival of the answer, so one that it takes for expired is refused for certain. Such a placement is withdrawn like one whose commit is too old: the task is placed again at once, with a new ticket.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -103,6 +103,13 @@
 	return ok && t.expiresAt.Sub(now) > minTicketValidity
 }
 
+// isTicketExpired reports whether a start on a worker is certain to be refused because
+// its ticket has expired. Without a ticket it is false: not every queue needs one.
+func (a *advice) isTicketExpired(w *worker, now time.Time) bool {
+	t, ok := a.tickets[w]
+	return ok && !now.Before(t.expiresAt)
+}
+
 // AdviceRequest is a request for advice about Step. The caller of the scheduler must
 // have an entry VM, the one with the name VM, send it to the adviser.
 type AdviceRequest struct {
--- a/internal/cell/scheduler/advice_test.go
+++ b/internal/cell/scheduler/advice_test.go
@@ -77,6 +77,41 @@
 	return workers
 }
 
+// The store accepts a placement only after its ticket has expired. The worker would
+// refuse the start, or not answer it while its failure domain is cut off: the task must
+// be placed again instead.
+func TestStartIsNotOrderedWithAnExpiredTicket(t *testing.T) {
+	scenarios := []struct {
+		testName      string
+		storedAfter   time.Duration
+		orderedStarts int
+	}{
+		{"the ticket is valid", 1900 * time.Millisecond, 1},
+		{"the ticket has expired", 2100 * time.Millisecond, 0},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			s := newAdvisedScheduler(now, 1)
+			s.Submit(&work.Job{ID: "job", Queue: "short", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}, now)
+			s.Schedule(now)
+			is.Equal(approveAllRequests(s, now), 3)
+			s.Schedule(now)
+			commit := s.NextCommit(now)
+			is.True(commit != nil)
+			stored := now.Add(sc.storedAfter)
+			s.Committed(commit, stored)
+			is.Equal(len(s.TakeEffects().Starts), sc.orderedStarts)
+
+			addHeldWorkers(s, 6, stored, "bench", "desk")
+			s.Schedule(stored)
+			askedAgain := approveAllRequests(s, stored) > 0
+			is.Equal(askedAgain, sc.orderedStarts == 0)
+		})
+	}
+}
+
 // A gang needs all three workers of its service, and a request takes a large part of
 // the time for which a ticket is valid. All three tickets must be renewed together,
 // or they would never all be valid at once.
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -94,12 +94,12 @@
 }
 
 // orderStart orders the worker of a task to start it, once the placement is stored.
-// If the worker cannot be used any more or the commit is too old, the task is
-// requeued instead.
+// If the worker cannot be used any more, its ticket has expired or the commit is too
+// old, the task is requeued instead.
 func (s *Scheduler) orderStart(t *task, commitStart, now time.Time) {
 	w := t.worker
 	t.inCommit = false
-	if w.removed || w.tokenUnconfirmed() || now.Sub(commitStart) > maxStartDelay {
+	if w.removed || w.tokenUnconfirmed() || t.step.advice.isTicketExpired(w, now) || now.Sub(commitStart) > maxStartDelay {
 		s.log.Info("start_withdrawn", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "age_ms", now.Sub(commitStart).Milliseconds())
 		s.requeueTask(t)
 		s.stopOtherGangMembers(t, now)
