Keep the connection between two VMs when only one call is slow

What callers saw: on a machine that is slow, or full for some seconds, far too little of the urgent work was served, and it got worse by itself.

Cause: all calls between two entry VMs share one connection, and every call that timed out closed it. All others over it then failed with an unknown outcome: batches to a keeper, answers from workers, advice, questions to the leader. The VM also counted as silent for three seconds and left the keepers, which failed all pending calls through it. Starts of unknown outcome raise fencing tokens and cost further holds, so a busy leader made itself more work.

Evidence: TestSlowCallDoesNotFailOthers failed before (the other call: "use of closed network connection").

Why this works: a connection that has answered a call since the slow one was sent doesn't hang, and its peer isn't silent. One that has answered nothing since is closed at once as before (TestHungConnectionIsReplaced).

--- a/internal/peer/link/client.go
+++ b/internal/peer/link/client.go
@@ -1,6 +1,7 @@
-// Package link makes net/rpc calls between entry VMs. When a call times out, its
-// connection is closed and the next call opens a new one, because a connection can
-// hang forever while new connections to the same peer work.
+// Package link makes net/rpc calls between entry VMs. When a call times out and its
+// connection has answered nothing since the call was sent, the connection is closed and
+// the next call opens a new one, because a connection can hang forever while new
+// connections to the same peer work.
 package link
 
 import (
@@ -40,19 +41,26 @@
 type Client struct {
 	service     string
 	mutex       sync.Mutex
-	connections map[netip.AddrPort]*rpc.Client
-	// lastUnansweredCall maps each peer to the time of its last unanswered call. A
-	// successful call deletes the entry.
+	connections map[netip.AddrPort]*connection
+	// lastUnansweredCall maps each peer to the time of its last unanswered call. An
+	// answer deletes the entry.
 	lastUnansweredCall map[netip.AddrPort]time.Time
 }
 
+// connection is a connection to a peer.
+type connection struct {
+	*rpc.Client
+	// lastAnswerAt is when the last answer arrived. The mutex of the Client guards it.
+	lastAnswerAt time.Time
+}
+
 // NewClient returns a client for the methods of one net/rpc service.
 func NewClient(service string) *Client {
-	return &Client{service: service, connections: map[netip.AddrPort]*rpc.Client{}, lastUnansweredCall: map[netip.AddrPort]time.Time{}}
+	return &Client{service: service, connections: map[netip.AddrPort]*connection{}, lastUnansweredCall: map[netip.AddrPort]time.Time{}}
 }
 
 // connect returns the open connection to a peer or dials a new one.
-func (c *Client) connect(ctx context.Context, a netip.AddrPort) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context, a netip.AddrPort) (*connection, error) {
 	c.mutex.Lock()
 	p := c.connections[a]
 	c.mutex.Unlock()
@@ -70,13 +78,13 @@
 		_ = conn.Close()
 		return p, nil
 	}
-	p = rpc.NewClient(conn)
+	p = &connection{Client: rpc.NewClient(conn)}
 	c.connections[a] = p
 	return p, nil
 }
 
 // IsPeerSilent reports whether a call to the peer went unanswered within the last
-// silentPeriod and no later call succeeded.
+// silentPeriod and nothing was answered since.
 func (c *Client) IsPeerSilent(a netip.AddrPort) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -87,20 +95,40 @@
 // silentPeriod is how long a peer counts as silent after an unanswered call.
 const silentPeriod = 3 * time.Second
 
-// recordAnswer records for Silent whether a call to the peer was answered.
-func (c *Client) recordAnswer(a netip.AddrPort, answered bool) {
+// recordAnswer records for IsPeerSilent that a call over a connection was answered.
+func (c *Client) recordAnswer(a netip.AddrPort, p *connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p.lastAnswerAt = time.Now()
+	delete(c.lastUnansweredCall, a)
+}
+
+// recordUnreachable records for IsPeerSilent that a peer could not be reached.
+func (c *Client) recordUnreachable(a netip.AddrPort) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if answered {
-		delete(c.lastUnansweredCall, a)
-	} else {
+	c.lastUnansweredCall[a] = time.Now()
+}
+
+// recordTimeout records for IsPeerSilent that a call was not answered in time, and closes
+// its connection. It does neither if the connection has answered another call since this
+// one was sent: then only this call is slow, and to close the connection would fail all
+// other calls over it.
+func (c *Client) recordTimeout(a netip.AddrPort, p *connection, sentAt time.Time) {
+	c.mutex.Lock()
+	answering := p.lastAnswerAt.After(sentAt)
+	if !answering {
 		c.lastUnansweredCall[a] = time.Now()
 	}
+	c.mutex.Unlock()
+	if !answering {
+		c.dropConnection(a, p)
+	}
 }
 
 // dropConnection closes a connection and removes it, so that the next call opens
 // a new one.
-func (c *Client) dropConnection(a netip.AddrPort, p *rpc.Client) {
+func (c *Client) dropConnection(a netip.AddrPort, p *connection) {
 	c.mutex.Lock()
 	if c.connections[a] == p {
 		delete(c.connections, a)
@@ -115,26 +143,27 @@
 	var reply Reply
 	p, err := c.connect(ctx, a)
 	if err != nil {
-		c.recordAnswer(a, false)
+		c.recordUnreachable(a)
 		return reply, fault.New(method, KindUnreachable, err)
 	}
+	sentAt := time.Now()
 	call := p.Go(c.service+"."+method, args, &reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		var serverError rpc.ServerError
 		switch {
 		case call.Error == nil:
-			c.recordAnswer(a, true)
+			c.recordAnswer(a, p)
 			return reply, nil
 		case errors.As(call.Error, &serverError):
+			c.recordAnswer(a, p)
 			return reply, fault.New(method, KindFailed, call.Error)
 		}
 		c.dropConnection(a, p)
 		return reply, fault.New(method, KindUnknown, call.Error)
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.recordAnswer(a, false)
-			c.dropConnection(a, p)
+			c.recordTimeout(a, p, sentAt)
 		}
 		var none Reply // The abandoned call may still write to reply, so return a separate empty value.
 		return none, fault.New(method, KindUnknown, ctx.Err())
