Search for workers to ask about in one pass, and only for steps that can send a request

For each waiting step it counted the places on all workers with tickets, also while an earlier request of the step was unanswered, when only a gang may send another; it did so twice, as idle VMs are lent in a second round; and it went through the pool three or four times for each request.

A step that is not a gang and awaits an answer is skipped at once. What the first round found to need no request is not searched again: nothing that workersForRequest reads about the step changes between the rounds. The workers for a request are put into groups in one pass, places are counted without a division where only "any" matters, and only gangs weigh them.

Decisions are the same.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -87,6 +87,9 @@
 	expiresAt time.Time
 }
 
+// isValid reports whether the ticket can be used now.
+func (t ticket) isValid(now time.Time) bool { return t.expiresAt.After(now.Add(minTicketValidity)) }
+
 func (a *advice) ticketText(w *worker) string { return a.tickets[w].text }
 
 // expireTicket makes the ticket for a worker unusable, if there is one.
@@ -100,7 +103,7 @@
 // hasValidTicket reports whether a ticket for a worker can be used now.
 func (a *advice) hasValidTicket(w *worker, now time.Time) bool {
 	t, ok := a.tickets[w]
-	return ok && t.expiresAt.Sub(now) > minTicketValidity
+	return ok && t.isValid(now)
 }
 
 // isTicketExpired reports whether a start on a worker is certain to be refused because
--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -31,8 +31,9 @@
 	}
 	// Of a large pool, only a few workers have tickets. Searching just these is
 	// faster.
-	for w := range st.advice.tickets {
-		if w.ready && w.acceptsTasksOf(q) && st.advice.hasValidTicket(w, now) {
+	earliestExpiry := now.Add(minTicketValidity)
+	for w, ticket := range st.advice.tickets {
+		if w.ready && ticket.expiresAt.After(earliestExpiry) && w.acceptsTasksOf(q) {
 			c.considerWorker(w)
 		}
 	}
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -18,39 +18,74 @@
 	if len(s.dispatcher.pendingSteps) == 0 {
 		return
 	}
+	idle, ok := s.dispatcher.idleVM(now)
+	if !ok {
+		return
+	}
 	limits := s.newRequestLimits(now)
-	s.dispatchWithinLimits(sortedJobs, limits, now)
+	candidates := s.requestCandidates(sortedJobs)
+	idle, ok = s.dispatchWithinLimits(candidates, limits, idle, now)
+	if !ok {
+		return
+	}
 	// The VMs that are still idle are lent to the requests that the limits hold back.
 	limits.maxRequestsPerService, limits.maxSlowRequests = limits.maxRequests, limits.maxRequests
-	s.dispatchWithinLimits(sortedJobs, limits, now)
+	s.dispatchWithinLimits(candidates, limits, idle, now)
 }
 
-// dispatchWithinLimits has idle VMs send requests until no VM is idle or the limits
-// allow no further request.
-func (s *Scheduler) dispatchWithinLimits(sortedJobs []*job, limits *requestLimits, now time.Time) {
-	idle, ok := s.dispatcher.idleVM(now)
-	stepsWithoutCapacity := map[string]int{}
+// requestCandidate is a step that needs tickets.
+type requestCandidate struct {
+	step  *step
+	queue *queue.Queue
+	// done is true once a request was sent for the step. noRequestNeeded is true once
+	// workersForRequest has returned no workers for it: further requests for other
+	// steps do not change that.
+	done, noRequestNeeded bool
+}
+
+// requestCandidates returns the steps of jobs that need tickets, in the order of the
+// jobs.
+func (s *Scheduler) requestCandidates(sortedJobs []*job) []requestCandidate {
+	candidates := make([]requestCandidate, 0, len(s.dispatcher.pendingSteps))
 	for _, j := range sortedJobs {
-		if !ok {
-			return
-		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
-				q := s.dispatcher.pendingSteps[st]
-				if q == nil || !ok || !limits.allowsRequest(q) || (st.open && !s.isAdviceWorthRequesting(st, q, stepsWithoutCapacity)) {
-					continue
-				}
-				if workers := s.workersForRequest(st, q, now); len(workers) > 0 {
-					s.sendAdviceRequest(st, requestSpec{workers, q.Advice}, idle, now)
-					if hasShortRequests(q) {
-						s.dispatcher.shortRequestUsage.add(q.Advice.RequestDuration(len(workers)), now)
-					}
-					idle, ok = s.dispatcher.idleVM(now)
-					limits.countRequestInFlight(q)
+				if q := s.dispatcher.pendingSteps[st]; q != nil {
+					candidates = append(candidates, requestCandidate{step: st, queue: q})
 				}
 			}
 		}
 	}
+	return candidates
+}
+
+// dispatchWithinLimits has idle VMs send requests, first the VM named idle, until no VM
+// is idle or the limits allow no further request. It returns the next idle VM; ok is
+// false if there is none.
+func (s *Scheduler) dispatchWithinLimits(candidates []requestCandidate, limits *requestLimits, idle string, now time.Time) (nextIdle string, ok bool) {
+	stepsWithoutCapacity := map[string]int{}
+	for i := range candidates {
+		c := &candidates[i]
+		st, q := c.step, c.queue
+		if c.done || !limits.allowsRequest(q) || (st.open && !s.isAdviceWorthRequesting(st, q, stepsWithoutCapacity)) || c.noRequestNeeded {
+			continue
+		}
+		workers := s.workersForRequest(st, q, now)
+		if len(workers) == 0 {
+			c.noRequestNeeded = true
+			continue
+		}
+		c.done = true
+		s.sendAdviceRequest(st, requestSpec{workers, q.Advice}, idle, now)
+		if hasShortRequests(q) {
+			s.dispatcher.shortRequestUsage.add(q.Advice.RequestDuration(len(workers)), now)
+		}
+		limits.countRequestInFlight(q)
+		if idle, ok = s.dispatcher.idleVM(now); !ok {
+			return "", false
+		}
+	}
+	return idle, true
 }
 
 // requestLimits limits the number of VMs that are busy with requests for one service,
@@ -144,14 +179,19 @@
 // workersForRequest returns the workers about which a step should request advice now.
 // The result is empty if the step has enough tickets.
 func (s *Scheduler) workersForRequest(st *step, q *queue.Queue, now time.Time) []*worker {
+	if !st.spec.Gang && len(st.advice.workersAwaitingAnswer) > 0 {
+		return nil // Only a gang has several requests in flight.
+	}
 	var stale []*worker
 	places := 0
-	for w := range st.advice.tickets {
+	for w, t := range st.advice.tickets {
 		if !w.acceptsTasksOf(q) || s.reservations.isReservedForOtherJob(w, st.job) {
 			continue
 		}
-		places += min(countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()), remainingTaskLimit(w, st))
-		if !st.advice.hasValidTicket(w, now) {
+		if st.spec.Gang || places == 0 {
+			places += usablePlaces(w, st)
+		}
+		if !t.isValid(now) {
 			stale = append(stale, w)
 		}
 	}
@@ -196,8 +236,7 @@
 // expectedPlacesAfterAnswer returns the number of places on a worker, weighted by how
 // likely the adviser approves the worker.
 func (s *Scheduler) expectedPlacesAfterAnswer(st *step, w *worker) float64 {
-	places := min(countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()), remainingTaskLimit(w, st))
-	return s.dispatcher.approvalRate(st.job.spec.Queue) * float64(places)
+	return s.dispatcher.approvalRate(st.job.spec.Queue) * float64(usablePlaces(w, st))
 }
 
 // areReservedWorkersSoonFree reports whether the workers reserved for a step are
@@ -228,19 +267,45 @@
 	return stale
 }
 
+// usablePlaces returns how many more tasks of a step a worker could run now, by its free
+// capacity and by the limit in MostPerWorker.
+func usablePlaces(w *worker, st *step) int {
+	n := countPlaces(st.spec.ReservedCapacity(), w.freeCapacity())
+	if n == 0 {
+		return 0
+	}
+	return min(n, remainingTaskLimit(w, st))
+}
+
 // countPlaces returns how many tasks fit into the free capacity if each task reserves
 // taskCapacity.
 func countPlaces(taskCapacity, freeCapacity resource.Vector) int {
 	places := int64(work.MaxTasks)
 	sizes, left := taskCapacity.Amounts(), freeCapacity.Amounts()
 	for i := range sizes {
-		if sizes[i] > 0 {
-			places = min(places, max(left[i], 0)/sizes[i])
+		if sizes[i] <= 0 {
+			continue
 		}
+		if left[i] < sizes[i] {
+			return 0
+		}
+		places = min(places, left[i]/sizes[i])
 	}
 	return int(places)
 }
 
+// hasRoomFor reports whether at least n tasks fit into the free capacity, as countPlaces
+// counts them, without a division. n must be between 1 and work.MaxTasks.
+func hasRoomFor(n int, taskCapacity, freeCapacity resource.Vector) bool {
+	sizes, left := taskCapacity.Amounts(), freeCapacity.Amounts()
+	for i := range sizes {
+		if sizes[i] > 0 && left[i] < int64(n)*sizes[i] {
+			return false
+		}
+	}
+	return true
+}
+
 // workersMostLikelyFree selects the workers of list to ask about again, at most
 // maxWorkersPerRequest. Workers in the rack that holds the input data come first,
 // then those with the smallest used fraction.
@@ -292,31 +357,67 @@
 		candidates = p.workersMostUsedFirst()
 		minPlaces = 1 + st.countWaitingTasks()/expectedApprovalsPerRequest
 	}
-	hasPlaces := func(w *worker) bool {
-		return countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()) >= minPlaces && !s.reservations.isReservedForOtherJob(w, st.job)
+	most := maxWorkersPerRequest
+	if st.spec.Gang {
+		most = maxWorkersPerGangRequest
 	}
 	var list []*worker
-	isFull := func() bool {
-		if st.spec.Gang && missingPlaces > 0 {
-			return len(list) >= maxWorkersPerGangRequest
-		}
-		return len(list) >= maxWorkersPerRequest
-	}
-	addMatching := func(matches func(w *worker) bool) {
-		for i := 0; i < len(candidates) && !isFull(); i++ {
-			if w := candidates[i]; matches(w) && !st.advice.answered[w] && !st.advice.workersAwaitingAnswer[w] && isCapable(w, st) && !slices.Contains(list, w) {
-				list = append(list, w)
+	for _, group := range s.groupForRequest(st, candidates, minPlaces, most) {
+		for _, w := range group {
+			if len(list) >= most || (len(list) >= maxWorkersPerRequest && missingPlaces <= 0) {
+				return list
+			}
+			list = append(list, w)
+			if st.spec.Gang {
 				missingPlaces -= s.expectedPlacesAfterAnswer(st, w)
 			}
 		}
 	}
+	return list
+}
+
+// The groups of workers in a request, in the order in which they are asked about.
+const (
+	groupDataRack = iota
+	groupUnnamed
+	groupWithPlaces
+	groupOthers
+	groupCount
+)
+
+// groupForRequest groups the workers about which a step can request advice, in the
+// order of candidates. It returns at least the first most workers of all groups
+// together. Workers outside of the rack with the input data have places if minPlaces
+// tasks fit and no other job has reserved them.
+func (s *Scheduler) groupForRequest(st *step, candidates []*worker, minPlaces, most int) [groupCount][]*worker {
+	var groups [groupCount][]*worker
+	firstGroup := groupUnnamed
 	if st.spec.Rack != "" {
-		addMatching(func(w *worker) bool { return w.rack() == st.spec.Rack })
+		firstGroup = groupDataRack
 	}
-	addMatching(func(w *worker) bool { return w.requestsInFlight == 0 && hasPlaces(w) })
-	addMatching(hasPlaces)
-	addMatching(func(*worker) bool { return true })
-	return list
+	taskCapacity := st.spec.ReservedCapacity()
+	for _, w := range candidates {
+		if st.advice.answered[w] || st.advice.workersAwaitingAnswer[w] || !isCapable(w, st) {
+			continue
+		}
+		group := groupOthers
+		switch {
+		case st.spec.Rack != "" && w.rack() == st.spec.Rack:
+			group = groupDataRack
+		case hasRoomFor(minPlaces, taskCapacity, w.freeCapacity()) && !s.reservations.isReservedForOtherJob(w, st.job):
+			group = groupWithPlaces
+			if w.requestsInFlight == 0 {
+				group = groupUnnamed
+			}
+		}
+		if len(groups[group]) < most {
+			groups[group] = append(groups[group], w)
+		}
+		if len(groups[firstGroup]) == most {
+			break
+		}
+	}
+	return groups
 }
 
 // countWaitingTasks returns the number of tasks of a step that wait for a worker.
--- a/internal/cell/scheduler/waiting.go
+++ b/internal/cell/scheduler/waiting.go
@@ -45,7 +45,7 @@
 		if !w.acceptsTasksOf(q) || !isCapable(w, st) {
 			continue
 		}
-		places := min(countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()), remainingTaskLimit(w, st))
+		places := usablePlaces(w, st)
 		free += places
 		if _, known := st.advice.tickets[w]; q.Advice != nil && !known {
 			continue
