Say what a quorum of answered heartbeats excludes

Cause: the comment of hasQuorum claimed that no other VM can have become leader. A VM that is cut off from its peers but not from the store may claim. No false completion follows: it is shown only after workers have listed the ends (TestAnswersAboutJobsAreTrue checks both with and without a quorum).

--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -46,8 +46,9 @@
 }
 
 // hasQuorum reports whether most other entry VMs answered a heartbeat within
-// leaderTimeout, so that no other VM can have become leader. It is true if there are no
-// other VMs. The caller must hold the mutex.
+// leaderTimeout. Then only a VM that is cut off from most others, but not from the store,
+// can have become leader. It is true if there are no other VMs. The caller must hold the
+// mutex.
 //
 // With a quorum, the leader reports a job as completed even before the completion is
 // stored, so that an outage of the store does not make callers miss their deadlines.
