--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -287,8 +287,8 @@
 
 // requestAdvice has an entry VM call the adviser and passes the answer to the
 // scheduler. The VM applies the timeout itself, and the leader waits adviceReplyMargin
-// longer. If the leader's call timed out first, the leader would lose its connection to
-// the VM, which other calls use as well.
+// longer. If the leader's call timed out first, a VM that answers nothing else meanwhile
+// would count as silent and lose its connection, which other calls use as well.
 func (l *leader) requestAdvice(a scheduler.AdviceRequest) {
 	ctx, cancel := context.WithTimeout(l.ctx, a.Timeout+adviceReplyMargin)
 	defer cancel()
