Name enough workers in a short request for advice

A step that is not a gang asked for one place more, whatever the number of its waiting tasks, so it named 30 workers. Now it counts its waiting tasks as missing places, as gangs do, and a short request names more workers while they are expected to bring too few places, as long as they delay the answer by no more than the fixed duration of another request. The new test failed before: 30 workers named where 73, 100 and 44 are expected.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -14,13 +14,12 @@
 
 const (
 	// maxWorkersPerRequest is the largest number of workers that one request for
-	// advice may name.
+	// advice may name if fewer are expected to bring enough places.
 	maxWorkersPerRequest = 30
-	// maxWorkersPerGangRequest is the largest number of workers that a request for a
-	// gang may name, which is the limit of the adviser. A wide gang needs so many
-	// workers that the fixed duration of several small requests would keep many VMs
-	// busy.
-	maxWorkersPerGangRequest = 100
+	// maxWorkersPerLargeRequest is the largest number of workers that any request may
+	// name, which is the limit of the adviser. A wide gang needs so many workers that
+	// the fixed duration of several small requests would keep many VMs busy.
+	maxWorkersPerLargeRequest = 100
 	// minTicketValidity is how long a ticket must still be valid for a task to be
 	// placed with it. In this time the placement is stored and the start order is
 	// sent.
--- a/internal/cell/scheduler/advice_test.go
+++ b/internal/cell/scheduler/advice_test.go
@@ -302,3 +302,40 @@
 		})
 	}
 }
+
+// In a nearly full pool, a wide urgent step collected its places in many small requests,
+// one after the other, and was late by the time that they took.
+func TestWideStepInANearlyFullPoolCollectedItsPlacesInSmallRequests(t *testing.T) {
+	short := queue.AdviceCost{Fixed: 28 * time.Millisecond, PerWorker: 400 * time.Microsecond, Validity: 2 * time.Second}
+	scenarios := []struct {
+		testName string
+		tasks    int
+		// places is the number of tasks of the step that each worker has capacity for. The
+		// adviser is assumed to approve 40 % of the workers.
+		places  int64
+		cost    queue.AdviceCost
+		workers int
+	}{
+		{"few tasks", 8, 1, short, 30},
+		{"one place on each worker", 29, 1, short, 73},
+		{"more places on each worker", 29, 4, short, 30},
+		{"more tasks than the adviser permits workers", 60, 1, short, 100},
+		{"naming more workers takes longer than another request", 60, 1, queue.AdviceCost{Fixed: 28 * time.Millisecond, PerWorker: 2 * time.Millisecond, Validity: 2 * time.Second}, 44},
+		{"slow requests", 60, 1, queue.AdviceCost{Fixed: 180 * time.Millisecond, PerWorker: 2 * time.Millisecond, Validity: 2 * time.Second}, 30},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			s := newAdvisedScheduler(now, 1)
+			s.SetTable(&queue.Table{Version: 2, Queues: []queue.Queue{{Name: "sort", Service: "desk", Stretch: 2, Objective: time.Second, Advice: &sc.cost}}})
+			addHeldWorkers(s, 200, now, "desk")
+			size := resource.Vector{Milliprocessors: workerCapacity.Milliprocessors / sc.places}
+			s.Submit(&work.Job{ID: "wide", Queue: "sort", Accepted: now, Steps: []work.Step{{Count: sc.tasks, Size: size, Estimate: time.Second}}}, now)
+			s.Schedule(now)
+			requests := s.TakeEffects().AdviceRequests
+			is.Equal(len(requests), 1)
+			is.Equal(len(requests[0].Workers), sc.workers)
+		})
+	}
+}
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -214,7 +214,8 @@
 // countMissingPlaces returns how many places a step lacks beyond those that its tickets
 // and unanswered requests are expected to bring. It asks about further workers while
 // this is above 0. A place is free capacity for one task; the parameter places is the
-// number of places on the workers with tickets.
+// number of places on the workers with tickets. A step that isn't a gang lacks none
+// while it has a place or an unanswered request.
 //
 // A wide gang has several requests in flight at the same time. If they were sent one
 // after the other, the tickets from the first would have expired by the time the last
@@ -222,7 +223,7 @@
 func (s *Scheduler) countMissingPlaces(st *step, places int) float64 {
 	if !st.spec.Gang {
 		if places == 0 && len(st.advice.workersAwaitingAnswer) == 0 {
-			return 1
+			return float64(st.countWaitingTasks())
 		}
 		return 0
 	}
@@ -259,7 +260,7 @@
 // the tickets of the gang would never all be valid at once.
 func (a *advice) reservedWorkersWithoutValidTicket(at time.Time) []*worker {
 	var stale []*worker
-	for _, w := range a.reservedWorkers[:min(len(a.reservedWorkers), maxWorkersPerGangRequest)] {
+	for _, w := range a.reservedWorkers[:min(len(a.reservedWorkers), maxWorkersPerLargeRequest)] {
 		if !a.hasValidTicket(w, at) {
 			stale = append(stale, w)
 		}
@@ -333,8 +334,8 @@
 const expectedApprovalsPerRequest = 12
 
 // workersWithoutRequest returns workers about which a step has not requested advice
-// yet: at most maxWorkersPerRequest, or for a gang as many as are expected to bring the
-// missing places, at most maxWorkersPerGangRequest. The order is: workers in the rack
+// yet: at most maxWorkersPerRequest, or as many as are expected to bring the missing
+// places, at most maxWorkersForMissingPlaces. The order is: workers in the rack
 // that holds the input data, then workers with enough free capacity that no unanswered
 // request of any step names, then other workers with enough free capacity, then the
 // rest. Within each group, the least used workers come first. While a large step
@@ -357,10 +358,7 @@
 		candidates = p.workersMostUsedFirst()
 		minPlaces = 1 + st.countWaitingTasks()/expectedApprovalsPerRequest
 	}
-	most := maxWorkersPerRequest
-	if st.spec.Gang {
-		most = maxWorkersPerGangRequest
-	}
+	most := maxWorkersForMissingPlaces(st, q)
 	var list []*worker
 	for _, group := range s.groupForRequest(st, candidates, minPlaces, most) {
 		for _, w := range group {
@@ -368,7 +366,7 @@
 				return list
 			}
 			list = append(list, w)
-			if st.spec.Gang {
+			if most > maxWorkersPerRequest {
 				missingPlaces -= s.expectedPlacesAfterAnswer(st, w)
 			}
 		}
@@ -420,6 +418,22 @@
 	return groups
 }
 
+// maxWorkersForMissingPlaces returns the largest number of workers that a request of a
+// step may name while they are expected to bring fewer places than the step lacks.
+//
+// In a nearly full pool, a wide step needs many workers. If it asked about a few at a
+// time, it would wait for one answer after the other. So a short request names as many
+// more workers as delay its answer by at most the fixed duration of another request.
+func maxWorkersForMissingPlaces(st *step, q *queue.Queue) int {
+	switch {
+	case st.spec.Gang || (hasShortRequests(q) && q.Advice.PerWorker <= 0):
+		return maxWorkersPerLargeRequest
+	case hasShortRequests(q):
+		return min(maxWorkersPerRequest+int(q.Advice.Fixed/q.Advice.PerWorker), maxWorkersPerLargeRequest)
+	}
+	return maxWorkersPerRequest
+}
+
 // countWaitingTasks returns the number of tasks of a step that wait for a worker.
 func (st *step) countWaitingTasks() int {
 	n := 0
--- a/internal/cell/scheduler/dispatch_test.go
+++ b/internal/cell/scheduler/dispatch_test.go
@@ -39,7 +39,10 @@
 	at := time.Unix(1_700_000_000, 0)
 	s := New(Timing{}, 1, at, at, logr.Discard())
 	s.reservations = newReservations()
-	q := &queue.Queue{Name: "batch", Service: "desk", Advice: &queue.AdviceCost{}}
+	q := &queue.Queue{Name: "batch", Service: "desk", Advice: &queue.AdviceCost{
+		Fixed:     rapid.SampledFrom([]time.Duration{0, 28 * time.Millisecond, 500 * time.Millisecond}).Draw(t, "fixed"),
+		PerWorker: rapid.SampledFrom([]time.Duration{0, 400 * time.Microsecond, 2 * time.Millisecond}).Draw(t, "per worker"),
+	}}
 	st := &step{job: &job{spec: &work.Job{ID: "job", Queue: q.Name}}, id: work.StepID{Job: "job"}}
 	largestSize, mostUsed := rapid.SampledFrom([]int64{1, 4}).Draw(t, "largest size"), rapid.SampledFrom([]int64{1, 8}).Draw(t, "most used")
 	st.spec = &work.Step{
@@ -86,11 +89,9 @@
 		return countPlaces(st.spec.ReservedCapacity(), w.freeCapacity()) >= minPlaces && !s.reservations.isReservedForOtherJob(w, st.job)
 	}
 	var list []*worker
+	limit := maxWorkersForMissingPlaces(st, q)
 	isFull := func() bool {
-		if st.spec.Gang && missingPlaces > 0 {
-			return len(list) >= maxWorkersPerGangRequest
-		}
-		return len(list) >= maxWorkersPerRequest
+		return len(list) >= limit || (missingPlaces <= 0 && len(list) >= maxWorkersPerRequest)
 	}
 	for _, matches := range []func(w *worker) bool{
 		func(w *worker) bool { return st.spec.Rack != "" && w.rack() == st.spec.Rack },
@@ -112,10 +113,7 @@
 func TestWorkersOfARequestComeByGroups(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, st, q := drawStepWithPool(t)
-		missing := 1.0
-		if st.spec.Gang {
-			missing = rapid.Float64Range(0.5, 60).Draw(t, "missing")
-		}
+		missing := rapid.Float64Range(0.5, 60).Draw(t, "missing")
 		is.New(t).Equal(s.workersWithoutRequest(st, q, missing), workersByPasses(s, st, q, missing))
 	})
 }
