Count the validity of tickets from the adviser's answer

A leader that handled an answer of the adviser late believed its tickets valid for that much too long, and ordered starts that workers refused. The validity was counted from the moment at which the leader handled the answer. It is now counted from the earliest moment at which the adviser can have given it: when the request was sent, and the time that it takes. The new test failed before (an answer that waited for a second).

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -300,10 +300,15 @@
 	if a.answered == nil {
 		a.answered, a.tickets = map[*worker]bool{}, map[*worker]ticket{}
 	}
+	// The answer may have waited for a busy leader since the adviser issued the tickets.
+	issuedAt := o.sentAt.Add(o.expectedTime)
+	if issuedAt.After(now) {
+		issuedAt = now
+	}
 	for _, w := range o.workers {
 		a.answered[w] = true
 		if text, approved := answer.Tickets[w.registration.Life.ID]; approved {
-			a.tickets[w] = ticket{text: text, expiresAt: now.Add(answer.Validity)}
+			a.tickets[w] = ticket{text: text, expiresAt: issuedAt.Add(answer.Validity)}
 		}
 	}
 	s.dispatcher.recordApprovalRate(o.step.job.spec.Queue, float64(len(answer.Tickets))/float64(len(o.workers)))
--- a/internal/cell/scheduler/advice_test.go
+++ b/internal/cell/scheduler/advice_test.go
@@ -385,3 +385,57 @@
 		})
 	}
 }
+
+// On a busy leader, tickets expired on the way from the answer of the adviser to the
+// start: workers refused the starts, and their capacity was held for nothing.
+func TestTicketsExpiredOnTheWayThroughABusyLeader(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		// startDelay is the time from the placement of each earlier task to the worker's
+		// answer, and answerDelay the time from the adviser's answer to its handling.
+		startDelay, answerDelay time.Duration
+		// age is the time from the handling of the answer to the scheduling pass.
+		age    time.Duration
+		placed bool
+	}{
+		{"an idle leader", 30 * time.Millisecond, 0, 1800 * time.Millisecond, true},
+		{"the answer waited", 30 * time.Millisecond, time.Second, 1300 * time.Millisecond, false},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			s := newAdvisedScheduler(now, 1)
+			// run handles a job of one task: its advice is handled and used at the given
+			// delays. It returns the start order, if there is one.
+			run := func(id string, answerDelay, age, startDelay time.Duration) *scheduler.Order[backend.Start] {
+				s.Submit(&work.Job{ID: id, Queue: "short", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: 10 * time.Second}}}, now)
+				s.Schedule(now)
+				now = now.Add(20*time.Millisecond + answerDelay)
+				approveAllRequests(s, now)
+				now = now.Add(age)
+				addHeldWorkers(s, 6, now, "bench", "desk") // The workers have reported just now.
+				s.Schedule(now)
+				now = now.Add(startDelay)
+				c := s.NextCommit(now)
+				if c == nil || len(c.Records) == 0 {
+					return nil
+				}
+				s.Committed(c, now)
+				starts := s.TakeEffects().Starts
+				if len(starts) == 0 {
+					return nil
+				}
+				s.StartAnswered(starts[0].Worker, &starts[0].Order, "", time.Second, now)
+				return &starts[0]
+			}
+			for i := range 15 {
+				is.True(run(fmt.Sprintf("earlier-%d", i), 0, 0, sc.startDelay) != nil)
+				s.Cancel(fmt.Sprintf("earlier-%d", i), now)
+				s.Committed(s.NextCommit(now), now)
+				s.TakeEffects()
+			}
+			is.Equal(run("job", sc.answerDelay, sc.age, 0) != nil, sc.placed)
+		})
+	}
+}
