Correct a comment on expired tickets

Cause: since validity is counted from the earliest time of the adviser's answer, an expired ticket is refused almost, but not quite, for certain.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -108,8 +108,8 @@
 	return ok && t.isValid(now)
 }
 
-// isTicketExpired reports whether a start on a worker is certain to be refused because
-// its ticket has expired. Without a ticket it is false: not every queue needs one.
+// isTicketExpired reports whether the ticket for a worker has expired, so that the worker
+// would refuse a start. Without a ticket it is false: not every queue needs one.
 func (a *advice) isTicketExpired(w *worker, now time.Time) bool {
 	t, ok := a.tickets[w]
 	return ok && !now.Before(t.expiresAt)
