Take a job partition as read only when its end was reached

What callers saw: with more jobs in a partition than one read returns (1 MB), and a leader that was not told of them, a number of pending jobs that lacks most of them, and 410 for accepted jobs.

Cause: each read counted as a read of the whole partition, however much was left.

TestReadThatDoesNotReachTheEndLeavesJobsUnknown failed before (2 of 8 jobs known after 2.4 s).

The fix: the leader reads on until the end offset that the store names, and only such a read shows that it knows all jobs. A relayed read names no end offset; it has reached the end when it returns nothing. No message between VMs changes.

--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -129,7 +129,7 @@
 		return store.Batch{}, nil, fault.Newf("read", store.KindDropped, "the partition begins at offset %d", l.firstOffset)
 	}
 	from := min(r.From-l.firstOffset, int64(len(l.records)))
-	return store.Batch{Records: append([]store.Record(nil), l.records[from:]...), Next: l.endOffset()}, s.changed, nil
+	return store.Batch{Records: append([]store.Record(nil), l.records[from:]...), Next: l.endOffset(), End: l.endOffset()}, s.changed, nil
 }
 
 // Link is one VM's connection to a Store. Tests use it to inject faults.
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -86,7 +86,8 @@
 	sessions     map[backend.Life]*workerSession
 	// nextCommitDone is closed and replaced by a new channel after each commit.
 	nextCommitDone chan struct{}
-	// jobsReadStartTimes holds when the last successful read of each job partition began.
+	// jobsReadStartTimes holds when the last read of each job partition that reached its end
+	// began.
 	jobsReadStartTimes []time.Time
 	// jobPartitions maps a job ID to a bit mask of the job partitions that contain
 	// records of the job.
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -155,7 +155,7 @@
 func followTopic(ctx context.Context, n *Node, topic store.Topic, wait func() time.Duration, apply func([]store.Record)) {
 	from := int64(-1)
 	for ctx.Err() == nil {
-		records, next, err := readFrom(ctx, n.store, store.Read{Topic: topic, From: from, Wait: wait()})
+		batch, err := readFrom(ctx, n.store, store.Read{Topic: topic, From: from, Wait: wait()})
 		if err != nil {
 			if storeErrorKind(err) == store.KindDropped {
 				from = -1
@@ -167,24 +167,22 @@
 			sleep(ctx, storeRetryPause+rand.N(storeRetryPause))
 			continue
 		}
-		if len(records) > 0 || from < 0 {
-			apply(records)
+		if len(batch.Records) > 0 || from < 0 {
+			apply(batch.Records)
 		}
-		from = next
+		from = batch.Next
 	}
 }
 
 // readFrom reads the records from the offset r.From on, or a snapshot if r.From is -1.
-// It also returns the offset from which to continue reading.
-func readFrom(ctx context.Context, s store.Store, r store.Read) ([]store.Record, int64, error) {
+func readFrom(ctx context.Context, s store.Store, r store.Read) (store.Batch, error) {
 	if r.From < 0 {
 		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		snapshot, err := s.Newest(callCtx, r.Topic, r.Part)
-		return snapshot.Records, snapshot.End, err
+		return store.Batch{Records: snapshot.Records, Next: snapshot.End, End: snapshot.End}, err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, r.Wait+storeCallTimeout)
 	defer cancel()
-	batch, err := s.Read(callCtx, r)
-	return batch.Records, batch.Next, err
+	return s.Read(callCtx, r)
 }
--- a/internal/node/entryvm/superseded_test.go
+++ b/internal/node/entryvm/superseded_test.go
@@ -27,25 +27,34 @@
 	return nil
 }
 
-// A leader can read no claims, and its successor does not reach it. It must stop when the
-// answer to a heartbeat shows that it is superseded.
-func TestSupersededLeaderStopsAtHeartbeatAnswer(t *testing.T) {
+// newLeaderTestNode starts an entry VM without workers and waits until it leads.
+func newLeaderTestNode(t *testing.T, s store.Store) (*Node, *leader) {
 	is := is.New(t)
-	stored, fleet := memory.New(), memory.NewFleet(time.Second)
+	fleet := memory.NewFleet(time.Second)
 	n, err := New(Settings{
 		Name: "vm-0", Domain: "domain-0", ListenAddress: netip.MustParseAddrPort("127.0.0.1:0"),
 		Timing: scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: 200 * time.Millisecond, EndedJobRetention: time.Hour},
 	}, Dependencies{
-		Store: memory.NewLink(stored), Adviser: fleet, Dial: fleet.Dial, DecodeRegistration: memory.DecodeRegistration,
+		Store: s, Adviser: fleet, Dial: fleet.Dial, DecodeRegistration: memory.DecodeRegistration,
 		DecodeTable: func(data []byte) (*queue.Table, error) { return &queue.Table{}, json.Unmarshal(data, &queue.Table{}) },
 	}, measure.New(), logr.Discard())
 	is.NoErr(err)
 	t.Cleanup(n.Close)
-	var l *leader
-	for end := time.Now().Add(10 * time.Second); l == nil && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		l = n.activeLeader()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if l := n.activeLeader(); l != nil && l.pendingJobs("mail").Leading {
+			return n, l
+		}
 	}
-	is.True(l != nil)
+	t.Fatal("the VM does not lead")
+	return nil, nil
+}
+
+// A leader can read no claims, and its successor does not reach it. It must stop when the
+// answer to a heartbeat shows that it is superseded.
+func TestSupersededLeaderStopsAtHeartbeatAnswer(t *testing.T) {
+	is := is.New(t)
+	stored := memory.New()
+	_, l := newLeaderTestNode(t, memory.NewLink(stored))
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/internal/node/entryvm/tail.go
+++ b/internal/node/entryvm/tail.go
@@ -45,20 +45,33 @@
 // leader is stopped.
 func (l *leader) tailJobs(part int, from int64) {
 	for sleep(l.ctx, jobsReadInterval) {
+		from = l.readJobs(part, from)
+	}
+}
+
+// readJobs reads the new records of a job partition up to its end, or until a read fails.
+// It returns the offset from which to continue reading.
+func (l *leader) readJobs(part int, from int64) int64 {
+	for {
 		begun := now()
-		records, next, err := readFrom(l.ctx, l.node.store, store.Read{Topic: store.Jobs, Part: part, From: from})
+		batch, err := readFrom(l.ctx, l.node.store, store.Read{Topic: store.Jobs, Part: part, From: from})
 		if err != nil {
 			if storeErrorKind(err) == store.KindDropped {
-				from = -1
+				return -1
 			}
-			continue
+			return from
 		}
-		from = next
+		from = batch.Next
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
-			l.recordJobPartitions(part, records)
-			l.applyJobRecords(s, records, nil, at)
-			l.jobsReadStartTimes[part] = begun
+			l.recordJobPartitions(part, batch.Records)
+			l.applyJobRecords(s, batch.Records, nil, at)
+			if batch.ReachesEnd() {
+				l.jobsReadStartTimes[part] = begun
+			}
 		})
+		if batch.ReachesEnd() {
+			return from
+		}
 	}
 }
 
@@ -90,7 +103,7 @@
 func (l *leader) tailRegistrations() {
 	from := int64(-1)
 	for sleep(l.ctx, registrationsReadInterval) {
-		records, next, err := readFrom(l.ctx, l.node.store, store.Read{Topic: store.Workers, From: from})
+		batch, err := readFrom(l.ctx, l.node.store, store.Read{Topic: store.Workers, From: from})
 		if err != nil {
 			if storeErrorKind(err) == store.KindDropped {
 				from = -1
@@ -98,15 +111,15 @@
 			continue
 		}
 		isSnapshot := from < 0
-		from = next
-		if len(records) == 0 && !isSnapshot {
+		from = batch.Next
+		if len(batch.Records) == 0 && !isSnapshot {
 			continue
 		}
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
 			if isSnapshot {
 				clear(l.registrations)
 			}
-			if l.applyRegistrations(records) || isSnapshot {
+			if l.applyRegistrations(batch.Records) || isSnapshot {
 				s.SetWorkers(l.registrationList(), at)
 			}
 		})
--- a/internal/node/entryvm/tail_test.go
+++ b/internal/node/entryvm/tail_test.go
@@ -1,15 +1,53 @@
 package entryvm
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/emulate/memory"
 	"github.com/almondpost/almondpost/internal/operate/measure"
+	"github.com/almondpost/almondpost/internal/peer/store"
+	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
+// pagedStore returns at most one record of store.Jobs in each read.
+type pagedStore struct{ *memory.Link }
+
+func (p pagedStore) Read(ctx context.Context, r store.Read) (store.Batch, error) {
+	b, err := p.Link.Read(ctx, r)
+	if r.Topic == store.Jobs && len(b.Records) > 1 {
+		b.Records, b.Next = b.Records[:1], b.Records[0].Offset+1
+	}
+	return b, err
+}
+
+// A read returns only a part of a backlog of jobs of which the leader was not told. It
+// must read the rest before it answers as if it knew all jobs.
+func TestReadThatDoesNotReachTheEndLeavesJobsUnknown(t *testing.T) {
+	is := is.New(t)
+	const jobs = 8
+	stored := memory.New()
+	n, l := newLeaderTestNode(t, pagedStore{memory.NewLink(stored)})
+	for i := range jobs {
+		j := &work.Job{ID: fmt.Sprintf("job-%d", i), Queue: "mail", Accepted: time.Now(), Steps: []work.Step{{Count: 1, Size: resource.Vector{Milliprocessors: 64000}}}}
+		_, err := stored.Append(store.Append{Topic: store.Jobs, Part: 3, Records: []store.Record{{Key: j.ID, Value: work.Encode(j)}}})
+		is.NoErr(err)
+	}
+	time.Sleep(2 * jobsReadInterval)
+	r := l.pendingJobs("mail")
+	is.True(r.Leading)
+	is.Equal(r.Pending, jobs)
+	_, known, err := n.State(t.Context(), "job-7")
+	is.NoErr(err)
+	is.True(known)
+}
+
 // A leader that has not read all partitions lately must not claim to know all jobs if a
 // VM may have accepted some without telling it.
 func TestLeaderKnowsWhetherItMayMissJobs(t *testing.T) {
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -99,6 +99,15 @@
 	// Next is the offset after the last returned record, from which to continue
 	// reading.
 	Next int64
+	// End is the end offset of the partition at the time of the read, or 0 if it is not
+	// known.
+	End int64
+}
+
+// ReachesEnd reports whether the batch contains all records up to the end of the
+// partition. A read returns a limited amount of data.
+func (b Batch) ReachesEnd() bool {
+	return len(b.Records) == 0 || (b.End > 0 && b.Next >= b.End)
 }
 
 // Snapshot contains the newest record of each key in a partition.
