Give the number of pending jobs only after fresh reads

What callers saw: while the leader cannot read a partition, it could still give a number of pending jobs that lacks jobs which a VM has accepted without telling the leader: one that was killed in between and is back at once, whose calls do not reach the leader, that told a superseded leader, or that the leader does not know yet.

Cause: answers to heartbeats were taken as a sign that the leader was told of all jobs.

So that a slow store still allows it, slow reads follow each other without a pause. TestLeaderInTouchWithAllVMsGivesNumber asked for a number during an outage; it is replaced by TestPendingJobsWhileTheStoreIsImpaired, which refuses it then and keeps the case of slow reads. TestLeaderKnowsWhetherItMayMissJobs keeps its cases of reads; those of heartbeats went with the rule.

The cost: no number during an outage of the store of more than 2 s.

--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -93,8 +93,7 @@
 		return
 	}
 	l.mutex.Lock()
-	l.recordHeartbeatAnswer(m.Name, now())
-	l.vmReachesStore[m.Name] = r.ReachesStore
+	l.lastHeartbeatAnswer[m.Name], l.vmReachesStore[m.Name] = now(), r.ReachesStore
 	send := l.outdatedVMs.shouldSend(m.Name, r.Version < args.Version, now())
 	l.mutex.Unlock()
 	if send {
@@ -102,16 +101,6 @@
 	}
 }
 
-// recordHeartbeatAnswer records that a VM has answered a heartbeat. The caller must hold
-// the mutex.
-func (l *leader) recordHeartbeatAnswer(name string, at time.Time) {
-	last, known := l.lastHeartbeatAnswer[name]
-	if !known || at.Sub(last) >= leaderTimeout {
-		l.answeringSince[name] = at
-	}
-	l.lastHeartbeatAnswer[name] = at
-}
-
 const (
 	// configurationSendDelay is how long a VM must have an outdated configuration before
 	// the leader sends it the current one. A VM that reaches the store reads the
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -26,14 +26,14 @@
 	schedulingPauseFactor = 2
 	// tickInterval is the pause between two ticks of the scheduler's clock.
 	tickInterval = 100 * time.Millisecond
-	// jobsReadInterval is the pause between two reads of a job partition. It need not
+	// jobsReadInterval is the time between two reads of a job partition. It need not
 	// be shorter, because a VM that stores a job also sends it to the leader directly.
 	// It is well below maxJobsReadAge, because only a read shows that the leader knows
 	// all stored jobs.
 	jobsReadInterval = 1200 * time.Millisecond
 	// maxJobsReadAge is the maximum age of the last read of each job partition, counted
 	// from the beginning of the read. While one is older, the leader does not report an
-	// unknown job as non-existent.
+	// unknown job as non-existent and gives no number of pending jobs.
 	maxJobsReadAge = 2 * time.Second
 	// registrationsReadInterval is the pause between two reads of worker registrations.
 	registrationsReadInterval = 350 * time.Millisecond
@@ -109,9 +109,6 @@
 	// directly.
 	lastHeartbeatAnswer map[string]time.Time
 	vmReachesStore      map[string]bool
-	// answeringSince maps the name of an entry VM to the time since when it has answered
-	// heartbeats without a pause of leaderTimeout.
-	answeringSince map[string]time.Time
 	// outdatedVMs tracks the entry VMs whose configuration is older than the leader's.
 	outdatedVMs *outdatedVMTracker
 }
@@ -124,7 +121,7 @@
 		scheduler: scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
 		sessions:  map[backend.Life]*workerSession{}, nextCommitDone: make(chan struct{}), stateWaiters: map[string]chan struct{}{},
 		jobsReadStartTimes: make([]time.Time, n.settings.Partitions), jobPartitions: map[string]uint64{},
-		registrations: map[string]backend.Registration{}, lastHeartbeatAnswer: map[string]time.Time{}, answeringSince: map[string]time.Time{}, vmReachesStore: map[string]bool{}, outdatedVMs: newOutdatedVMTracker(), handOverTimerStart: now(),
+		registrations: map[string]backend.Registration{}, lastHeartbeatAnswer: map[string]time.Time{}, vmReachesStore: map[string]bool{}, outdatedVMs: newOutdatedVMTracker(), handOverTimerStart: now(),
 	}
 }
 
@@ -353,7 +350,7 @@
 func (l *leader) pendingJobs(queue string) PendingJobsReply {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.restored || l.ctx.Err() != nil || !l.knowsAcceptedJobs(now()) {
+	if !l.restored || l.ctx.Err() != nil || !l.jobsUpToDate() {
 		return PendingJobsReply{}
 	}
 	return PendingJobsReply{Leading: true, Pending: l.scheduler.Pending(queue)}
--- a/internal/node/entryvm/pending_test.go
+++ b/internal/node/entryvm/pending_test.go
@@ -63,30 +63,29 @@
 	f.awaitPending(f.nodes[0], 1)
 }
 
-// While the store is away, slow or lacks a partition, the leader must still give the
-// number of pending jobs if all VMs are in touch with it.
-func TestLeaderInTouchWithAllVMsGivesNumber(t *testing.T) {
+// A leader gives the number of pending jobs while reads are slow, but not while it cannot
+// read a partition.
+func TestPendingJobsWhileTheStoreIsImpaired(t *testing.T) {
 	scenarios := []struct {
 		testName string
 		impair   func(f *fixture)
-		// accepts is true if jobs can still be submitted.
-		accepts bool
+		kind     entryvm.Kind
 	}{
 		{"the store is away for all VMs", func(f *fixture) {
 			for _, l := range f.storeLinks {
 				l.RefuseCalls(true)
 			}
-		}, false},
+		}, entryvm.KindNoLeader},
 		{"a partition is away for all VMs", func(f *fixture) {
 			for _, l := range f.storeLinks {
 				l.RefusePartition(3, true)
 			}
-		}, true},
-		{"reads take as long as they may be old", func(f *fixture) {
+		}, entryvm.KindNoLeader},
+		{"reads take most of the time by which they may be old", func(f *fixture) {
 			for _, l := range f.storeLinks {
 				l.DelayCalls(1400 * time.Millisecond)
 			}
-		}, true},
+		}, ""},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -94,18 +93,15 @@
 			f := newFixture(t, 3, 50*time.Millisecond)
 			f.leaderIndex()
 			f.submitLarge(f.nodes[0], "before")
-			time.Sleep(2 * time.Second) // All VMs have been in touch since before the last read.
-			expected := 1
 			s.impair(f)
-			if s.accepts {
-				f.submitLarge(f.nodes[1], "during")
-				expected++
-			}
+			time.Sleep(2500 * time.Millisecond)
 			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 				for _, n := range f.nodes {
 					count, err := f.pending(n)
-					f.is.NoErr(err)
-					f.is.Equal(count, expected)
+					f.is.Equal(fault.KindOf[entryvm.Kind](err), s.kind)
+					if s.kind == "" {
+						f.is.Equal(count, 1)
+					}
 				}
 			}
 		})
--- a/internal/node/entryvm/superseded_test.go
+++ b/internal/node/entryvm/superseded_test.go
@@ -49,22 +49,27 @@
 	return nil, nil
 }
 
-// A leader can read no claims, and its successor does not reach it. It must stop when the
-// answer to a heartbeat shows that it is superseded.
-func TestSupersededLeaderStopsAtHeartbeatAnswer(t *testing.T) {
+// addTestMember serves calls of entry VMs and records the server as a member.
+func addTestMember(t *testing.T, stored *memory.Store, handler any) {
 	is := is.New(t)
-	stored := memory.New()
-	_, l := newLeaderTestNode(t, memory.NewLink(stored))
-
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = link.Serve(listener, rpcServiceName, &newerVM{l.epoch + 1}) }()
+	go func() { _ = link.Serve(listener, rpcServiceName, handler) }()
 	record, err := json.Marshal(member{Name: "vm-1", Domain: "domain-1", Address: netip.MustParseAddrPort(listener.Addr().String())})
 	is.NoErr(err)
 	_, err = stored.Append(store.Append{Topic: store.VMs, Records: []store.Record{{Key: "vm-1", Value: record}}})
 	is.NoErr(err)
+}
+
+// A leader can read no claims, and its successor does not reach it. It must stop when the
+// answer to a heartbeat shows that it is superseded.
+func TestSupersededLeaderStopsAtHeartbeatAnswer(t *testing.T) {
+	is := is.New(t)
+	stored := memory.New()
+	_, l := newLeaderTestNode(t, memory.NewLink(stored))
 
+	addTestMember(t, stored, &newerVM{l.epoch + 1})
 	select {
 	case <-l.ctx.Done():
 	case <-time.After(5 * time.Second):
--- a/internal/node/entryvm/tail.go
+++ b/internal/node/entryvm/tail.go
@@ -42,10 +42,14 @@
 }
 
 // tailJobs reads the new records of a job partition every jobsReadInterval until the
-// leader is stopped.
+// leader is stopped. Slow reads follow each other without a pause, so that the last one is
+// not too old.
 func (l *leader) tailJobs(part int, from int64) {
-	for sleep(l.ctx, jobsReadInterval) {
+	pause := jobsReadInterval
+	for sleep(l.ctx, pause) {
+		begun := now()
 		from = l.readJobs(part, from)
+		pause = max(jobsReadInterval-now().Sub(begun), 0)
 	}
 }
 
@@ -164,35 +168,9 @@
 	return list
 }
 
-// jobsUpToDate reports whether every job partition was read within maxJobsReadAge. The
-// caller must hold the mutex.
+// jobsUpToDate reports whether every job partition was read up to its end within
+// maxJobsReadAge. The caller must hold the mutex.
 func (l *leader) jobsUpToDate() bool {
-	return now().Sub(l.oldestJobsRead()) < maxJobsReadAge
-}
-
-// oldestJobsRead returns the start of the last successful read of the job partition that
-// was not read for longest. The caller must hold the mutex.
-func (l *leader) oldestJobsRead() time.Time {
-	return slices.MinFunc(l.jobsReadStartTimes, time.Time.Compare)
-}
-
-// knowsAcceptedJobs reports whether this leader knows all jobs that entry VMs have
-// accepted, except for those of about the last maxJobsReadAge. The caller must hold the
-// mutex.
-//
-// It does if it has read the job partitions lately. While the store is away or slow, it
-// does if each other VM has been in touch since the last read: a VM that stores a job
-// also sends it to the leader. A VM out of touch may have accepted jobs meanwhile.
-func (l *leader) knowsAcceptedJobs(at time.Time) bool {
-	oldestRead := l.oldestJobsRead()
-	if at.Sub(oldestRead) < maxJobsReadAge {
-		return true
-	}
-	for _, m := range l.node.members.otherMembers() {
-		since, answering := l.answeringSince[m.Name]
-		if !answering || since.After(oldestRead) || at.Sub(l.lastHeartbeatAnswer[m.Name]) >= leaderTimeout {
-			return false
-		}
-	}
-	return true
+	oldestRead := slices.MinFunc(l.jobsReadStartTimes, time.Time.Compare)
+	return now().Sub(oldestRead) < maxJobsReadAge
 }
--- a/internal/node/entryvm/tail_test.go
+++ b/internal/node/entryvm/tail_test.go
@@ -48,33 +48,18 @@
 	is.True(known)
 }
 
-// A leader that has not read all partitions lately must not claim to know all jobs if a
-// VM may have accepted some without telling it.
+// A leader that has not read all partitions lately must give no number of pending jobs.
 func TestLeaderKnowsWhetherItMayMissJobs(t *testing.T) {
 	scenarios := []struct {
 		testName string
 		// readAges are the ages of the last reads of the partitions.
 		readAges []time.Duration
-		// answerAges are the ages of the answers to heartbeats of each other VM.
-		answerAges [][]time.Duration
-		expected   bool
+		expected bool
 	}{
-		{"all partitions were just read", []time.Duration{time.Second, 0}, [][]time.Duration{{}}, true},
-		{"a VM is silent while a partition is not read", []time.Duration{3 * time.Second, 0}, [][]time.Duration{{}}, false},
-		{"a VM fell silent", []time.Duration{3 * time.Second}, [][]time.Duration{{4 * time.Second, 3200 * time.Millisecond}}, false},
-		{"all VMs answer since before the last read", []time.Duration{1500 * time.Millisecond, 2100 * time.Millisecond}, [][]time.Duration{
-			{2400 * time.Millisecond, 1600 * time.Millisecond, 800 * time.Millisecond, 0}, {2200 * time.Millisecond, 1400 * time.Millisecond, 600 * time.Millisecond},
-		}, true},
-		{"one of two VMs answers", []time.Duration{2100 * time.Millisecond}, [][]time.Duration{
-			{2400 * time.Millisecond, 1600 * time.Millisecond, 800 * time.Millisecond, 0}, {},
-		}, false},
-		{"a VM was silent for a while since the last read", []time.Duration{3 * time.Second}, [][]time.Duration{
-			{3200 * time.Millisecond, 2 * time.Second, 1200 * time.Millisecond, 400 * time.Millisecond},
-		}, false},
-		{"a VM answers only since after the last read", []time.Duration{3 * time.Second}, [][]time.Duration{
-			{2800 * time.Millisecond, 2 * time.Second, 1200 * time.Millisecond, 400 * time.Millisecond},
-		}, false},
-		{"there is no other VM", []time.Duration{time.Minute}, nil, true},
+		{"all partitions were just read", []time.Duration{0, 0}, true},
+		{"all partitions were read lately", []time.Duration{1900 * time.Millisecond, 0}, true},
+		{"a partition was not read lately", []time.Duration{0, maxJobsReadAge}, false},
+		{"no partition was read lately", []time.Duration{time.Minute, time.Minute}, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -82,18 +67,37 @@
 			n := &Node{settings: Settings{Name: "vm", Partitions: len(s.readAges)}, measures: measure.New(), log: logr.Discard()}
 			n.members = newMemberList(n)
 			l := newLeader(t.Context(), n, 1)
-			at := now()
+			l.restored = true
 			for part, age := range s.readAges {
-				l.jobsReadStartTimes[part] = at.Add(-age)
+				l.jobsReadStartTimes[part] = now().Add(-age)
 			}
-			for i, ages := range s.answerAges {
-				name := string(rune('a' + i))
-				n.members.byName[name] = member{Name: name}
-				for _, age := range ages {
-					l.recordHeartbeatAnswer(name, at.Add(-age))
-				}
-			}
-			is.Equal(l.knowsAcceptedJobs(at), s.expected)
+			is.Equal(l.pendingJobs("mail").Leading, s.expected)
 		})
 	}
 }
+
+// answeringVM is an entry VM that answers heartbeats, but tells the leader of no job.
+type answeringVM struct{ epoch int64 }
+
+// Heartbeat answers a heartbeat of the current leader.
+func (v *answeringVM) Heartbeat(_ HeartbeatArgs, r *HeartbeatReply) error {
+	r.Epoch, r.ReachesStore = v.epoch, true
+	return nil
+}
+
+// A VM that answers heartbeats stores a job in a partition that the leader cannot read, and
+// ends before it tells the leader.
+func TestVMThatAnswersMayNotHaveToldTheLeader(t *testing.T) {
+	is := is.New(t)
+	stored := memory.New()
+	link := memory.NewLink(stored)
+	_, l := newLeaderTestNode(t, link)
+	addTestMember(t, stored, &answeringVM{l.epoch})
+	time.Sleep(2 * jobsReadInterval)
+	link.RefusePartition(3, true)
+	job := &work.Job{ID: "job", Queue: "mail", Accepted: time.Now(), Steps: []work.Step{{Count: 1, Size: resource.Vector{Milliprocessors: 64000}}}}
+	_, err := stored.Append(store.Append{Topic: store.Jobs, Part: 3, Records: []store.Record{{Key: job.ID, Value: work.Encode(job)}}})
+	is.NoErr(err)
+	time.Sleep(maxJobsReadAge + heartbeatInterval)
+	is.True(!l.pendingJobs("mail").Leading)
+}
