Keep the final state of a job until the deletion of its submission is stored

What callers saw: a job that ended more than two minutes ago is shown as queued after a take-over, and runs again, when the store refused to delete its submission for all that time.

Cause: the final state was deleted when the job was old enough, whether its submission was gone or not. The deletion counted as done when it was ordered.

Evidence: found by the review. TestFinalStateOutlivesItsSubmission failed before.

The fix: the leader tells the scheduler when the deletion is stored, and the final state stays until then.

--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -150,3 +150,30 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Order.Deadline, time.Second+300*time.Millisecond+6*time.Second)
 }
+
+// The store refuses to delete the submission of an ended job until its state need not be
+// known any more. The final state must stay, or the next leader would run the job again.
+func TestFinalStateOutlivesItsSubmission(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	const retention = 20 * time.Second
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: retention}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize}}}, now)
+	s.Cancel("job", now)
+	s.Committed(s.NextCommit(now), now)
+	now = now.Add(5 * time.Second)
+	s.Tick(now)
+	deleted := s.TakeEffects().SubmissionsToDelete
+	is.Equal(deleted, []string{"job"})
+	now = now.Add(retention)
+	s.Tick(now)
+	is.True(s.NextCommit(now) == nil) // The final state is not deleted.
+	s.SubmissionsDeleted(deleted)
+	now = now.Add(3 * time.Second)
+	s.Tick(now)
+	c := s.NextCommit(now)
+	is.True(c != nil)
+	is.Equal(len(c.Records), 1)
+	is.Equal(len(c.Records[0].Value), 0)
+}
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -30,6 +30,8 @@
 	// submissionDropped is true once the caller was told to delete the submission
 	// from the store.
 	submissionDropped bool
+	// submissionDeleted is true once that deletion is stored.
+	submissionDeleted bool
 	// nextOccurrenceNumber is the number of the first occurrence that has not been
 	// opened yet.
 	nextOccurrenceNumber int
@@ -143,7 +145,7 @@
 // progress record.
 func (s *Scheduler) Submit(spec *work.Job, now time.Time) {
 	if j := s.jobs[spec.ID]; j != nil {
-		j.submissionDropped = false
+		j.submissionDropped, j.submissionDeleted = false, false
 		return
 	}
 	j := s.addJob(spec, now)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -262,13 +262,24 @@
 			j.submissionDropped = true
 			s.effects.SubmissionsToDelete = append(s.effects.SubmissionsToDelete, id)
 		}
-		if now.Sub(j.endedAt) > s.timing.EndedJobRetention {
+		if j.submissionDeleted && now.Sub(j.endedAt) > s.timing.EndedJobRetention {
 			delete(s.jobs, id)
 			s.expiredJobs = append(s.expiredJobs, id)
 		}
 	}
 }
 
+// SubmissionsDeleted must be called once the deletion of the submissions of ended jobs is
+// stored. Their final states are kept until then: a later leader that found a submission
+// without one would run the job again.
+func (s *Scheduler) SubmissionsDeleted(ids []string) {
+	for _, id := range ids {
+		if j := s.jobs[id]; j != nil && j.submissionDropped {
+			j.submissionDeleted = true
+		}
+	}
+}
+
 // Status returns the state of a job to show to callers. The bool is false if the job
 // is not known. In general, this is the stored state. soleLeader means that no other
 // VM can be the leader at the moment. A job is then shown as completed as soon as the
--- a/internal/cell/scheduler/status_property_test.go
+++ b/internal/cell/scheduler/status_property_test.go
@@ -63,6 +63,12 @@
 	answered bool
 }
 
+// statusDeletion is a deletion of submissions that is not stored yet.
+type statusDeletion struct {
+	leader *statusLeader
+	ids    []string
+}
+
 // statusModel has jobs, workers and a store beside the current leader and its
 // predecessor, which does not know yet that it no longer leads.
 type statusModel struct {
@@ -77,6 +83,7 @@
 	finalStates map[string]work.State
 	leaders     []*statusLeader
 	orders      []*statusOrder
+	deletions   []statusDeletion
 }
 
 func newStatusModel() *statusModel {
@@ -202,9 +209,20 @@
 	for i := range e.Stops {
 		m.orders = append(m.orders, &statusOrder{leader: l, life: e.Stops[i].Worker, stop: &e.Stops[i].Order})
 	}
-	for _, id := range e.SubmissionsToDelete {
-		m.job(id).submissionDeleted = true
+	if len(e.SubmissionsToDelete) > 0 {
+		m.deletions = append(m.deletions, statusDeletion{l, e.SubmissionsToDelete})
+	}
+}
+
+// storeDeletions stores the deletions of submissions that leaders have ordered.
+func (m *statusModel) storeDeletions() {
+	for _, d := range m.deletions {
+		for _, id := range d.ids {
+			m.job(id).submissionDeleted = true
+		}
+		d.leader.scheduler.SubmissionsDeleted(d.ids)
 	}
+	m.deletions = nil
 }
 
 func (m *statusModel) drawLeader(t *rapid.T) *statusLeader {
@@ -517,13 +535,15 @@
 		m.cut(t)
 	case "takeOver":
 		m.takeOver()
+	case "storeDeletions":
+		m.storeDeletions()
 	}
 }
 
 // statusActions lists the actions; frequent ones are repeated.
 var statusActions = []string{
 	"submit", "submit", "submit", "tell", "schedule", "schedule", "schedule", "schedule", "deliver", "deliver", "deliver", "deliver",
-	"hold", "hold", "hold", "advance", "advance", "advance", "advance", "cancel", "restart", "cut", "takeOver",
+	"hold", "hold", "hold", "advance", "advance", "advance", "advance", "cancel", "restart", "cut", "takeOver", "storeDeletions",
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/node/entryvm/commits.go
+++ b/internal/node/entryvm/commits.go
@@ -131,6 +131,7 @@
 			}
 		}
 	}
+	l.updateScheduler(func(s *scheduler.Scheduler, _ time.Time) { s.SubmissionsDeleted(ids) })
 }
 
 // submissionTombstones returns, for each job partition, the records that delete the
