--- a/internal/node/entryvm/tail_test.go
+++ b/internal/node/entryvm/tail_test.go
@@ -91,7 +91,7 @@
 	is := is.New(t)
 	stored := memory.New()
 	link := memory.NewLink(stored)
-	_, l := newLeaderTestNode(t, link)
+	n, l := newLeaderTestNode(t, link)
 	addTestMember(t, stored, &answeringVM{l.epoch})
 	time.Sleep(2 * jobsReadInterval)
 	link.RefusePartition(3, true)
@@ -100,4 +100,6 @@
 	is.NoErr(err)
 	time.Sleep(maxJobsReadAge + heartbeatInterval)
 	is.True(!l.pendingJobs("mail").Leading)
+	_, known, err := n.State(t.Context(), "job")
+	is.True(known || err != nil) // The job must not be said not to exist.
 }
