--- a/internal/emulate/soak/callers.go
+++ b/internal/emulate/soak/callers.go
@@ -138,13 +138,13 @@
 	return false
 }
 
-// cancelShare is the share of jobs that are cancelled.
-const cancelShare = 0.1
+// cancelProbability is how likely a caller cancels its job before it asks for its state.
+const cancelProbability = 0.025
 
 // follow asks for the state of a job until it is final.
 func (c *caller) follow(ctx context.Context, id string) {
 	for c.pause(ctx, 400*time.Millisecond) {
-		if c.random.Float64() < cancelShare/4 {
+		if c.random.Float64() < cancelProbability {
 			c.cell.ledger.cancelling(id)
 			c.call(c.randomVM(), http.MethodDelete, queuePrefix+id, nil)
 		}
--- a/internal/emulate/soak/cell.go
+++ b/internal/emulate/soak/cell.go
@@ -38,6 +38,8 @@
 	workerLease = 6 * time.Second
 	// domainCount is the number of failure domains.
 	domainCount = 3
+	// partitionCount is the number of partitions of the store.
+	partitionCount = 4
 )
 
 // cell is a set of entry VM processes with the stand-ins of their platform.
@@ -206,7 +208,7 @@
 		vm.front, vm.settings = own[0], filepath.Join(c.folder, vm.name+".json")
 		data := platform.EncodeSettings(platform.StandInSettings{
 			Name: vm.name, Zone: fmt.Sprintf("domain-%d", i%domainCount), Front: own[0], Ready: own[1], Peer: own[2],
-			Store: stores[i], Adviser: stores[i], Grace: gracePeriod, Lease: workerLease,
+			Store: stores[i], Partitions: partitionCount, Adviser: stores[i], Grace: gracePeriod, Lease: workerLease,
 		})
 		if err := os.WriteFile(vm.settings, data, 0o600); err != nil {
 			return err
--- a/internal/emulate/soak/faults.go
+++ b/internal/emulate/soak/faults.go
@@ -52,19 +52,14 @@
 		return nil
 	}},
 	{"partition_down", func(c *cell, f fault) error {
-		for _, on := range []bool{true, false} {
-			for _, vm := range c.vms {
-				vm.storeLink.RefusePartition(f.amount%4, on)
-			}
-			if on {
-				time.Sleep(f.lasts)
-			}
-		}
+		c.refusePartition(f.amount%partitionCount, true)
+		time.Sleep(f.lasts)
+		c.refusePartition(f.amount%partitionCount, false)
 		return nil
 	}},
 	{"answers_lost", func(c *cell, f fault) error { c.vm(f).storeLink.LoseAnswers(1 + f.amount%3); return nil }},
 	{"history_dropped", func(c *cell, _ fault) error {
-		for part := range 4 {
+		for part := range partitionCount {
 			c.store.DropRecords(store.Jobs, part)
 		}
 		c.store.DropRecords(store.Progress, 0)
@@ -93,6 +88,13 @@
 	}
 }
 
+// refusePartition sets whether the store refuses the calls of all entry VMs to a partition.
+func (c *cell) refusePartition(part int, on bool) {
+	for _, vm := range c.vms {
+		vm.storeLink.RefusePartition(part, on)
+	}
+}
+
 // processFault reports whether a kind of fault signals a process.
 func processFault(kind string) bool {
 	return kind == "freeze" || kind == "kill" || kind == "replace" || kind == "reload"
