Keep the addresses of workers with runs in the store

Cause: a stored placement names a worker by its ID and start time only. A leader that takes over opens sessions with the workers that are in the list; for any other it has no address. Entries of a domain that is cut off lapse after 4.5 s and return up to 2 s after the cut. Until then nobody extends the leases of these workers, and nobody stops what runs there.

Change: the first placement on a worker process stores a record of the worker with it, in the same append: address, service, domain and capacity. A leader that takes over adds the recorded processes that are not listed, with a session, and keeps them until they report no run or their lease has surely expired; then the record is deleted.

The simulation now checks with each stored placement that the worker has a record. Its leaders renew their claims, as entry VMs do; without that lasting runs lapsed there whenever nothing was stored for 10 s.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -13,8 +13,8 @@
 // Commit is a set of progress records that are stored in one append, together with
 // the changes to the scheduler that take effect once they are stored.
 type Commit struct {
-	// Records are the records to store. The list may be empty: then the ends of runs
-	// were handled, but no job has changed.
+	// Records are the records to store, of the progress of jobs and of workers. The list may
+	// be empty: then the ends of runs were handled, but no job has changed.
 	Records   []store.Record
 	startedAt time.Time
 	// placedTasks are the tasks that the records name with their new worker.
@@ -36,16 +36,21 @@
 		c.Records = append(c.Records, store.Record{Key: id})
 	}
 	s.expiredJobs = nil
+	var progress []store.Record
 	for _, id := range slices.Sorted(maps.Keys(s.dirtyJobs)) {
 		j := s.dirtyJobs[id]
-		c.Records = append(c.Records, store.Record{Key: id, Value: work.Encode(j.progress())})
+		progress = append(progress, store.Record{Key: id, Value: work.Encode(j.progress())})
 		c.jobStates[j] = j.state
 		for _, t := range j.unstoredPlacements() {
 			t.inCommit = true
+			s.recordWorker(t.worker)
 			t.leaseDeadline = t.worker.leaseDeadline(now, s.leadershipEnd(), s.timing)
 			c.placedTasks = append(c.placedTasks, t)
 		}
 	}
+	// Records of workers come before the placements on them, since the caller may store the
+	// records in several appends.
+	c.Records = slices.Concat(c.Records, s.takeWorkerRecords(), progress)
 	clear(s.dirtyJobs)
 	for w := range s.workersWithNewEnds {
 		if w.removed || w.lastHandledEndNumber == w.lastStoredEndNumber {
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -50,6 +50,7 @@
 	}
 	w.orphanedRuns[key] = orphanedRun{capacity, s.eventSequence}
 	w.usedCapacity = w.usedCapacity.Add(capacity)
+	s.recordWorker(w)
 }
 
 // hasOrphanedRunOf reports whether an orphaned run on the worker is a run of a given
@@ -106,6 +107,14 @@
 	}
 }
 
+// extendFormerLease updates leaseEnd for a lease that an earlier leader may have extended
+// until its leadership ended.
+func (s *Scheduler) extendFormerLease(w *worker, now time.Time) {
+	if end := now.Add(time.Duration(float64(s.timing.LeadershipLease)*maxClockDrift) + leaseMargin); end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
 // requeueLapsedRuns requeues all tasks on a worker whose runs are known to have ended
 // without a report, because the lease has ended or the worker process is gone. It leaves
 // out the tasks for which exclude, if it is not nil, returns true.
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -99,10 +99,8 @@
 	if w == nil {
 		w = s.addWorker(backend.Registration{Life: life}, now)
 	}
-	// The previous leader may have extended the lease until its leadership ended.
-	if end := now.Add(time.Duration(float64(s.timing.LeadershipLease)*maxClockDrift) + leaseMargin); end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
+	s.extendFormerLease(w, now)
+	s.recordWorker(w)
 	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
 	t.step.job.tasksOnWorkers++
 	w.addTask(t)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -138,6 +138,10 @@
 	// workersWithNewEnds contains every worker that has listed ends of runs whose effect
 	// is not stored yet. It may contain others too.
 	workersWithNewEnds map[*worker]bool
+	// workersToRecord lists the workers whose records are stored with the next commit, and
+	// workerRecordsToDelete those whose records are deleted with it.
+	workersToRecord       []*worker
+	workerRecordsToDelete []backend.Life
 	// latestWorkerByID maps the ID of a worker to its latest process.
 	latestWorkerByID map[string]*worker
 	// formerTokens maps the ID of a removed worker to its last fencing token, so that a
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/emulate/fleet"
 	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/peer/store"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
@@ -79,6 +81,8 @@
 	jobs               []*work.Job
 	// storedProgress maps the ID of a job to its stored progress record.
 	storedProgress map[string]*work.Progress
+	// storedWorkers maps the key of each stored worker record to the record.
+	storedWorkers map[string]store.Record
 	// storedRuns maps each task to its highest run number that was ever stored. The record
 	// of a completed step lists none.
 	storedRuns     map[work.TaskID]int64
@@ -114,7 +118,7 @@
 			{Name: "batch", Service: "desk", Priority: 3, MaxAttempts: 4, Stretch: 4, Objective: 3 * time.Second},
 			{Name: "advised", Service: "desk", Priority: 2, Stretch: 4, Objective: 3 * time.Second, Advice: &queue.AdviceCost{Fixed: 50 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}},
 		}},
-		workers: map[backend.Life]*fleet.Worker{}, listed: map[string]*fleet.Worker{}, keeperGenerations: map[string]int{}, unreachableWorkers: map[backend.Life]bool{}, storedProgress: map[string]*work.Progress{}, storedRuns: map[work.TaskID]int64{},
+		workers: map[backend.Life]*fleet.Worker{}, listed: map[string]*fleet.Worker{}, keeperGenerations: map[string]int{}, unreachableWorkers: map[backend.Life]bool{}, storedProgress: map[string]*work.Progress{}, storedWorkers: map[string]store.Record{}, storedRuns: map[work.TaskID]int64{},
 		cancelledJobs: map[string]bool{}, taskProfiles: map[work.TaskID]fleet.TaskProfile{}, completedTasks: map[work.TaskID]bool{}, lastExpiredLeaseEnd: map[backend.Life]int64{}, log: logr.Discard(),
 		adviceVMs: []string{"vm-1", "vm-2"},
 	}
@@ -162,6 +166,7 @@
 	for i := range n {
 		r := backend.Registration{
 			Life:    backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: int64(i + 1)},
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 8400),
 			Service: "desk", Zone: fmt.Sprintf("zone-%d", i%3), Capacity: capacity, Labels: []string{"a", fmt.Sprintf("rack-%d", i/3)},
 		}
 		sm.addWorker(r)
@@ -316,6 +321,7 @@
 	l.scheduler.SetTable(sm.table)
 	l.scheduler.SetAdviceVMs(sm.adviceVMs)
 	l.scheduler.SetWorkers(sm.registrations(), sm.now)
+	l.scheduler.RestoreWorkers(sm.workerRecords(), sm.now)
 	for _, j := range sm.jobs {
 		l.scheduler.Restore(j, sm.storedProgress[j.ID], sm.now)
 		if sm.cancelledJobs[j.ID] {
@@ -335,6 +341,15 @@
 	sm.schedule(pause, func() { sm.electLeader() })
 }
 
+// workerRecords returns the stored worker records, sorted by key.
+func (sm *simulation) workerRecords() []store.Record {
+	var list []store.Record
+	for _, key := range slices.Sorted(maps.Keys(sm.storedWorkers)) {
+		list = append(list, sm.storedWorkers[key])
+	}
+	return list
+}
+
 func (sm *simulation) registrations() []backend.Registration {
 	var list []backend.Registration
 	for _, id := range slices.Sorted(maps.Keys(sm.listed)) {
@@ -353,6 +368,8 @@
 	// frozen is true while the leader does nothing. Calls that it has already sent
 	// are still delivered.
 	frozen bool
+	// lastAppendAt is when the last commit or renewal of the claim was sent to the store.
+	lastAppendAt time.Time
 	// adviceRequestCount counts the requests for advice that the leader has sent, and
 	// adviceWorkerCount the workers named in them.
 	adviceRequestCount, adviceWorkerCount int
@@ -542,12 +559,30 @@
 		c = l.scheduler.NextCommit(at)
 	})
 	if c == nil {
+		l.renewClaim()
 		next()
 		return
 	}
+	l.lastAppendAt = sm.now
 	sm.schedule(sm.randomDuration(4*minEventDelay, 15*minEventDelay), func() { l.storeCommit(c, next) })
 }
 
+// claimRenewInterval is the longest pause between two appends of a leader.
+const claimRenewInterval = time.Second
+
+// renewClaim proves to the workers that this leader still leads, unless it has appended
+// something lately.
+func (l *simulatedLeader) renewClaim() {
+	sm := l.simulation
+	if begun := sm.now; begun.Sub(l.lastAppendAt) >= claimRenewInterval {
+		l.lastAppendAt = begun
+		sm.schedule(sm.randomDuration(4*minEventDelay, 15*minEventDelay), func() {
+			l.deposed = l.deposed || l.epoch < sm.epoch
+			l.updateScheduler(func(time.Time) { l.scheduler.AppendConfirmed(begun) })
+		})
+	}
+}
+
 func (l *simulatedLeader) storeCommit(c *scheduler.Commit, next func()) {
 	sm := l.simulation
 	if l.epoch < sm.epoch {
@@ -555,6 +590,13 @@
 		return
 	}
 	for _, r := range c.Records {
+		if scheduler.IsWorkerRecord(&r) {
+			sm.storedWorkers[r.Key] = r
+			if len(r.Value) == 0 {
+				delete(sm.storedWorkers, r.Key)
+			}
+			continue
+		}
 		p, err := work.Decode[work.Progress](r.Value)
 		if err != nil {
 			sm.reportViolation("cannot decode the progress of job %s: %s", r.Key, err)
@@ -565,6 +607,9 @@
 			for _, t := range sp.Tasks {
 				id := work.TaskID{StepID: work.StepID{Job: r.Key, Occurrence: sp.Occurrence, Step: sp.Step}, Index: t.Index}
 				sm.storedRuns[id] = max(sm.storedRuns[id], t.Run)
+				if key := fmt.Sprintf("worker/%s/%d", t.Worker, t.Born); t.Worker != "" && len(sm.storedWorkers[key].Value) == 0 {
+					sm.reportViolation("the record of task %s names worker %s/%d, which has no record", id, t.Worker, t.Born)
+				}
 			}
 		}
 	}
--- a/internal/cell/scheduler/unlisted_test.go
+++ b/internal/cell/scheduler/unlisted_test.go
@@ -1,13 +1,18 @@
 package scheduler_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/peer/store"
 )
 
 // A leader took over while the entry of a worker had lapsed. It had no session with the
@@ -41,10 +46,112 @@
 				sm.cancel("job")
 				sm.runFor(time.Second)
 			}
-			for _, v := range sm.workers {
-				v.Advance(sm.now)
-				is.Equal(len(v.Running()), 0)
-			}
+			is.Equal(sm.runningTasks(), 0)
 		})
 	}
 }
+
+// runningTasks returns the number of runs on all workers.
+func (sm *simulation) runningTasks() int {
+	n := 0
+	for _, v := range sm.workers {
+		v.Advance(sm.now)
+		n += len(v.Running())
+	}
+	return n
+}
+
+// newLastingRuns returns a simulation in which each of two workers runs two lasting tasks of
+// a job, and whose list of workers is then empty.
+func newLastingRuns(is *is.I) *simulation {
+	sm := newSimulation(1, faultProbabilities{})
+	sm.addWorkers(2, workerCapacity)
+	sm.electLeader()
+	sm.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 4, Size: taskSize, MostPerWorker: 2, Lasting: true}}}, fleet.TaskProfile{})
+	sm.runFor(time.Second)
+	is.Equal(sm.startCount, 4)
+	is.Equal(len(sm.storedWorkers), 2)
+	clear(sm.listed)
+	return sm
+}
+
+// A worker without an entry in the list keeps its runs for as long as it can be reached,
+// however often the leader is replaced.
+func TestRunsOnUnlistedWorkersGoOnAfterTakeOvers(t *testing.T) {
+	is := is.New(t)
+	sm := newLastingRuns(is)
+	for range 3 {
+		sm.electLeader()
+		sm.runFor(15 * time.Second)
+	}
+	is.Equal(sm.runningTasks(), 4)
+	is.Equal(sm.startCount, 4)
+	is.Equal(len(sm.violations), 0)
+}
+
+// A worker process that has ended leaves no record behind, and its tasks run elsewhere.
+func TestRecordsOfEndedWorkersAreDeleted(t *testing.T) {
+	is := is.New(t)
+	sm := newLastingRuns(is)
+	clear(sm.workers)
+	sm.electLeader()
+	sm.runFor(time.Second)
+	is.Equal(len(sm.storedWorkers), 2)
+	sm.runFor(20 * time.Second)
+	is.Equal(len(sm.storedWorkers), 0)
+	sm.addWorker(backend.Registration{Life: backend.Life{ID: "other", Born: 1}, Address: netip.MustParseAddrPort("10.0.0.9:8400"), Service: "desk", Capacity: workerCapacity})
+	sm.runFor(time.Second)
+	is.Equal(sm.runningTasks(), 2) // As many as MostPerWorker allows.
+	is.Equal(len(sm.storedWorkers), 1)
+}
+
+// The list names a later process of a worker than the record does.
+func TestRecordOfAnEarlierProcessIsDeleted(t *testing.T) {
+	is := is.New(t)
+	sm := newLastingRuns(is)
+	sm.restartWorker(backend.Life{ID: "worker-0", Born: 1})
+	restarted := sm.currentProcess("worker-0")
+	sm.listed["worker-0"] = restarted
+	sm.electLeader()
+	sm.runFor(20 * time.Second)
+	is.Equal(sm.runningTasks(), 4)
+	for _, r := range sm.workerRecords() {
+		is.True(r.Key != "worker/worker-0/1")
+	}
+}
+
+func TestUnreadableWorkerRecordIsSkipped(t *testing.T) {
+	scenarios := []struct {
+		testName, value string
+	}{
+		{"no JSON", `{"id":`},
+		{"another process", `{"id":"worker-0","born":2,"address":"10.0.0.1:8400","service":"desk"}`},
+		{"no address", `{"id":"worker-0","born":1,"service":"desk"}`},
+		{"an invalid address", `{"id":"worker-0","born":1,"address":"10.0.0.1","service":"desk"}`},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			c := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second}, 1, now, now, logr.Discard())
+			c.RestoreWorkers([]store.Record{{Key: "worker/worker-0/1", Value: []byte(s.value)}}, now)
+			is.Equal(len(c.TakeEffects().SessionsToOpen), 0)
+		})
+	}
+}
+
+func FuzzRestoreWorkers(f *testing.F) {
+	f.Add("worker/a/1", []byte(`{"id":"a","born":1,"address":"10.0.0.1:8400","service":"desk","capacity":{"milliprocessors":4000}}`))
+	f.Add("worker/", []byte(`{"born":-9223372036854775808,"address":"[fe80::1%eth0]:0"}`))
+	f.Add("worker//0", []byte("null"))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		now := time.Unix(1_700_000_000, 0)
+		c := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second}, 1, now, now, logr.Discard())
+		c.RestoreWorkers([]store.Record{{Key: key, Value: value}}, now)
+		for _, r := range c.TakeEffects().SessionsToOpen {
+			if !r.Address.IsValid() || !scheduler.IsWorkerRecord(&store.Record{Key: key}) {
+				t.Fatalf("session with %+v", r)
+			}
+		}
+	})
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -22,6 +22,9 @@
 	// ready is true if the worker could be given tasks when the last scheduling pass
 	// began.
 	ready bool
+	// recorded is true once a commit was told to store a record of the worker. It is then
+	// true until the worker is removed.
+	recorded bool
 	// sessionOpen is true after the caller was told to open a session with the
 	// worker, until it is told to close the session.
 	sessionOpen bool
@@ -157,13 +160,18 @@
 	w.registration, w.registered = r, true
 	s.pools = nil
 	if !w.sessionOpen && !w.removed {
-		w.sessionOpen = true
-		s.effects.SessionsToOpen = append(s.effects.SessionsToOpen, r)
+		s.openSession(w)
 		s.log.Info("worker_opened", "worker", r.Life.ID, "born", r.Life.Born, "token", w.token, "service", r.Service, "zone", r.Zone, "capacity", r.Capacity.String())
 	}
 	s.stopLastingTasksIfDraining(w, now)
 }
 
+// openSession tells the caller to open a session with a worker.
+func (s *Scheduler) openSession(w *worker) {
+	w.sessionOpen = true
+	s.effects.SessionsToOpen = append(s.effects.SessionsToOpen, w.registration)
+}
+
 // formerToken is the last fencing token of a removed worker.
 type formerToken struct {
 	token     int64
@@ -221,6 +229,9 @@
 		w.sessionOpen = false
 		s.effects.SessionsToClose = append(s.effects.SessionsToClose, w.registration.Life)
 	}
+	if w.recorded {
+		s.workerRecordsToDelete = append(s.workerRecordsToDelete, w.registration.Life)
+	}
 	delete(s.workers, w.registration.Life)
 	s.formerTokens[w.registration.Life.ID] = formerToken{max(w.token, s.formerTokens[w.registration.Life.ID].token), now}
 	s.lives = nil
@@ -250,6 +261,7 @@
 	next.token = max(next.token, old.token+1)
 	if moved > 0 {
 		next.extendLease(now, s.timing)
+		s.recordWorker(next)
 		s.log.Info("starts_moved", "worker", next.registration.Life.ID, "born", next.registration.Life.Born, "earlier_born", old.registration.Life.Born, "tasks", moved)
 	}
 	s.removeWorker(old, reason, now)
@@ -285,8 +297,7 @@
 	}
 	if !next.sessionOpen {
 		next.registration.Address, next.registration.Zone = w.registration.Address, w.registration.Zone
-		next.sessionOpen = true
-		s.effects.SessionsToOpen = append(s.effects.SessionsToOpen, next.registration)
+		s.openSession(next)
 	}
 	s.replaceProcess(w, next, "another life of the worker answered", now)
 	s.latestWorkerByID[life.ID] = next
--- /dev/null
+++ b/internal/cell/scheduler/worker_record.go
@@ -0,0 +1,121 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/peer/store"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+// workerRecordPrefix begins the keys of worker records among the progress records. No job
+// ID contains a slash.
+const workerRecordPrefix = "worker/"
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindUnreadable means that a stored record is not one that a leader writes.
+const KindUnreadable Kind = "unreadable"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// workerRecord describes a worker process on which runs may exist. It is stored no later
+// than the first placement on the process and deleted once the process is removed. A
+// leader that takes over while the entry of the worker is missing in the list of workers
+// finds the process by it.
+type workerRecord struct {
+	ID       string          `json:"id"`
+	Born     int64           `json:"born"`
+	Address  netip.AddrPort  `json:"address"`
+	Service  string          `json:"service"`
+	Zone     string          `json:"zone"`
+	Capacity resource.Vector `json:"capacity"`
+}
+
+// IsWorkerRecord reports whether a record that a commit has stored describes a worker
+// rather than the progress of a job.
+func IsWorkerRecord(r *store.Record) bool { return strings.HasPrefix(r.Key, workerRecordPrefix) }
+
+func workerRecordKey(life backend.Life) string {
+	return workerRecordPrefix + life.ID + "/" + strconv.FormatInt(life.Born, 10)
+}
+
+func encodeWorkerRecord(r *backend.Registration) store.Record {
+	value, err := json.Marshal(workerRecord{ID: r.Life.ID, Born: r.Life.Born, Address: r.Address, Service: r.Service, Zone: r.Zone, Capacity: r.Capacity})
+	if err != nil {
+		panic(err) // All fields can be encoded as JSON.
+	}
+	return store.Record{Key: workerRecordKey(r.Life), Value: value}
+}
+
+// decodeWorkerRecord returns the registration that a worker record holds. Labels and what
+// else is needed only for placements are missing in it.
+func decodeWorkerRecord(r *store.Record) (backend.Registration, error) {
+	var w workerRecord
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return backend.Registration{}, fault.New("decode_worker", KindUnreadable, err)
+	}
+	registration := backend.Registration{Life: backend.Life{ID: w.ID, Born: w.Born}, Address: w.Address, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity}
+	if !w.Address.IsValid() || r.Key != workerRecordKey(registration.Life) {
+		return backend.Registration{}, fault.Newf("decode_worker", KindUnreadable, "record %.255q has address %s and names process %.255q", r.Key, w.Address, workerRecordKey(registration.Life))
+	}
+	return registration, nil
+}
+
+// recordWorker makes the next commit store a record of a worker on which runs may exist,
+// unless that has been done.
+func (s *Scheduler) recordWorker(w *worker) {
+	if !w.recorded && w.registration.Address.IsValid() {
+		w.recorded = true
+		s.workersToRecord = append(s.workersToRecord, w)
+	}
+}
+
+// takeWorkerRecords returns the deletions and records of workers for the next commit.
+func (s *Scheduler) takeWorkerRecords() []store.Record {
+	var records []store.Record
+	for _, life := range s.workerRecordsToDelete {
+		records = append(records, store.Record{Key: workerRecordKey(life)})
+	}
+	for _, w := range s.workersToRecord {
+		if !w.removed {
+			records = append(records, encodeWorkerRecord(&w.registration))
+		}
+	}
+	s.workerRecordsToDelete, s.workersToRecord = nil, nil
+	return records
+}
+
+// RestoreWorkers adds the workers that an earlier leader has recorded and that are not in the
+// list of workers, and opens sessions with them: their runs go on. It must be called after
+// SetWorkers and before Restore.
+func (s *Scheduler) RestoreWorkers(records []store.Record, now time.Time) {
+	for i := range records {
+		r, err := decodeWorkerRecord(&records[i])
+		if err != nil {
+			s.log.Error(err, "worker_record_unreadable", "key", records[i].Key)
+			continue
+		}
+		if w := s.workers[r.Life]; w != nil {
+			w.recorded = w.registration.Address == r.Address
+			continue
+		}
+		if latest := s.latestWorkerByID[r.Life.ID]; latest != nil && latest.registration.Life.Born > r.Life.Born {
+			s.workerRecordsToDelete = append(s.workerRecordsToDelete, r.Life)
+			continue
+		}
+		w := s.addWorker(r, now)
+		w.recorded = true
+		s.replaceEarlierProcesses(w, now)
+		s.latestWorkerByID[r.Life.ID] = w
+		s.extendFormerLease(w, now)
+		s.openSession(w)
+	}
+}
--- a/internal/node/entryvm/keeper_faults_test.go
+++ b/internal/node/entryvm/keeper_faults_test.go
@@ -106,7 +106,7 @@
 // registration returns the registration of the current life of a worker.
 func (c *virtualCell) registration(i int) backend.Registration {
 	return backend.Registration{
-		Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1 + c.workerRestarts[i].Load()}, Service: "desk", Zone: fmt.Sprintf("domain-%d", i%virtualDomains), Capacity: virtualCapacity,
+		Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1 + c.workerRestarts[i].Load()}, Address: netip.MustParseAddrPort("127.0.0.1:8400"), Service: "desk", Zone: fmt.Sprintf("domain-%d", i%virtualDomains), Capacity: virtualCapacity,
 	}
 }
 
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -48,7 +48,7 @@
 	f.publishConfiguration(1, "mail")
 	for i := range 3 {
 		f.is.NoErr(f.fleet.Add(f.store, backend.Registration{
-			Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1}, Service: "desk",
+			Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: 1}, Address: netip.MustParseAddrPort("127.0.0.1:8400"), Service: "desk",
 			Capacity: resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 4000},
 		}))
 	}
--- a/internal/node/entryvm/takeover.go
+++ b/internal/node/entryvm/takeover.go
@@ -41,9 +41,14 @@
 	if err != nil {
 		return saved.nextJobOffsets, err
 	}
+	var workers []store.Record
 	progress := make(map[string]*work.Progress, len(saved.progressRecords))
 	for i := range saved.progressRecords {
 		r := &saved.progressRecords[i]
+		if scheduler.IsWorkerRecord(r) {
+			workers = append(workers, *r)
+			continue
+		}
 		p, err := decodeProgress(r.Value)
 		if err != nil {
 			l.node.log.Error(err, "progress_unreadable", "job", r.Key)
@@ -55,6 +60,7 @@
 		s.AppendConfirmed(begun)
 		l.applyRegistrations(saved.registrationRecords, true)
 		s.SetWorkers(l.registrationList(), at)
+		s.RestoreWorkers(workers, at)
 		for part, records := range saved.jobRecords {
 			l.recordJobPartitions(part, records)
 		}
