Count unlisted workers when the number of keepers is chosen

Cause: the leader counted the entries of the list of workers. When entries lapse, for a domain that is cut off or while the store is away, it went down to one keeper of the domain, or to none below 101 entries in all, and calls through the dismissed keepers failed as unknown, although the leader still calls all workers with runs. Change: it counts its sessions.

--- a/internal/node/entryvm/keepers.go
+++ b/internal/node/entryvm/keepers.go
@@ -47,16 +47,23 @@
 	return keeper.NewWorkerClient(l.node.dispatcher, r, l.node.dependencies.Dial(r))
 }
 
+// workersByDomain returns the number of workers in each failure domain that the leader
+// calls, whether they are listed or not. The caller must hold the mutex.
+func (l *leader) workersByDomain() map[string]int {
+	workers := map[string]int{}
+	for _, s := range l.sessions {
+		workers[s.domain]++
+	}
+	return workers
+}
+
 // assignKeepers assigns workers to keepers: to other entry VMs that answer heartbeats
 // and other calls. The leader itself is never a keeper, since it needs its processor
 // time for scheduling.
 func (l *leader) assignKeepers() {
 	l.mutex.Lock()
 	answering := l.reachableVMs(now())
-	workers := map[string]int{}
-	for _, r := range l.registrations {
-		workers[r.Zone]++
-	}
+	workers := l.workersByDomain()
 	l.mutex.Unlock()
 	var list []keeper.Member
 	for _, name := range answering {
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -41,8 +41,9 @@
 // worker and returns which runs have ended.
 type workerSession struct {
 	leader *leader
-	// life identifies the worker process.
+	// life identifies the worker process, and domain is its failure domain.
 	life   backend.Life
+	domain string
 	worker backend.Worker
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -55,7 +56,7 @@
 
 func newWorkerSession(l *leader, r backend.Registration) *workerSession {
 	ctx, cancel := context.WithCancel(l.ctx)
-	return &workerSession{leader: l, life: r.Life, worker: l.dialWorker(r), ctx: ctx, cancel: cancel}
+	return &workerSession{leader: l, life: r.Life, domain: r.Zone, worker: l.dialWorker(r), ctx: ctx, cancel: cancel}
 }
 
 // close ends the session and closes the connection to the worker.
