Repeat a stop order that a worker may not have executed

A stop without an answer was only logged. It was repeated by a report that listed the run, at the earliest 1.5 s after the last attempt; a run that belongs to no task of the worker (an orphaned run) only by the next report at all.

The scheduler is now told the outcome of each stop. One that may not have been executed is repeated at once and then every 0.6 s for each worker, and all of a worker's lost stops when it next answers a hold or a stop. So a worker that answers nothing is sent no more stops than failing holds, however many runs it has. A stop that was refused because of the present fencing token interrupts the hold, whose answer shows that the token must be raised. An executed stop keeps its 1.5 s.

Against the code before (with an empty StopAnswered) the new tests fail:

TestStopIsRepeatedUnlessItWasExecuted/not_answered stops_test.go:55: false != true TestFencedStopIsRepeatedWithHigherToken stops_test.go:92: <nil> != [{worker-0 1}] TestLostStopOfOrphanedRunIsRepeated stops_test.go:125: 0 != 1 TestUnreachableWorkerIsSentFewStops: not true: sent >= tasks+5 TestCancelledRunsEndOnceWorkersAreReachable: failed after 7 tests: task job.0.0.2 runs on worker-0 1.3s after the worker was reachable

In the simulation the outcome of a stop is passed to the scheduler; its orders were sent with an empty onLost before.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -157,6 +157,7 @@
 		w.confirmedToken = sent.token
 		s.schedulingNeeded = true
 	}
+	s.repeatLostStops(w, now)
 	s.detectSlowWorker(w, now)
 	s.adjustFillingTaskPaces(w)
 	s.removeWorkerIfIdle(w, now)
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
-	"github.com/almondpost/almondpost/internal/peer/backend"
 )
 
 // job is an accepted job and its progress.
@@ -366,24 +365,6 @@
 	}
 }
 
-// stopTask orders the worker of a task to stop it.
-func (s *Scheduler) stopTask(t *task, now time.Time) {
-	if t.phase == phaseStartOrdered && t.startToken == 0 {
-		return // An earlier leader ordered the start. The first report shows whether the task runs.
-	}
-	t.phase, t.stopSentAt = phaseStopping, now
-	s.orderStop(t.worker, t.id, t.runNumber)
-}
-
-// orderStop adds an order to the effects that tells a worker to stop one run of a
-// task.
-func (s *Scheduler) orderStop(w *worker, id work.TaskID, run int64) {
-	s.log.Info("stop_ordered", "task", id.String(), "run", run, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", w.token)
-	s.effects.Stops = append(s.effects.Stops, Order[backend.Stop]{
-		Worker: w.registration.Life, Order: backend.Stop{Task: id, Run: run, Token: w.token},
-	})
-}
-
 // findTask returns the task with this ID, or nil if there is none.
 func (s *Scheduler) findTask(id work.TaskID) *task {
 	j := s.jobs[id.Job]
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -121,10 +121,6 @@
 	}
 }
 
-// stopRetryInterval is the interval between stop orders for a run that the worker
-// still reports. It is longer than a worker takes to end a run.
-const stopRetryInterval = 1500 * time.Millisecond
-
 // speculationDelay is added to holdWait. If a worker is silent for longer than the
 // sum, its speculative tasks are started a second time on other workers.
 const speculationDelay = 800 * time.Millisecond
@@ -182,6 +178,7 @@
 		w := s.workers[life]
 		s.requeueSpeculativeTasks(w, now)
 		s.stopTasksWithCheckpointsIfDraining(w, now)
+		s.repeatNextLostStop(w, now)
 		if now.Before(w.leaseEnd) {
 			continue
 		}
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -384,7 +384,7 @@
 		l.sendStart(o)
 	}
 	for _, o := range e.Stops {
-		sm.callWorker(o.Worker, func(v *fleet.Worker) func() { v.Stop(o.Order, sm.now); return func() {} }, func() {})
+		l.sendStop(o)
 	}
 	for _, a := range e.AdviceRequests {
 		l.requestAdvice(a)
@@ -446,6 +446,16 @@
 	})
 }
 
+func (l *simulatedLeader) sendStop(o scheduler.Order[backend.Stop]) {
+	sm := l.simulation
+	answer := func(kind backend.Kind) func() {
+		return func() {
+			l.updateScheduler(func(at time.Time) { l.scheduler.StopAnswered(o.Worker, &o.Order, kind, at) })
+		}
+	}
+	sm.callWorker(o.Worker, func(v *fleet.Worker) func() { return answer(v.Stop(o.Order, sm.now)) }, answer(backend.KindUnknown))
+}
+
 func (l *simulatedLeader) sendHold(life backend.Life) {
 	sm := l.simulation
 	l.updateScheduler(func(at time.Time) {
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -45,6 +45,7 @@
 	// hasUnreportedStart. delayedStarts holds the starts that wait for the answer.
 	acknowledging bool
 	delayedStarts []Order[backend.Start]
+	lostStops     lostStops
 	// clockReading is the reading of the worker's clock at clockReadAt.
 	clockReading time.Duration
 	clockReadAt  time.Time
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -174,13 +174,20 @@
 	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) { c.StartAnswered(s.life, &o, kind, clock, at) })
 }
 
-// sendStop sends an order to stop a run. A failure is only logged.
+// sendStop sends an order to stop a run and passes the answer to the scheduler.
 func (s *workerSession) sendStop(o backend.Stop) {
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
-	if err := s.worker.Stop(ctx, o); err != nil && s.ctx.Err() == nil {
+	err := s.worker.Stop(ctx, o)
+	if s.ctx.Err() != nil {
+		return
+	}
+	var kind backend.Kind
+	if err != nil {
+		kind = fault.KindOr(err, backend.KindUnknown)
 		s.leader.node.log.Info("stop_not_confirmed", "worker", s.life.ID, "task", o.Task.String(), "run", o.Run, "error", err.Error())
 	}
+	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) { c.StopAnswered(s.life, &o, kind, at) })
 }
 
 // sendPace sends an order that changes how fast a run proceeds. A failure is only
