Stop a run of an earlier leader without waiting for a report

A run that an earlier leader started was not stopped before a report listed it, although a stop with a higher token does no harm if the run is not there: the worker then refuses that run.

Such a run is now stopped as soon as its job has ended, also if it had ended before the take-over. Without a session with the worker the leader would drop the order, so it counts as lost and is repeated by the first tick or report after the session is opened. All callers of stopTask (gangs, draining) do the same now.

Against the code before, TestRestoredTaskIsStoppedAtOnce fails in its four scenarios:

stops_test.go:187: 0 != 1

--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -37,6 +37,9 @@
 			s.openReadySteps(o, now)
 		}
 	}
+	if j.state.Ended() {
+		s.stopRestoredTasks(j, now)
+	}
 }
 
 // RestoreEnded adds an ended job of which only the progress record is still stored;
--- a/internal/cell/scheduler/stops.go
+++ b/internal/cell/scheduler/stops.go
@@ -39,16 +39,17 @@
 
 // stopTask orders the worker of a task to stop it.
 func (s *Scheduler) stopTask(t *task, now time.Time) {
-	if t.phase == phaseStartOrdered && t.startToken == 0 {
-		return // An earlier leader ordered the start. The first report shows whether the task runs.
-	}
 	t.phase, t.stopSentAt = phaseStopping, now
 	s.orderStop(t.worker, t.id, t.runNumber)
 }
 
 // orderStop adds an order to the effects that tells a worker to stop one run of a
-// task.
+// task. Without a session, the order would be dropped, so it is left for later.
 func (s *Scheduler) orderStop(w *worker, id work.TaskID, run int64) {
+	if !w.sessionOpen {
+		w.lostStops.add(runID{id, run})
+		return
+	}
 	w.lostStops.remove(runID{id, run})
 	s.log.Info("stop_ordered", "task", id.String(), "run", run, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", w.token)
 	s.effects.Stops = append(s.effects.Stops, Order[backend.Stop]{
@@ -100,7 +101,7 @@
 // repeatNextLostStop repeats one lost stop of a worker that may not be reachable.
 func (s *Scheduler) repeatNextLostStop(w *worker, now time.Time) {
 	l := &w.lostStops
-	if len(l.runs) == 0 || now.Before(l.nextAt) {
+	if len(l.runs) == 0 || !w.sessionOpen || now.Before(l.nextAt) {
 		return
 	}
 	l.runs = slices.DeleteFunc(l.runs, func(r runID) bool { return !w.awaitsStopOf(r) })
@@ -113,7 +114,7 @@
 // repeatLostStops repeats all lost stops of a worker that has just answered a call.
 func (s *Scheduler) repeatLostStops(w *worker, now time.Time) {
 	l := &w.lostStops
-	if len(l.runs) == 0 || now.Before(l.nextAllAt) {
+	if len(l.runs) == 0 || !w.sessionOpen || now.Before(l.nextAllAt) {
 		return
 	}
 	l.nextAllAt = now.Add(lostStopRetryInterval)
@@ -131,3 +132,14 @@
 	}
 	s.orderStop(w, r.task, r.runNumber)
 }
+
+// stopRestoredTasks stops the tasks of a job that had ended before this leader took over.
+func (s *Scheduler) stopRestoredTasks(j *job, now time.Time) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				s.endTask(t, now)
+			}
+		}
+	}
+}
--- a/internal/cell/scheduler/stops_test.go
+++ b/internal/cell/scheduler/stops_test.go
@@ -130,6 +130,55 @@
 	is.Equal(len(r.takeStops()), 1)
 }
 
+// An earlier leader ordered the starts. No report has listed the runs yet.
+func TestRestoredTaskIsStoppedAtOnce(t *testing.T) {
+	const (
+		cancelledBefore = iota
+		cancelledAfter
+	)
+	scenarios := []struct {
+		testName string
+		when     int
+		// listed is true if the worker is listed when the leader takes over.
+		listed bool
+	}{
+		{"the job had ended and the worker is listed", cancelledBefore, true},
+		{"the job had ended and the worker is listed later", cancelledBefore, false},
+		{"the job is cancelled and the worker is listed", cancelledAfter, true},
+		{"the job is cancelled and the worker is listed later", cancelledAfter, false},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 2, now, now, logr.Discard())
+			s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", Stretch: 2, Objective: time.Second}}})
+			worker := backend.Registration{Life: backend.Life{ID: "worker-0", Born: 1}, Service: "desk", Capacity: workerCapacity}
+			if sc.listed {
+				s.SetWorkers([]backend.Registration{worker}, now)
+			}
+			p := &work.Progress{State: work.Running, Started: true, Steps: []work.StepProgress{{Tasks: []work.TaskProgress{{Run: 3, Worker: "worker-0", Born: 1}}}}}
+			if sc.when == cancelledBefore {
+				p.State = work.Cancelled
+			}
+			s.Restore(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Lasting: true}}}, p, now)
+			if sc.when == cancelledAfter {
+				s.Cancel("job", now)
+			}
+			stops := s.TakeEffects().Stops
+			if !sc.listed && len(stops) == 0 { // There may be no session yet.
+				s.SetWorkers([]backend.Registration{worker}, now.Add(time.Second))
+				s.Tick(now.Add(time.Second))
+				stops = s.TakeEffects().Stops
+			}
+			is.Equal(len(stops), 1)
+			is.Equal(stops[0].Worker, worker.Life)
+			is.Equal(stops[0].Order.Run, int64(3))
+			is.True(stops[0].Order.Token >= 2<<20)
+		})
+	}
+}
+
 // However many runs a worker has, it is sent few stops while it answers nothing.
 func TestUnreachableWorkerIsSentFewStops(t *testing.T) {
 	const tasks, answerTimeout = 50, 500 * time.Millisecond
