Repeat a stop if the process it names is replaced

When a later process of a worker is known, the tasks whose starts may have reached it move there. A stop of such a task named the earlier process, whose session is closed in the same update, and was repeated 1.5 s later at the earliest. It now counts as lost, so that it is sent to the later process at once.

Against the code before, TestStopReachesTheProcessThatMayHaveTheRun fails:

stops_test.go:142: 0 != 1

--- a/internal/cell/scheduler/stops_test.go
+++ b/internal/cell/scheduler/stops_test.go
@@ -130,6 +130,19 @@
 	is.Equal(len(r.takeStops()), 1)
 }
 
+// The process that a stop order names is replaced in the same update.
+func TestStopReachesTheProcessThatMayHaveTheRun(t *testing.T) {
+	is := is.New(t)
+	r := newRestartTest(is)
+	r.scheduler.Cancel("job", r.now)
+	r.restartWorker()
+	r.takeStops()
+	r.hold(backend.Report{Running: []backend.Run{{Task: r.start.Task, Run: r.start.Run}}})
+	stops := r.takeStops()
+	is.Equal(len(stops), 1)
+	is.Equal(stops[0].Worker, r.worker.Life)
+}
+
 // An earlier leader ordered the starts. No report has listed the runs yet.
 func TestRestoredTaskIsStoppedAtOnce(t *testing.T) {
 	const (
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -243,6 +243,9 @@
 		old.removeTask(t)
 		t.worker, t.runConfirmed = next, false
 		next.addTask(t)
+		if t.phase == phaseStopping {
+			next.lostStops.add(runID{t.id, t.runNumber}) // The order named the earlier process.
+		}
 		if t.phase == phaseRunning {
 			t.phase = phaseStartOrdered
 		}
