Call a worker directly after its keeper got no answer

After a call through the keeper that got no answer, calls to that worker now go directly for 2 s, or until a direct one gets no answer. So failures alternate between the two ways, and a stop is repeated the other way at once. The 2 s cover the hold after a failed one, which extends no lease, and the next, which does. At most 64 calls at a time bypass keepers, twice that with stops, and a worker that did not answer directly is not called directly again for 2 s, except to stop a run: 220 crashed workers cause at most 5 direct calls each in 10 s. Interrupted calls and those of a keeper that failed, which is passed over anyway, do not count.

--- a/internal/node/keeper/dispatcher.go
+++ b/internal/node/keeper/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -26,6 +27,10 @@
 	failedKeeperRetryDelay = 2 * time.Second
 )
 
+// errKeeperFailed is the cause of the failure of a call whose keeper has left or has not
+// confirmed a batch.
+var errKeeperFailed = errors.New("the keeper does not answer")
+
 // Dispatcher runs on the leader: it sends calls to keepers and passes each answer to the
 // caller that waits for it.
 type Dispatcher struct {
@@ -38,6 +43,8 @@
 	log          logr.Logger
 	// lastCallNumber is the number of the last call.
 	lastCallNumber atomic.Int64
+	// bypasses counts the direct calls to workers with a usable keeper that are under way.
+	bypasses atomic.Int64
 	// assignment is nil until SetAssignment is called. Until then there are no keepers.
 	assignment atomic.Pointer[Assignment]
 
@@ -54,7 +61,8 @@
 // pendingCall is a call that has no answer yet.
 type pendingCall struct {
 	keeper netip.AddrPort
-	// answer receives exactly one answer, unless the caller stops waiting first.
+	// answer receives exactly one answer, unless the caller stops waiting first. It is
+	// closed without an answer if the keeper has failed.
 	answer chan Answer
 }
 
@@ -124,7 +132,10 @@
 	d.mutex.Unlock()
 	b.add(c)
 	select {
-	case a := <-p.answer:
+	case a, ok := <-p.answer:
+		if !ok {
+			return a, fault.Newf(operation, backend.KindUnknown, "call through keeper %s: %w", keeper, errKeeperFailed)
+		}
 		if a.Kind != "" {
 			return a, fault.Newf(operation, a.Kind, "call through keeper %s: %s", keeper, a.Message)
 		}
@@ -189,7 +200,7 @@
 	for number, p := range d.pendingCalls {
 		if p.keeper == keeper {
 			delete(d.pendingCalls, number)
-			p.answer <- Answer{Number: number, Kind: backend.KindUnknown, Message: "the keeper does not answer"}
+			close(p.answer)
 			n++
 		}
 	}
--- a/internal/node/keeper/worker.go
+++ b/internal/node/keeper/worker.go
@@ -2,14 +2,31 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 )
 
+const (
+	// bypassTime is how long a worker is called directly after a call through its keeper
+	// got no answer. It covers a hold that extends no lease and the next one, which does.
+	bypassTime = 2 * time.Second
+	// bypassRetryDelay is the shortest time between an unanswered direct call and the next
+	// bypass of the keeper. It limits the direct calls to workers that have crashed.
+	// A stop is not delayed.
+	bypassRetryDelay = 2 * time.Second
+	// maxBypasses is the largest number of direct calls at a time that bypass a keeper.
+	// Stops may double it.
+	maxBypasses = 64
+)
+
 // WorkerClient is the backend.Worker that calls a worker through its keeper, or
-// directly if there is no usable keeper. The deadline of each context must include
+// directly if there is no usable keeper. After a call through the keeper got no answer, it
+// calls directly for bypassTime or until such a call gets no answer, so that the failures of
+// one way do not cut off the worker. The deadline of each context must include
 // ForwardingMargin for the way through the keeper and back: in both cases the worker has
 // that much less time to answer.
 type WorkerClient struct {
@@ -17,77 +34,56 @@
 	registration backend.Registration
 	// directClient calls the worker from this VM, without a keeper.
 	directClient backend.Worker
+
+	mutex sync.Mutex
+	// bypassUntil is the time until which the keeper is bypassed.
+	bypassUntil time.Time
+	// bypassFailedAt is when a direct call that bypassed the keeper last got no answer.
+	bypassFailedAt time.Time
 }
 
 // NewWorkerClient returns a client for the worker with registration r. direct is the
 // client that calls it directly from this VM.
 func NewWorkerClient(d *Dispatcher, r backend.Registration, direct backend.Worker) *WorkerClient {
-	return &WorkerClient{d, r, direct}
-}
-
-// newCall returns a call to the worker. Hold, Start, Stop or Pace is still to be set.
-func (w *WorkerClient) newCall() Call {
-	return Call{Life: w.registration.Life, Address: w.registration.Address}
+	return &WorkerClient{dispatcher: d, registration: r, directClient: direct}
 }
 
 // Start implements backend.Worker.
 func (w *WorkerClient) Start(ctx context.Context, s backend.Start) (time.Duration, error) {
-	keeper, ok := w.dispatcher.usableKeeper(&w.registration)
-	if !ok {
-		ctx, cancel := withoutForwardingMargin(ctx)
-		defer cancel()
-		return w.directClient.Start(ctx, s)
-	}
-	c := w.newCall()
-	c.Start = &s
-	a, err := w.dispatcher.call(ctx, keeper, "start", c)
+	a, err := w.call(ctx, Call{Start: &s}, func(ctx context.Context) (a Answer, err error) {
+		a.Clock, err = w.directClient.Start(ctx, s)
+		return a, err
+	})
 	return a.Clock, err
 }
 
 // Stop implements backend.Worker.
 func (w *WorkerClient) Stop(ctx context.Context, s backend.Stop) error {
-	keeper, ok := w.dispatcher.usableKeeper(&w.registration)
-	if !ok {
-		ctx, cancel := withoutForwardingMargin(ctx)
-		defer cancel()
-		return w.directClient.Stop(ctx, s)
-	}
-	c := w.newCall()
-	c.Stop = &s
-	_, err := w.dispatcher.call(ctx, keeper, "stop", c)
+	_, err := w.call(ctx, Call{Stop: &s}, func(ctx context.Context) (Answer, error) {
+		return Answer{}, w.directClient.Stop(ctx, s)
+	})
 	return err
 }
 
 // Pace implements backend.Worker.
 func (w *WorkerClient) Pace(ctx context.Context, p backend.Pace) error {
-	keeper, ok := w.dispatcher.usableKeeper(&w.registration)
-	if !ok {
-		ctx, cancel := withoutForwardingMargin(ctx)
-		defer cancel()
-		return w.directClient.Pace(ctx, p)
-	}
-	c := w.newCall()
-	c.Pace = &p
-	_, err := w.dispatcher.call(ctx, keeper, "pace", c)
+	_, err := w.call(ctx, Call{Pace: &p}, func(ctx context.Context) (Answer, error) {
+		return Answer{}, w.directClient.Pace(ctx, p)
+	})
 	return err
 }
 
 // Hold implements backend.Worker.
 func (w *WorkerClient) Hold(ctx context.Context, h backend.Hold) (backend.Report, error) {
-	keeper, ok := w.dispatcher.usableKeeper(&w.registration)
-	if !ok {
-		ctx, cancel := withoutForwardingMargin(ctx)
-		defer cancel()
-		return w.directClient.Hold(ctx, h)
-	}
-	c := w.newCall()
-	c.Hold = &h
-	a, err := w.dispatcher.call(ctx, keeper, "hold", c)
+	a, err := w.call(ctx, Call{Hold: &h}, func(ctx context.Context) (Answer, error) {
+		report, err := w.directClient.Hold(ctx, h)
+		return Answer{Report: &report}, err
+	})
 	if err != nil {
 		return backend.Report{}, err
 	}
 	if a.Report == nil {
-		return backend.Report{}, fault.Newf("hold", backend.KindUnknown, "call through keeper %s: the answer to the hold contains no report", keeper)
+		return backend.Report{}, fault.Newf("hold", backend.KindUnknown, "the answer of the keeper to the hold contains no report")
 	}
 	return *a.Report, nil
 }
@@ -95,6 +91,69 @@
 // Close implements backend.Worker.
 func (w *WorkerClient) Close() { w.directClient.Close() }
 
+// call makes a call through the keeper, or with the function direct.
+func (w *WorkerClient) call(ctx context.Context, c Call, direct func(ctx context.Context) (Answer, error)) (Answer, error) {
+	keeper, ok := w.dispatcher.usableKeeper(&w.registration)
+	bypass := ok && w.beginBypass(c.Stop != nil)
+	if ok && !bypass {
+		c.Life, c.Address = w.registration.Life, w.registration.Address
+		a, err := w.dispatcher.call(ctx, keeper, c.operation(), c)
+		if isUnanswered(err) {
+			w.mutex.Lock()
+			w.bypassUntil = time.Now().Add(bypassTime)
+			w.mutex.Unlock()
+		}
+		return a, err
+	}
+	ctx, cancel := withoutForwardingMargin(ctx)
+	defer cancel()
+	a, err := direct(ctx)
+	if bypass {
+		w.endBypass(err)
+	}
+	return a, err
+}
+
+// beginBypass reports whether to bypass the keeper now. If so, endBypass must be called.
+func (w *WorkerClient) beginBypass(isStop bool) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !time.Now().Before(w.bypassUntil) || (!isStop && time.Since(w.bypassFailedAt) < bypassRetryDelay) {
+		return false
+	}
+	limit := int64(maxBypasses)
+	if isStop {
+		limit *= 2
+	}
+	if w.dispatcher.bypasses.Add(1) > limit {
+		w.dispatcher.bypasses.Add(-1)
+		return false
+	}
+	return true
+}
+
+// endBypass must be called with the result of a call that bypassed the keeper.
+func (w *WorkerClient) endBypass(err error) {
+	w.dispatcher.bypasses.Add(-1)
+	if !isUnanswered(err) {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.bypassUntil, w.bypassFailedAt = time.Time{}, time.Now()
+}
+
+// isUnanswered reports whether a call has failed because the worker could not be reached,
+// or its answer did not arrive. A call that the caller has interrupted does not count, nor
+// one whose keeper has failed, since usableKeeper passes such a keeper over.
+func isUnanswered(err error) bool {
+	if errors.Is(err, context.Canceled) || errors.Is(err, errKeeperFailed) {
+		return false
+	}
+	kind := fault.KindOr(err, backend.KindUnknown)
+	return kind == backend.KindUnknown || kind == backend.KindUnreachable
+}
+
 // withoutForwardingMargin returns a copy of ctx whose deadline, if there is one, is
 // ForwardingMargin earlier.
 func withoutForwardingMargin(ctx context.Context) (context.Context, context.CancelFunc) {
