Order a pace again after it was lost or the leader was replaced

A filling task could stay slow or paused for good, or go on to disturb a serving one beside it: a pace order that failed was only logged, while the leader believed the run to have that pace, and a new leader believed every run to have full speed. An order is sent only if the pace changes.

A run whose pace is not certain is now sent the next pace also if it is the one that the leader believes in, unless the latency beside it is neither high nor low. The leader tells the scheduler of failures only, so a pace that is confirmed costs nothing more; a take-over costs one order for each filling task.

--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -134,6 +134,9 @@
 	// pacePercent is the speed at which the worker is told to run the task, in
 	// percent of full speed.
 	pacePercent int
+	// paceUnconfirmed is true if the run may have another pace: an order was lost, or an
+	// earlier leader may have ordered one.
+	paceUnconfirmed bool
 	// startedAt is when the task was placed on its worker. Once the start is ordered,
 	// it is the time of that order.
 	startedAt time.Time
--- a/internal/cell/scheduler/pace.go
+++ b/internal/cell/scheduler/pace.go
@@ -38,8 +38,10 @@
 		if !t.step.spec.Fills || t.phase != phaseRunning {
 			continue
 		}
-		if pace := nextPacePercent(t.pacePercent, highestLatencyShare); pace != t.pacePercent {
-			t.pacePercent = pace
+		pace := nextPacePercent(t.pacePercent, highestLatencyShare)
+		tooFast, tooSlow := highestLatencyShare > throttleAboveTargetShare, highestLatencyShare < speedUpBelowTargetShare
+		if pace != t.pacePercent || (t.paceUnconfirmed && (tooFast || tooSlow)) {
+			t.pacePercent, t.paceUnconfirmed = pace, false
 			s.effects.Paces = append(s.effects.Paces, Order[backend.Pace]{
 				Worker: w.registration.Life, Order: backend.Pace{Task: t.id, Run: t.runNumber, Percent: pace, Token: w.token},
 			})
@@ -47,6 +49,18 @@
 	}
 }
 
+// PaceNotConfirmed must be called when a pace order may not have been executed. The pace
+// is ordered again with a later report.
+func (s *Scheduler) PaceNotConfirmed(life backend.Life, o *backend.Pace) {
+	w := s.workers[life]
+	if w == nil {
+		return
+	}
+	if t := w.tasks[o.Task]; t != nil && t.runNumber == o.Run {
+		t.paceUnconfirmed = true
+	}
+}
+
 // nextPacePercent returns the new pace of a filling task. latencyShare is the latency
 // of a serving task on the same worker, divided by the task's target; if there are
 // several serving tasks, the highest of these values. A pace of 0 pauses the filling
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -107,6 +107,7 @@
 		w.leaseEnd = end
 	}
 	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
+	t.paceUnconfirmed = true
 	t.step.job.tasksOnWorkers++
 	w.addTask(t)
 }
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -215,7 +215,7 @@
 	j := t.step.job
 	t.runNumber++
 	t.phase, t.worker, t.startToken, t.runConfirmed, t.inCommit = phasePlaced, w, 0, false, false
-	t.startSettled, t.runReported, t.startDelayed = false, false, false
+	t.startSettled, t.runReported, t.startDelayed, t.paceUnconfirmed = false, false, false, false
 	t.startedAt = now
 	w.addTask(t)
 	j.waitingTasks--
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -190,12 +190,13 @@
 	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) { c.StopAnswered(s.life, &o, kind, at) })
 }
 
-// sendPace sends an order that changes how fast a run proceeds. A failure is only
-// logged.
+// sendPace sends an order that changes how fast a run proceeds. The scheduler is only told
+// of a failure.
 func (s *workerSession) sendPace(o backend.Pace) {
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	if err := s.worker.Pace(ctx, o); err != nil && s.ctx.Err() == nil {
 		s.leader.node.log.Info("pace_not_confirmed", "worker", s.life.ID, "task", o.Task.String(), "percent", o.Percent, "error", err.Error())
+		s.leader.updateScheduler(func(c *scheduler.Scheduler, _ time.Time) { c.PaceNotConfirmed(s.life, &o) })
 	}
 }
