Limit direct calls past keepers only while they are not answered

With keepers that reach no worker, some of the runs that only the leader reached still lapsed: the 64 direct calls at a time were all used by waiting holds of other workers. The limit now applies to calls to workers that have not answered such a call since their keeper failed. These are the ones that cost the leader connections for nothing.

TestRunsAreHeldAndStoppedPastKeepers plays this with whole entry VMs: the keepers confirm calls and reach no worker, and the leader does.

--- a/internal/cell/scheduler/stops_test.go
+++ b/internal/cell/scheduler/stops_test.go
@@ -234,7 +234,7 @@
 		sm := newSimulation(rapid.Uint64().Draw(rt, "seed"), faultProbabilities{})
 		sm.addWorkers(3, workerCapacity)
 		sm.electLeader()
-		sm.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 9, Size: taskSize, Lasting: true}}}, fleet.TaskProfile{})
+		sm.submit(&work.Job{ID: "lasting", Queue: "urgent", Steps: []work.Step{{Count: 9, Size: taskSize, Lasting: true}}}, fleet.TaskProfile{})
 		sm.runFor(2 * time.Second)
 		if sm.startCount != 9 {
 			rt.Fatalf("%d tasks run", sm.startCount)
@@ -246,7 +246,7 @@
 		if sm.occursWithProbability(0.3) {
 			sm.restartLeader(0)
 		}
-		sm.cancel("job")
+		sm.cancel("lasting")
 		sm.runFor(sm.randomDuration(50*time.Millisecond, 4*time.Second))
 		clear(sm.unreachableWorkers)
 		sm.runFor(longestUntilEnd)
--- a/internal/node/entryvm/virtual_fleet_test.go
+++ b/internal/node/entryvm/virtual_fleet_test.go
@@ -28,7 +28,9 @@
 	// cutOffUntil maps the ID of each worker that was ever cut off to the time from which calls
 	// reach it again. Until then, calls are lost or late.
 	cutOffUntil map[string]time.Time
-	profiles    map[work.TaskID]fleet.TaskProfile
+	// onlyCaller is the only VM whose calls reach workers, unless it is zero.
+	onlyCaller netip.AddrPort
+	profiles   map[work.TaskID]fleet.TaskProfile
 	// runningOn maps each task that runs to its worker.
 	runningOn map[work.TaskID]*fleet.Worker
 	// acknowledged holds the tasks that have an acknowledged end with the outcome Done.
@@ -165,7 +167,7 @@
 	f := c.fleet
 	f.mutex.Lock()
 	late, repeated, lost := rand.Float64() < f.lateProbability, rand.Float64() < f.repeatProbability, rand.Float64() < f.lostAnswerProbability
-	cutOff := time.Now().Before(f.cutOffUntil[c.id])
+	cutOff := time.Now().Before(f.cutOffUntil[c.id]) || (f.onlyCaller.IsValid() && f.onlyCaller != c.process.address)
 	f.mutex.Unlock()
 	unanswered := func() error {
 		<-ctx.Done()
--- a/internal/node/keeper/dispatcher.go
+++ b/internal/node/keeper/dispatcher.go
@@ -43,7 +43,7 @@
 	log          logr.Logger
 	// lastCallNumber is the number of the last call.
 	lastCallNumber atomic.Int64
-	// bypasses counts the direct calls to workers with a usable keeper that are under way.
+	// bypasses counts the direct calls under way that are limited by maxBypasses.
 	bypasses atomic.Int64
 	// assignment is nil until SetAssignment is called. Until then there are no keepers.
 	assignment atomic.Pointer[Assignment]
--- a/internal/node/keeper/worker.go
+++ b/internal/node/keeper/worker.go
@@ -18,8 +18,8 @@
 	// bypass of the keeper. It limits the direct calls to workers that have crashed.
 	// A stop is not delayed.
 	bypassRetryDelay = 2 * time.Second
-	// maxBypasses is the largest number of direct calls at a time that bypass a keeper.
-	// Stops may double it.
+	// maxBypasses is the largest number of direct calls at a time that bypass a keeper to
+	// a worker that has not answered such a call yet. Stops may double it.
 	maxBypasses = 64
 )
 
@@ -36,8 +36,10 @@
 	directClient backend.Worker
 
 	mutex sync.Mutex
-	// bypassUntil is the time until which the keeper is bypassed.
-	bypassUntil time.Time
+	// bypassUntil is the time until which the keeper is bypassed. bypassAnswered is true if
+	// the worker has answered a direct call in this period.
+	bypassUntil    time.Time
+	bypassAnswered bool
 	// bypassFailedAt is when a direct call that bypassed the keeper last got no answer.
 	bypassFailedAt time.Time
 }
@@ -94,13 +96,16 @@
 // call makes a call through the keeper, or with the function direct.
 func (w *WorkerClient) call(ctx context.Context, c Call, direct func(ctx context.Context) (Answer, error)) (Answer, error) {
 	keeper, ok := w.dispatcher.usableKeeper(&w.registration)
-	bypass := ok && w.beginBypass(c.Stop != nil)
+	bypass, limited := false, false
+	if ok {
+		bypass, limited = w.beginBypass(c.Stop != nil)
+	}
 	if ok && !bypass {
 		c.Life, c.Address = w.registration.Life, w.registration.Address
 		a, err := w.dispatcher.call(ctx, keeper, c.operation(), c)
 		if isUnanswered(err) {
 			w.mutex.Lock()
-			w.bypassUntil = time.Now().Add(bypassTime)
+			w.bypassUntil, w.bypassAnswered = time.Now().Add(bypassTime), false
 			w.mutex.Unlock()
 		}
 		return a, err
@@ -109,17 +114,23 @@
 	defer cancel()
 	a, err := direct(ctx)
 	if bypass {
-		w.endBypass(err)
+		w.endBypass(limited, err)
 	}
 	return a, err
 }
 
 // beginBypass reports whether to bypass the keeper now. If so, endBypass must be called.
-func (w *WorkerClient) beginBypass(isStop bool) bool {
+// limited is true if the call counts towards maxBypasses.
+func (w *WorkerClient) beginBypass(isStop bool) (bypass, limited bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if !time.Now().Before(w.bypassUntil) || (!isStop && time.Since(w.bypassFailedAt) < bypassRetryDelay) {
-		return false
+	switch {
+	case !time.Now().Before(w.bypassUntil):
+		return false, false
+	case w.bypassAnswered:
+		return true, false
+	case !isStop && time.Since(w.bypassFailedAt) < bypassRetryDelay:
+		return false, false
 	}
 	limit := int64(maxBypasses)
 	if isStop {
@@ -127,20 +138,24 @@
 	}
 	if w.dispatcher.bypasses.Add(1) > limit {
 		w.dispatcher.bypasses.Add(-1)
-		return false
+		return false, false
 	}
-	return true
+	return true, true
 }
 
 // endBypass must be called with the result of a call that bypassed the keeper.
-func (w *WorkerClient) endBypass(err error) {
-	w.dispatcher.bypasses.Add(-1)
-	if !isUnanswered(err) {
-		return
+func (w *WorkerClient) endBypass(limited bool, err error) {
+	if limited {
+		w.dispatcher.bypasses.Add(-1)
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.bypassUntil, w.bypassFailedAt = time.Time{}, time.Now()
+	switch {
+	case err == nil:
+		w.bypassAnswered = true
+	case isUnanswered(err):
+		w.bypassUntil, w.bypassFailedAt = time.Time{}, time.Now()
+	}
 }
 
 // isUnanswered reports whether a call has failed because the worker could not be reached,
