--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -37,6 +37,9 @@
 			s.openReadySteps(o, now)
 		}
 	}
+	if j.state.Ended() {
+		s.stopRestoredTasks(j, now)
+	}
 }
 
 // RestoreEnded adds an ended job of which only the progress record is still stored;
@@ -102,6 +105,7 @@
 	s.extendFormerLease(w, now)
 	s.recordWorker(w)
 	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
+	t.paceUnconfirmed = true
 	t.step.job.tasksOnWorkers++
 	w.addTask(t)
 }
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -48,6 +48,7 @@
 	// hasUnreportedStart. delayedStarts holds the starts that wait for the answer.
 	acknowledging bool
 	delayedStarts []Order[backend.Start]
+	lostStops     lostStops
 	// clockReading is the reading of the worker's clock at clockReadAt.
 	clockReading time.Duration
 	clockReadAt  time.Time
@@ -253,6 +254,9 @@
 		old.removeTask(t)
 		t.worker, t.runConfirmed = next, false
 		next.addTask(t)
+		if t.phase == phaseStopping {
+			next.lostStops.add(runID{t.id, t.runNumber}) // The order named the earlier process.
+		}
 		if t.phase == phaseRunning {
 			t.phase = phaseStartOrdered
 		}
