Write log lines in pieces that a pipe takes at once

Cause: all lines of 20 ms were handed over with one write.

Change: a write holds at most 4,096 bytes (PIPE_BUF) and ends at a line end. A longer line is written alone.

--- a/internal/operate/logbuffer/logbuffer.go
+++ b/internal/operate/logbuffer/logbuffer.go
@@ -3,6 +3,7 @@
 package logbuffer
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -12,6 +13,9 @@
 const (
 	// maxPendingBytes is the maximum size of the pending lines.
 	maxPendingBytes = 1 << 20
+	// maxWriteBytes limits what one call of Write hands over. A pipe takes up to this
+	// many bytes (PIPE_BUF) at once; readers may drop the rest of a longer write.
+	maxWriteBytes = 4096
 	// flushInterval is how long lines are collected before they are written.
 	flushInterval = 20 * time.Millisecond
 	// closeTimeout is how long Close waits for the pending lines to be written.
@@ -81,19 +85,46 @@
 		case <-b.wake:
 			time.Sleep(flushInterval)
 		case <-b.closing:
-			_, _ = b.out.Write(b.swapPending(nil)) // An error cannot be reported any more.
+			b.writeLines(b.swapPending(nil)) // An error cannot be reported any more.
 			return
 		}
 		lines := b.swapPending(spare)
-		if _, err := b.out.Write(lines); err != nil {
+		if dropped := b.writeLines(lines); dropped > 0 {
 			b.mutex.Lock()
-			b.droppedLines++
+			b.droppedLines += dropped
 			b.mutex.Unlock()
 		}
 		spare = lines
 	}
 }
 
+// writeLines writes lines with calls of at most maxWriteBytes that end at line ends. A
+// longer line is written alone. It returns the number of lines that could not be written.
+func (b *Buffer) writeLines(lines []byte) (dropped int) {
+	for len(lines) > 0 {
+		n := firstWriteLength(lines)
+		if _, err := b.out.Write(lines[:n]); err != nil {
+			dropped += bytes.Count(lines[:n], []byte{'\n'})
+		}
+		lines = lines[n:]
+	}
+	return dropped
+}
+
+// firstWriteLength returns how many bytes of the lines the next write takes.
+func firstWriteLength(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if i := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(lines, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(lines)
+}
+
 // Close writes the pending lines. It gives up after closeTimeout when the output
 // blocks.
 func (b *Buffer) Close() {
