Add gauges to the metrics

Cause: the metrics had counters and histograms only, so they could not show how many runs are without a session at present.

Change: Set and Unset of a gauge, printed like a counter.

Measured: TestWritePrintsTheLastValueOfAGauge.

--- a/internal/operate/measure/measure.go
+++ b/internal/operate/measure/measure.go
@@ -1,4 +1,4 @@
-// Package measure collects counters and latency histograms and prints them as text.
+// Package measure collects counters, gauges and latency histograms and prints them as text.
 package measure
 
 import (
@@ -18,11 +18,11 @@
 	significantDigits       = 2
 )
 
-// Key identifies a counter or a histogram.
+// Key identifies a counter, a gauge or a histogram.
 type Key struct {
 	Name string
-	// Label distinguishes counters or histograms of the same name, for example by
-	// queue, store topic or error kind. It may be empty.
+	// Label distinguishes measures of the same name, for example by queue, store topic
+	// or error kind. It may be empty.
 	Label string
 }
 
@@ -34,16 +34,17 @@
 	return k.Name + "{" + k.Label + "}"
 }
 
-// Set holds the counters and histograms of one process.
+// Set holds the counters, gauges and histograms of one process.
 type Set struct {
 	mutex      sync.Mutex
 	counters   map[Key]int64
+	gauges     map[Key]int64
 	histograms map[Key]*hdrhistogram.Histogram
 }
 
 // New returns an empty set.
 func New() *Set {
-	return &Set{counters: map[Key]int64{}, histograms: map[Key]*hdrhistogram.Histogram{}}
+	return &Set{counters: map[Key]int64{}, gauges: map[Key]int64{}, histograms: map[Key]*hdrhistogram.Histogram{}}
 }
 
 // Count adds one to a counter.
@@ -53,6 +54,20 @@
 	s.counters[k]++
 }
 
+// Set sets a gauge to its present value. A gauge and a counter must not have the same key.
+func (s *Set) Set(k Key, value int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.gauges[k] = value
+}
+
+// Unset removes a gauge that has no value at present.
+func (s *Set) Unset(k Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.gauges, k)
+}
+
 // Observe adds a time to a histogram. A time outside the range of the histogram is
 // recorded as the nearest bound.
 func (s *Set) Observe(k Key, d time.Duration) {
@@ -70,7 +85,7 @@
 // percentiles lists the percentiles that Write prints for each histogram.
 var percentiles = []float64{50, 95, 99}
 
-// Write prints one line for each counter, and for each histogram its count and
+// Write prints one line for each counter and gauge, and for each histogram its count and
 // its percentiles.
 func (s *Set) Write(w io.Writer) error {
 	s.mutex.Lock()
@@ -79,6 +94,9 @@
 	for k, v := range s.counters {
 		lines = append(lines, fmt.Sprintf("%s %d\n", k, v))
 	}
+	for k, v := range s.gauges {
+		lines = append(lines, fmt.Sprintf("%s %d\n", k, v))
+	}
 	for k, h := range s.histograms {
 		lines = append(lines, fmt.Sprintf("%s_count %d\n", k, h.TotalCount()))
 		for _, q := range percentiles {
--- a/internal/operate/measure/measure_test.go
+++ b/internal/operate/measure/measure_test.go
@@ -10,6 +10,24 @@
 	"github.com/almondpost/almondpost/internal/operate/measure"
 )
 
+func TestWritePrintsTheLastValueOfAGauge(t *testing.T) {
+	is := is.New(t)
+	s := measure.New()
+	write := func() string {
+		var text strings.Builder
+		is.NoErr(s.Write(&text))
+		return text.String()
+	}
+	k := measure.Key{Name: "runs_without_session"}
+	s.Set(k, 12)
+	s.Set(k, 3)
+	is.Equal(write(), "runs_without_session 3\n")
+	s.Set(k, 0)
+	is.Equal(write(), "runs_without_session 0\n") // 0 is a value.
+	s.Unset(k)
+	is.Equal(write(), "")
+}
+
 func TestWritePrintsCountersAndPercentiles(t *testing.T) {
 	is := is.New(t)
 	s := measure.New()
