Sum the lines of workers that are opened at once

Change: if more than 16 workers are opened with one list, one line workers_opened for each service and zone takes their place. Fewer workers keep their own lines.

--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -166,6 +166,9 @@
 	eventSequence          int64
 	endedJobsLastDroppedAt time.Time
 	loadLastLoggedAt       time.Time
+	// openedWorkers lists the workers for which a session was opened and that no line
+	// names yet.
+	openedWorkers []*worker
 }
 
 // New returns a scheduler without jobs. now is the current time on a clock that does
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -120,6 +120,7 @@
 		listed[list[i].Life] = true
 		s.updateRegistration(list[i], now)
 	}
+	s.logOpenedWorkers()
 	for _, life := range s.sortedLives() {
 		if w := s.workers[life]; w.registered && !listed[life] {
 			w.registered = false
@@ -159,7 +160,7 @@
 	if !w.sessionOpen && !w.removed {
 		w.sessionOpen = true
 		s.effects.SessionsToOpen = append(s.effects.SessionsToOpen, r)
-		s.log.Info("worker_opened", "worker", r.Life.ID, "born", r.Life.Born, "token", w.token, "service", r.Service, "zone", r.Zone, "capacity", r.Capacity.String())
+		s.openedWorkers = append(s.openedWorkers, w)
 	}
 	s.stopLastingTasksIfDraining(w, now)
 }
