Log which workers with runs are not held, and why

Change: worker_unheld once a worker with runs has answered no hold for holdWait plus 1 s, and worker_held_again. worker_without_session for a worker of a restored task that has no address, and session_opened_late. All tell the reason, the way of the last hold (keeper or direct) and how long ago the last extension was sent, and was confirmed. run_lapsed and run_ended with outcome lapsed tell the latter too. At most 20 of these lines are written each second; the other workers are summed by event and zone in worker_lines_summed, with the names of up to 100.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -35,8 +35,9 @@
 	}
 	if hold.Deadline > 0 {
 		w.extendLease(now, s.timing)
+		w.held.extensionSentAt = now
 	}
-	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, acknowledged: hold.Acknowledged, sentAt: now}, true
+	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, acknowledged: hold.Acknowledged, sentAt: now, extends: hold.Deadline > 0}, true
 }
 
 // hasUnreportedStart reports whether a start was ordered on the worker that its present
@@ -94,6 +95,8 @@
 	// acknowledged is the number of the last end that the hold acknowledged, or 0.
 	acknowledged int64
 	sentAt       time.Time
+	// extends is true if the hold extends the lease.
+	extends bool
 }
 
 // HoldFailed handles a hold that was not answered or that the worker refused. kind is
@@ -103,6 +106,7 @@
 	if w == nil {
 		return
 	}
+	w.held.failure = kind
 	switch kind {
 	case backend.KindLifeMismatch:
 		s.replaceWorker(w, now)
@@ -132,6 +136,7 @@
 		s.otherProcessAnswered(w, backend.Life{ID: life.ID, Born: r.Life.Born}, now)
 		return
 	}
+	s.noteAnswer(w, sent, now)
 	w.lastAnswerAt, w.unansweredHolds = now, 0
 	w.forgottenEndNumber = max(w.forgottenEndNumber, sent.acknowledged)
 	s.sendDelayedStarts(w)
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -115,7 +115,7 @@
 		if exclude != nil && exclude(t) {
 			continue
 		}
-		s.log.Info("run_lapsed", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken)
+		s.log.Info("run_lapsed", append([]any{"task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken}, w.extensionFields(now)...)...)
 		s.requeueTask(t)
 		s.stopOtherGangMembers(t, now)
 	}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -88,7 +88,7 @@
 
 // applyRunEnd handles the end of a run that a worker has reported.
 func (s *Scheduler) applyRunEnd(w *worker, e *backend.EndedRun, now time.Time) {
-	s.log.Info("run_ended", "task", e.Task.String(), "run", e.Run, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "number", e.Number, "outcome", string(e.Outcome))
+	s.logRunEnd(w, e, now)
 	t := s.findTask(e.Task)
 	if t == nil {
 		return
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -166,6 +166,7 @@
 	eventSequence          int64
 	endedJobsLastDroppedAt time.Time
 	loadLastLoggedAt       time.Time
+	workerLines            workerLines
 	// openedWorkers lists the workers for which a session was opened and that no line
 	// names yet.
 	openedWorkers []*worker
@@ -235,6 +236,7 @@
 // that have expired, opens due occurrences and removes ended jobs. It must be called
 // at regular intervals.
 func (s *Scheduler) Tick(now time.Time) {
+	s.watchHolds(now)
 	s.expireLeases(now)
 	s.openDueOccurrences(now)
 	s.expireAdviceRequests(now)
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -52,6 +52,7 @@
 	// further hold renews their lease.
 	leaseEnd     time.Time
 	lastAnswerAt time.Time
+	held         holdTimes
 	// unansweredHolds counts the holds sent since the worker last answered one.
 	unansweredHolds int
 	// requestsInFlight counts the unanswered requests for advice that name the
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -42,11 +42,12 @@
 type workerSession struct {
 	leader *leader
 	// life identifies the worker process.
-	life   backend.Life
-	worker backend.Worker
-	ctx    context.Context
-	cancel context.CancelFunc
-	mutex  sync.Mutex
+	life         backend.Life
+	registration backend.Registration
+	worker       backend.Worker
+	ctx          context.Context
+	cancel       context.CancelFunc
+	mutex        sync.Mutex
 	// cancelHold cancels the hold that is in flight.
 	cancelHold context.CancelFunc
 	// holdInterrupted is true if interruptHold was called since the current hold began.
@@ -55,7 +56,7 @@
 
 func newWorkerSession(l *leader, r backend.Registration) *workerSession {
 	ctx, cancel := context.WithCancel(l.ctx)
-	return &workerSession{leader: l, life: r.Life, worker: l.dialWorker(r), ctx: ctx, cancel: cancel}
+	return &workerSession{leader: l, life: r.Life, registration: r, worker: l.dialWorker(r), ctx: ctx, cancel: cancel}
 }
 
 // close ends the session and closes the connection to the worker.
@@ -95,8 +96,10 @@
 	var hold backend.Hold
 	var sent scheduler.SentHold
 	ok := false
+	way := s.leader.node.dispatcher.Way(&s.registration)
 	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
 		hold, sent, ok = c.NextHold(s.life, at)
+		c.HoldSent(s.life, way)
 	})
 	if !ok {
 		return false
