Log when the last run of an ended job has ended

Change: job_runs_ended, once for each cancelled or failed job that had runs when it ended: how many, the time since then, and how the last one ended. A leader that has taken over counts from the stored end of the job, by the clocks of both VMs.

Measured: TestEndOfTheLastRunIsLogged: one line for runs that are stopped, that lapse, and that the next leader stops, before and after the end of the job is stored; none if no task was started.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -61,7 +61,7 @@
 
 // sendDelayedStarts sends the starts that were delayed by an acknowledgement, with the
 // present fencing token. A task that was stopped meanwhile is requeued instead.
-func (s *Scheduler) sendDelayedStarts(w *worker) {
+func (s *Scheduler) sendDelayedStarts(w *worker, now time.Time) {
 	w.acknowledging = false
 	delayed := w.delayedStarts
 	w.delayedStarts = nil
@@ -73,6 +73,7 @@
 		t.startDelayed = false
 		if t.phase != phaseStartOrdered {
 			s.requeueTask(t)
+			s.logIfRunsEnded(t, w, "withdrawn", now)
 			continue
 		}
 		t.startToken, o.Order.Token = w.token, w.token
@@ -118,7 +119,7 @@
 			w.token++
 		}
 	}
-	s.sendDelayedStarts(w)
+	s.sendDelayedStarts(w, now)
 }
 
 // fencedTokenIncrement is added to the fencing token of a worker after the worker has
@@ -139,7 +140,7 @@
 	s.noteAnswer(w, sent, now)
 	w.lastAnswerAt, w.unansweredHolds = now, 0
 	w.forgottenEndNumber = max(w.forgottenEndNumber, sent.acknowledged)
-	s.sendDelayedStarts(w)
+	s.sendDelayedStarts(w, now)
 	w.setClockReading(r.Clock, now)
 	for i := range r.Ended {
 		if e := &r.Ended[i]; e.Number > w.lastHandledEndNumber {
@@ -254,6 +255,7 @@
 		}
 		s.log.Info("run_absent", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken, "hold_token", sent.token)
 		s.requeueTask(t)
+		s.logIfRunsEnded(t, w, "absent", now)
 		s.stopOtherGangMembers(t, now)
 	}
 }
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -38,6 +38,8 @@
 	// waitingTasks counts the tasks of open steps that wait for a worker.
 	// tasksOnWorkers counts the tasks that use capacity of a worker.
 	waitingTasks, tasksOnWorkers int
+	// remainingRuns describes the runs that may exist when the job ends.
+	remainingRuns remainingRuns
 	// criticalPaths holds, for each step, the declared run time of its critical path:
 	// the longest chain of dependent steps that ends with it.
 	criticalPaths []time.Duration
@@ -209,6 +211,7 @@
 		}
 	}
 	j.waitingTasks = 0
+	j.noteRemainingRuns(now)
 	s.markJobDirty(j)
 	s.reportIfEnded(j, state)
 }
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -117,6 +117,7 @@
 		}
 		s.log.Info("run_lapsed", append([]any{"task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken}, w.extensionFields(now)...)...)
 		s.requeueTask(t)
+		s.logIfRunsEnded(t, w, "lapsed", now)
 		s.stopOtherGangMembers(t, now)
 	}
 }
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -27,6 +27,7 @@
 	for i := range p.Steps {
 		s.restoreStep(j, &p.Steps[i], now)
 	}
+	s.restoreRemainingRuns(j, p, now)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			if st.tasksLeft == 0 {
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -83,6 +83,7 @@
 	default:
 	}
 	s.requeueTask(t)
+	s.logIfRunsEnded(t, w, "refused", now)
 	s.stopOtherGangMembers(t, now)
 }
 
@@ -106,6 +107,7 @@
 		s.releaseTaskCapacity(t)
 		t.phase = phaseDone
 		s.markJobDirty(t.step.job)
+		s.logIfRunsEnded(t, w, "ended", now)
 		return
 	}
 	switch e.Outcome {
