Name no way for a hold that was not sent

Cause: a worker without a session was logged with via=direct.

Change: via and extended_via are "none" if there was no such hold.

Measured: TestRunsWithoutSession.

--- a/internal/cell/scheduler/held.go
+++ b/internal/cell/scheduler/held.go
@@ -14,7 +14,7 @@
 // holdTimes says when and by which way a worker was held. The zero time stands for never,
 // the zero address for the direct way, without a keeper.
 type holdTimes struct {
-	answeredAt time.Time
+	sentAt, answeredAt time.Time
 	// failure is the kind of error of the last hold that failed.
 	failure backend.Kind
 	// via is the keeper of the last hold that was sent.
@@ -139,7 +139,7 @@
 
 // holdFields returns the fields of a log line that say when this leader last held the worker.
 func (w *worker) holdFields(now time.Time) []any {
-	return append([]any{"last_answer_ms", millisecondsSince(w.held.answeredAt, now), "via", wayName(w.held.via)}, w.extensionFields(now)...)
+	return append([]any{"last_answer_ms", millisecondsSince(w.held.answeredAt, now), "via", wayName(w.held.via, w.held.sentAt)}, w.extensionFields(now)...)
 }
 
 // extensionFields returns the fields of a log line that say how long ago this leader last
@@ -147,7 +147,7 @@
 func (w *worker) extensionFields(now time.Time) []any {
 	return []any{
 		"last_extension_ms", millisecondsSince(w.held.extensionSentAt, now),
-		"confirmed_extension_ms", millisecondsSince(w.held.extensionConfirmedAt, now), "extended_via", wayName(w.held.extensionVia),
+		"confirmed_extension_ms", millisecondsSince(w.held.extensionConfirmedAt, now), "extended_via", wayName(w.held.extensionVia, w.held.extensionConfirmedAt),
 	}
 }
 
@@ -171,10 +171,15 @@
 	return now.Sub(at).Milliseconds()
 }
 
-// wayName names the way of a hold: the address of the keeper, or "direct".
-func wayName(keeper netip.AddrPort) string {
-	if !keeper.IsValid() {
+// wayName names the way of a hold that was sent at a given time: the address of the keeper,
+// "direct", or "none" if there was no such hold.
+func wayName(keeper netip.AddrPort, at time.Time) string {
+	switch {
+	case at.IsZero():
+		return "none"
+	case !keeper.IsValid():
 		return "direct"
+	default:
+		return keeper.String()
 	}
-	return keeper.String()
 }
--- a/internal/cell/scheduler/held_test.go
+++ b/internal/cell/scheduler/held_test.go
@@ -81,7 +81,7 @@
 	next.Tick(sm.now.Add(2100 * time.Millisecond))
 	is.Equal(next.UnheldWorkers(), 2)
 	is.Equal(len(r.of("worker_unheld")), 2)
-	is.True(hasFields(r.of("worker_unheld")[0], "session=false", "listed=false", "reason=not listed, address unknown", "last_extension_ms=-1", "confirmed_extension_ms=-1", "last_answer_ms=-1"))
+	is.True(hasFields(r.of("worker_unheld")[0], "session=false", "listed=false", "reason=not listed, address unknown", "last_extension_ms=-1", "confirmed_extension_ms=-1", "last_answer_ms=-1", "via=none", "extended_via=none"))
 
 	next.SetWorkers(sm.registrations(), sm.now.Add(2200*time.Millisecond))
 	is.Equal(next.RunsWithoutSession(), 0)
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -30,6 +30,7 @@
 	// worker has restarted.
 	mayWait := w.unansweredHolds == 0
 	w.unansweredHolds++
+	w.held.sentAt = now
 	if mayWait && (!guarded || !acknowledgementDue) && !w.tokenUnconfirmed() && w.lastHandledEndNumber == w.lastStoredEndNumber {
 		hold.Wait = s.holdWait()
 	}
