Show runs without session and unheld workers in metrics and process_load

Change: the leader sets the gauges runs_without_session and unheld_workers at each tick and removes them when it stops. Its line process_load has both.

--- a/internal/node/entryvm/keeper_faults_test.go
+++ b/internal/node/entryvm/keeper_faults_test.go
@@ -58,6 +58,9 @@
 	nodes     []*entryvm.Node
 	processes []*virtualProcess
 	links     []*memory.Link
+	measures  []*measure.Set
+	// newLog returns the log of a VM.
+	newLog func(vm string) logr.Logger
 	// log holds the lines of all VMs and workers.
 	log []string
 }
@@ -85,10 +88,15 @@
 }
 
 func newVirtualCell(t *testing.T, seed uint64) *virtualCell {
+	return newVirtualCellWithLog(t, seed, (*virtualCell).keptLog)
+}
+
+func newVirtualCellWithLog(t *testing.T, seed uint64, newLog func(c *virtualCell, vm string) logr.Logger) *virtualCell {
 	c := &virtualCell{
 		is: is.New(t), random: rand.New(rand.NewPCG(seed, 5)), network: newVirtualNetwork(), store: memory.New(),
-		nodes: make([]*entryvm.Node, virtualVMs), processes: make([]*virtualProcess, virtualVMs), links: make([]*memory.Link, virtualVMs),
+		nodes: make([]*entryvm.Node, virtualVMs), processes: make([]*virtualProcess, virtualVMs), links: make([]*memory.Link, virtualVMs), measures: make([]*measure.Set, virtualVMs),
 	}
+	c.newLog = func(vm string) logr.Logger { return newLog(c, vm) }
 	c.fleet = newVirtualFleet(c.network, func(format string, args ...any) { c.addLogLine("", fmt.Sprintf(format, args...)) })
 	text, err := json.Marshal(queue.Table{Version: 1, Queues: []queue.Queue{{Name: "mail", Host: "h", Prefix: "/", Service: "desk", Priority: 2, Stretch: 2, Objective: time.Second}}})
 	c.is.NoErr(err)
@@ -141,24 +149,29 @@
 	process := &virtualProcess{network: c.network, address: address, killed: make(chan struct{})}
 	link := memory.NewLink(c.store)
 	link.DelayCalls(2 * time.Millisecond)
-	log := logr.Discard()
-	if keepVirtualLog {
-		log = funcr.New(func(_, args string) {
-			if !strings.Contains(args, "process_load") && !strings.Contains(args, "waiting_tasks") {
-				c.addLogLine(name, args)
-			}
-		}, funcr.Options{})
-	}
+	measures := measure.New()
 	n, err := entryvm.New(entryvm.Settings{
 		Name: name, Domain: fmt.Sprintf("domain-%d", i%virtualDomains), Fitness: 1, ListenAddress: address,
 		Timing: scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxOrderDelay, EndedJobRetention: time.Hour},
 	}, entryvm.Dependencies{
 		Network: process, Store: &frozenStore{link, process}, Dial: c.fleet.dialFrom(process), DecodeTable: decodeTable, DecodeRegistration: memory.DecodeRegistration,
-	}, measure.New(), log)
+	}, measures, c.newLog(name))
 	c.is.NoErr(err)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.nodes[i], c.processes[i], c.links[i] = n, process, link
+	c.nodes[i], c.processes[i], c.links[i], c.measures[i] = n, process, link, measures
+}
+
+// keptLog returns a log that keeps the lines for linesOf if keepVirtualLog is set.
+func (c *virtualCell) keptLog(vm string) logr.Logger {
+	if !keepVirtualLog {
+		return logr.Discard()
+	}
+	return funcr.New(func(_, args string) {
+		if !strings.Contains(args, "process_load") && !strings.Contains(args, "waiting_tasks") {
+			c.addLogLine(vm, args)
+		}
+	}, funcr.Options{})
 }
 
 // keepVirtualLog makes a failed seed print the log lines of its tasks.
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -158,6 +158,7 @@
 	for _, s := range l.sessions {
 		s.close()
 	}
+	l.removeHeldGauges()
 	l.mutex.Unlock()
 	l.node.log.Info("leader_retired", "epoch", l.epoch)
 }
@@ -284,6 +285,7 @@
 		l.assignKeepers()
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
 			s.Tick(at)
+			l.setHeldGauges(s)
 			s.SetAdviceVMs(l.reachableVMs(at))
 		})
 		if successors := l.handOverCandidates(now()); len(successors) > 0 {
--- a/internal/node/entryvm/load.go
+++ b/internal/node/entryvm/load.go
@@ -19,7 +19,7 @@
 
 // loadDetails returns what process_load says beyond the figures of the process: how many
 // calls to workers are unanswered, and on the leader how long updates of the scheduler
-// waited for each other and took.
+// waited for each other and took, and how many runs and workers are not held.
 func (n *Node) loadDetails() []any {
 	details := []any{"forwarded_calls", n.forwarder.PendingCalls()}
 	l := n.activeLeader()
@@ -29,8 +29,10 @@
 	l.mutex.Lock()
 	u := l.updateTimes
 	l.updateTimes = updateTimes{}
+	runsWithoutSession, unheldWorkers := l.scheduler.RunsWithoutSession(), l.scheduler.UnheldWorkers()
 	l.mutex.Unlock()
 	return append(details, "calls", n.dispatcher.PendingCalls(), "updates", u.updates,
 		"waited_ms", u.waited.Milliseconds(), "longest_wait_ms", u.longestWait.Milliseconds(),
-		"updating_ms", u.updating.Milliseconds(), "longest_update_ms", u.longestTime.Milliseconds())
+		"updating_ms", u.updating.Milliseconds(), "longest_update_ms", u.longestTime.Milliseconds(),
+		"runs_without_session", runsWithoutSession, "unheld_workers", unheldWorkers)
 }
