Show in explain when a leader retired

Cause: the last extension of a lease by an earlier leader is bounded by the end of that leader, which explain did not print.

Change: leader_retired is one of the events that affect all jobs.

Measured: TestJobPrintsEventsInOrder expects the line and fails without the change.

--- a/internal/operate/explain/explain.go
+++ b/internal/operate/explain/explain.go
@@ -40,7 +40,7 @@
 var timePattern = regexp.MustCompile(`\btime=(\S+)`)
 
 // contextEvents are events that name no job but affect all jobs.
-var contextEvents = []string{"claim_gained", "claim_lost", "take_over_done", "store_lost", "store_regained", "drain_started", "configuration_accepted"}
+var contextEvents = []string{"claim_gained", "claim_lost", "leader_retired", "take_over_done", "store_lost", "store_regained", "drain_started", "configuration_accepted"}
 
 // PrintJobHistory prints the events of a job in chronological order, with the time since the
 // first one. It includes the contextEvents between the first and the last event of
--- a/internal/operate/explain/explain_test.go
+++ b/internal/operate/explain/explain_test.go
@@ -13,6 +13,7 @@
 
 const firstLogText = `time=2026-02-14T03:02:33.500Z level=INFO event=job_accepted vm=a job=0123 queue=mail
 time=2026-02-14T03:02:33.100Z level=INFO event=claim_gained vm=a epoch=1
+time=2026-02-14T03:02:34.050Z level=INFO event=leader_retired vm=b epoch=1
 time=2026-02-14T03:02:34.100Z level=INFO event=claim_gained vm=a epoch=2
 not a log line`
 
@@ -26,6 +27,7 @@
 	is.NoErr(explain.PrintJobHistory(&text, "0123", []io.Reader{strings.NewReader(secondLogText), strings.NewReader(firstLogText)}))
 	is.Equal(text.String(), `  +0.000s event=job_accepted vm=a job=0123 queue=mail
   +0.100s event=start_ordered vm=b task=0123.0.0.0 run=1
+  +0.550s event=leader_retired vm=b epoch=1
   +0.600s event=claim_gained vm=a epoch=2
   +1.100s event=job_completed vm=b job=0123
 `)
