--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -30,13 +30,15 @@
 	// worker has restarted.
 	mayWait := w.unansweredHolds == 0
 	w.unansweredHolds++
+	w.held.sentAt = now
 	if mayWait && (!guarded || !acknowledgementDue) && !w.tokenUnconfirmed() && w.lastHandledEndNumber == w.lastStoredEndNumber {
 		hold.Wait = s.holdWait()
 	}
 	if hold.Deadline > 0 {
 		w.extendLease(now, s.timing)
+		w.held.extensionSentAt = now
 	}
-	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, acknowledged: hold.Acknowledged, sentAt: now}, true
+	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, acknowledged: hold.Acknowledged, sentAt: now, extends: hold.Deadline > 0}, true
 }
 
 // hasUnreportedStart reports whether a start was ordered on the worker that its present
@@ -60,7 +62,7 @@
 
 // sendDelayedStarts sends the starts that were delayed by an acknowledgement, with the
 // present fencing token. A task that was stopped meanwhile is requeued instead.
-func (s *Scheduler) sendDelayedStarts(w *worker) {
+func (s *Scheduler) sendDelayedStarts(w *worker, now time.Time) {
 	w.acknowledging = false
 	delayed := w.delayedStarts
 	w.delayedStarts = nil
@@ -72,6 +74,7 @@
 		t.startDelayed = false
 		if t.phase != phaseStartOrdered {
 			s.requeueTask(t)
+			s.logIfRunsEnded(t, w, "withdrawn", now)
 			continue
 		}
 		t.startToken, o.Order.Token = w.token, w.token
@@ -94,6 +97,8 @@
 	// acknowledged is the number of the last end that the hold acknowledged, or 0.
 	acknowledged int64
 	sentAt       time.Time
+	// extends is true if the hold extends the lease.
+	extends bool
 }
 
 // HoldFailed handles a hold that was not answered or that the worker refused. kind is
@@ -103,6 +108,7 @@
 	if w == nil {
 		return
 	}
+	w.held.failure = kind
 	switch kind {
 	case backend.KindLifeMismatch:
 		s.replaceWorker(w, now)
@@ -114,7 +120,7 @@
 			w.token++
 		}
 	}
-	s.sendDelayedStarts(w)
+	s.sendDelayedStarts(w, now)
 }
 
 // fencedTokenIncrement is added to the fencing token of a worker after the worker has
@@ -132,9 +138,10 @@
 		s.otherProcessAnswered(w, backend.Life{ID: life.ID, Born: r.Life.Born}, now)
 		return
 	}
+	s.noteAnswer(w, sent, now)
 	w.lastAnswerAt, w.unansweredHolds = now, 0
 	w.forgottenEndNumber = max(w.forgottenEndNumber, sent.acknowledged)
-	s.sendDelayedStarts(w)
+	s.sendDelayedStarts(w, now)
 	w.setClockReading(r.Clock, now)
 	for i := range r.Ended {
 		if e := &r.Ended[i]; e.Number > w.lastHandledEndNumber {
@@ -250,6 +257,7 @@
 		}
 		s.log.Info("run_absent", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken, "hold_token", sent.token)
 		s.requeueTask(t)
+		s.logIfRunsEnded(t, w, "absent", now)
 		s.stopOtherGangMembers(t, now)
 	}
 }
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -56,6 +56,7 @@
 	// further hold renews their lease.
 	leaseEnd     time.Time
 	lastAnswerAt time.Time
+	held         holdTimes
 	// unansweredHolds counts the holds sent since the worker last answered one.
 	unansweredHolds int
 	// requestsInFlight counts the unanswered requests for advice that name the
@@ -124,6 +125,7 @@
 		listed[list[i].Life] = true
 		s.updateRegistration(list[i], now)
 	}
+	s.logOpenedWorkers()
 	for _, life := range s.sortedLives() {
 		if w := s.workers[life]; w.registered && !listed[life] {
 			w.registered = false
@@ -162,7 +164,6 @@
 	s.pools = nil
 	if !w.sessionOpen && !w.removed {
 		s.openSession(w)
-		s.log.Info("worker_opened", "worker", r.Life.ID, "born", r.Life.Born, "token", w.token, "service", r.Service, "zone", r.Zone, "capacity", r.Capacity.String())
 	}
 	s.stopLastingTasksIfDraining(w, now)
 }
@@ -171,6 +172,7 @@
 func (s *Scheduler) openSession(w *worker) {
 	w.sessionOpen = true
 	s.effects.SessionsToOpen = append(s.effects.SessionsToOpen, w.registration)
+	s.openedWorkers = append(s.openedWorkers, w)
 }
 
 // formerToken is the last fencing token of a removed worker.
@@ -302,6 +304,7 @@
 	if !next.sessionOpen {
 		next.registration.Address, next.registration.Zone = w.registration.Address, w.registration.Zone
 		s.openSession(next)
+		s.logOpenedWorkers()
 	}
 	s.replaceProcess(w, next, "another life of the worker answered", now)
 	s.latestWorkerByID[life.ID] = next
--- a/internal/cell/scheduler/worker_record.go
+++ b/internal/cell/scheduler/worker_record.go
@@ -118,4 +118,5 @@
 		s.extendFormerLease(w, now)
 		s.openSession(w)
 	}
+	s.logOpenedWorkers()
 }
--- a/internal/node/entryvm/keepers.go
+++ b/internal/node/entryvm/keepers.go
@@ -43,7 +43,7 @@
 }
 
 // dialWorker returns a client that calls a worker through its keeper.
-func (l *leader) dialWorker(r backend.Registration) backend.Worker {
+func (l *leader) dialWorker(r backend.Registration) *keeper.WorkerClient {
 	return keeper.NewWorkerClient(l.node.dispatcher, r, l.node.dependencies.Dial(r))
 }
 
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -44,7 +44,7 @@
 	// life identifies the worker process, and domain is its failure domain.
 	life   backend.Life
 	domain string
-	worker backend.Worker
+	worker *keeper.WorkerClient
 	ctx    context.Context
 	cancel context.CancelFunc
 	mutex  sync.Mutex
@@ -113,7 +113,10 @@
 		if !s.wasHoldInterrupted() {
 			s.leader.node.log.Info("hold_failed", "worker", s.life.ID, "kind", string(kind), "error", err.Error())
 		}
-		s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) { c.HoldFailed(s.life, kind, at) })
+		s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
+			c.HoldSent(s.life, s.worker.KeeperOfLastHold())
+			c.HoldFailed(s.life, kind, at)
+		})
 		if kind == backend.KindFenced {
 			s.leader.signalClaimRenewal()
 			sleep(s.ctx, fencedHoldRetryPause)
@@ -122,7 +125,10 @@
 		}
 		return true
 	}
-	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) { c.HoldAnswered(s.life, sent, &report, at) })
+	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
+		c.HoldSent(s.life, s.worker.KeeperOfLastHold())
+		c.HoldAnswered(s.life, sent, &report, at)
+	})
 	if len(report.Ended) > 0 {
 		s.awaitReportedEndsStored()
 		if hold.Wait == 0 && hold.Acknowledged == 0 {
--- a/internal/node/keeper/worker.go
+++ b/internal/node/keeper/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -40,6 +41,9 @@
 	// the worker has answered a direct call in this period.
 	bypassUntil    time.Time
 	bypassAnswered bool
+	// keeperOfLastHold is the keeper through which the last hold went, or the zero value if
+	// it went directly.
+	keeperOfLastHold netip.AddrPort
 	// bypassFailedAt is when a direct call that bypassed the keeper last got no answer.
 	bypassFailedAt time.Time
 }
@@ -100,6 +104,9 @@
 	if ok {
 		bypass, limited = w.beginBypass(c.Stop != nil)
 	}
+	if c.Hold != nil {
+		w.noteHold(keeper, ok && !bypass)
+	}
 	if ok && !bypass {
 		c.Life, c.Address = w.registration.Life, w.registration.Address
 		a, err := w.dispatcher.call(ctx, keeper, c.operation(), c)
@@ -119,6 +126,24 @@
 	return a, err
 }
 
+// noteHold notes by which way a hold goes.
+func (w *WorkerClient) noteHold(keeper netip.AddrPort, throughKeeper bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.keeperOfLastHold = netip.AddrPort{}
+	if throughKeeper {
+		w.keeperOfLastHold = keeper
+	}
+}
+
+// KeeperOfLastHold returns the address of the keeper through which the last hold went, or
+// the zero value if it went directly.
+func (w *WorkerClient) KeeperOfLastHold() netip.AddrPort {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.keeperOfLastHold
+}
+
 // beginBypass reports whether to bypass the keeper now. If so, endBypass must be called.
 // limited is true if the call counts towards maxBypasses.
 func (w *WorkerClient) beginBypass(isStop bool) (bypass, limited bool) {
