Check in the simulation that runs of ended jobs stop and that the leader holds all runs

No check of the simulation looked at what goes on after a cancellation.

The new property plays random jobs, cancellations and overlapping faults (leaders killed, frozen, superseded twice, cut off from the store; keepers replaced, losing answers or calls; zones cut, entries that lapse, draining, restarting workers and reused addresses) and checks every 50 ms that runs of ended jobs stop within 3.9 s of reachable time, and that the leader has a session with each reachable worker of a stored placement.

--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -98,6 +98,7 @@
 	// useDeclaredAdviceTimes makes each request for advice take as long as the
 	// queue's AdviceCost says. Otherwise it takes a random time.
 	useDeclaredAdviceTimes bool
+	callFaults             callFaults
 }
 
 // maxLateness is the longest time after which a worker executes a call without an answer.
@@ -106,6 +107,9 @@
 // minEventDelay is the shortest time after which a scheduled event runs.
 const minEventDelay = time.Millisecond
 
+// lostCallTimeout is the time after which a leader notices that a call was lost.
+const lostCallTimeout = 500 * minEventDelay
+
 func newSimulation(seed uint64, f faultProbabilities) *simulation {
 	return &simulation{
 		now: time.Unix(1_700_000_000, 0), randomSource: rand.New(rand.NewPCG(seed, 1)), faultProbabilities: f,
@@ -116,7 +120,7 @@
 		}},
 		workers: map[backend.Life]*fleet.Worker{}, listed: map[string]*fleet.Worker{}, keeperGenerations: map[string]int{}, unreachableWorkers: map[backend.Life]bool{}, storedProgress: map[string]*work.Progress{}, storedRuns: map[work.TaskID]int64{},
 		cancelledJobs: map[string]bool{}, taskProfiles: map[work.TaskID]fleet.TaskProfile{}, completedTasks: map[work.TaskID]bool{}, lastExpiredLeaseEnd: map[backend.Life]int64{}, log: logr.Discard(),
-		adviceVMs: []string{"vm-1", "vm-2"},
+		adviceVMs: []string{"vm-1", "vm-2"}, callFaults: newCallFaults(),
 	}
 }
 
@@ -290,7 +294,7 @@
 	}
 	for _, l := range sm.leaders {
 		if !l.deposed {
-			sm.schedule(sm.randomDuration(2*minEventDelay, 10*minEventDelay), func() { l.updateScheduler(func(at time.Time) { l.scheduler.Submit(j, at) }) })
+			sm.schedule(sm.randomDuration(2*minEventDelay, 10*minEventDelay), func() { l.read(func(at time.Time) { l.scheduler.Submit(j, at) }) })
 		}
 	}
 }
@@ -301,7 +305,7 @@
 	sm.cancelledJobs[id] = true
 	for _, l := range sm.leaders {
 		if !l.deposed {
-			sm.schedule(sm.randomDuration(2*minEventDelay, 10*minEventDelay), func() { l.updateScheduler(func(at time.Time) { l.scheduler.Cancel(id, at) }) })
+			sm.schedule(sm.randomDuration(2*minEventDelay, 10*minEventDelay), func() { l.read(func(at time.Time) { l.scheduler.Cancel(id, at) }) })
 		}
 	}
 }
@@ -353,6 +357,9 @@
 	// frozen is true while the leader does nothing. Calls that it has already sent
 	// are still delivered.
 	frozen bool
+	// cutOffFromStore is true while the leader can neither read from the store nor append
+	// to it. It still reaches workers.
+	cutOffFromStore bool
 	// adviceRequestCount counts the requests for advice that the leader has sent, and
 	// adviceWorkerCount the workers named in them.
 	adviceRequestCount, adviceWorkerCount int
@@ -384,7 +391,12 @@
 		l.sendStart(o)
 	}
 	for _, o := range e.Stops {
-		sm.callWorker(o.Worker, func(v *fleet.Worker) func() { v.Stop(o.Order, sm.now); return func() {} }, func() {})
+		sm.callWorker(o.Worker, func(v *fleet.Worker) func() {
+			if v != nil {
+				v.Stop(o.Order, sm.now)
+			}
+			return func() {}
+		}, func() {})
 	}
 	for _, a := range e.AdviceRequests {
 		l.requestAdvice(a)
@@ -394,7 +406,8 @@
 // callWorker delivers a call to a worker. The call returns a function that runs when
 // the answer arrives. If the answer is lost, the call is executed too late or the
 // worker is unreachable, onLost runs instead. Calls name the worker by its ID only, so
-// the process that runs under this ID when the call arrives executes it.
+// the process that runs under this ID when the call arrives executes it. If the address
+// of the worker now belongs to a worker with another ID, v is nil.
 func (sm *simulation) callWorker(life backend.Life, call func(v *fleet.Worker) (answer func()), onLost func()) {
 	var keeperGeneration int
 	if v := sm.currentProcess(life.ID); v != nil {
@@ -402,14 +415,20 @@
 	}
 	execute := func(answered bool) {
 		v := sm.currentProcess(life.ID)
+		if v == nil && answered && sm.callFaults.reusedAddresses[life.ID] {
+			call(nil)()
+			return
+		}
 		if v == nil || sm.unreachableWorkers[v.Registration.Life] {
 			if answered {
-				sm.schedule(500*minEventDelay, onLost)
+				sm.schedule(lostCallTimeout, onLost)
 			}
 			return
 		}
 		answer := call(v)
-		if answered {
+		if answered && sm.now.Before(sm.callFaults.answersLostUntil[v.Registration.Zone]) {
+			sm.schedule(lostCallTimeout, onLost)
+		} else if answered {
 			sm.schedule(sm.randomDuration(minEventDelay, 8*minEventDelay), func() {
 				if sm.keeperGenerations[v.Registration.Zone] != keeperGeneration {
 					answer = onLost
@@ -420,11 +439,13 @@
 	}
 	switch {
 	case sm.occursWithProbability(sm.faultProbabilities.lateCallProbability):
+		sm.noteLostCall(life.ID)
 		sm.schedule(sm.randomDuration(2*time.Second, maxLateness), func() { execute(false) })
-		sm.schedule(500*minEventDelay, onLost)
+		sm.schedule(lostCallTimeout, onLost)
 	case sm.occursWithProbability(sm.faultProbabilities.lostAnswerProbability):
+		sm.noteLostCall(life.ID)
 		sm.schedule(sm.randomDuration(minEventDelay, 8*minEventDelay), func() { execute(false) })
-		sm.schedule(500*minEventDelay, onLost)
+		sm.schedule(lostCallTimeout, onLost)
 	default:
 		sm.schedule(sm.randomDuration(minEventDelay, 8*minEventDelay), func() { execute(true) })
 	}
@@ -433,6 +454,11 @@
 func (l *simulatedLeader) sendStart(o scheduler.Order[backend.Start]) {
 	sm := l.simulation
 	sm.callWorker(o.Worker, func(v *fleet.Worker) func() {
+		if v == nil {
+			return func() {
+				l.updateScheduler(func(at time.Time) { l.scheduler.StartAnswered(o.Worker, &o.Order, backend.KindLifeMismatch, 0, at) })
+			}
+		}
 		kind := backend.KindInvalidTicket
 		if o.Order.Ticket == "" || o.Order.Ticket == ticketFor(v.Registration.Life) {
 			kind = v.Start(o.Order, sm.now)
@@ -460,7 +486,10 @@
 			sm.schedule(sm.randomDuration(20*minEventDelay, 120*minEventDelay), func() { l.sendHold(life) })
 		}
 		sm.callWorker(life, func(v *fleet.Worker) func() {
-			report, kind := v.Hold(hold, sm.now)
+			report, kind := backend.Report{}, backend.KindLifeMismatch
+			if v != nil {
+				report, kind = v.Hold(hold, sm.now)
+			}
 			return func() {
 				l.updateScheduler(func(at time.Time) {
 					if kind != "" {
@@ -515,7 +544,9 @@
 
 func (l *simulatedLeader) tick() {
 	l.updateScheduler(func(at time.Time) {
-		l.scheduler.SetWorkers(l.simulation.registrations(), at)
+		if !l.cutOffFromStore {
+			l.scheduler.SetWorkers(l.simulation.registrations(), at)
+		}
 		l.scheduler.Tick(at)
 	})
 	if !l.deposed {
@@ -550,6 +581,10 @@
 
 func (l *simulatedLeader) storeCommit(c *scheduler.Commit, next func()) {
 	sm := l.simulation
+	if l.cutOffFromStore {
+		sm.schedule(50*minEventDelay, func() { l.storeCommit(c, next) })
+		return
+	}
 	if l.epoch < sm.epoch {
 		l.deposed = true
 		return
