--- a/internal/cell/scheduler/cancellation_property_test.go
+++ b/internal/cell/scheduler/cancellation_property_test.go
@@ -74,6 +74,39 @@
 	l.updateScheduler(change)
 }
 
+// holdPollInterval is how often a worker looks for ends of runs while a hold waits.
+const holdPollInterval = 100 * time.Millisecond
+
+// awaitRunEnd answers a hold when an end of a run is listed or the wait is over. The answer
+// is lost if the worker can't be reached then. A hold that the leader interrupts fails.
+func (l *simulatedLeader) awaitRunEnd(v *fleet.Worker, h backend.Hold, r backend.Report, until time.Time, answer func(backend.Report), onLost func()) {
+	sm := l.simulation
+	if !sm.holdsWait || h.Wait == 0 || len(r.Ended) > 0 {
+		answer(r)
+		return
+	}
+	life, zone := v.Registration.Life, v.Registration.Zone
+	keeperGeneration := sm.keeperGenerations[zone]
+	var poll func()
+	poll = func() {
+		r, kind := backend.Report{}, backend.KindUnknown
+		if sm.workers[life] == v {
+			r, kind = v.Hold(h, sm.now)
+		}
+		switch {
+		case kind != "" || l.holdsToInterrupt[life]:
+			onLost()
+		case len(r.Ended) == 0 && sm.now.Before(until):
+			sm.schedule(holdPollInterval, poll)
+		case sm.unreachableWorkers[life] || sm.keeperGenerations[zone] != keeperGeneration || sm.now.Before(sm.callFaults.answersLostUntil[zone]):
+			sm.schedule(lostCallTimeout, onLost)
+		default:
+			answer(r)
+		}
+	}
+	sm.schedule(holdPollInterval, poll)
+}
+
 // runOnWorker identifies a run, except for its number.
 type runOnWorker struct {
 	life backend.Life
@@ -443,7 +476,7 @@
 // play runs the simulation and returns the violations.
 func (p cancellationPlan) play(log logr.Logger) []string {
 	sm := newSimulation(p.seed, p.probabilities)
-	sm.log = log
+	sm.log, sm.holdsWait = log, true
 	sm.addWorkers(cancellationWorkers, workerCapacity)
 	sm.electLeader()
 	c := newCancellationCheck(sm)
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -99,6 +99,9 @@
 	// queue's AdviceCost says. Otherwise it takes a random time.
 	useDeclaredAdviceTimes bool
 	callFaults             callFaults
+	// holdsWait makes workers answer holds as late as Hold.Wait allows. Otherwise they
+	// answer at once.
+	holdsWait bool
 }
 
 // maxLateness is the longest time after which a worker executes a call without an answer.
@@ -315,7 +318,7 @@
 func (sm *simulation) electLeader() *simulatedLeader {
 	sm.epoch++
 	timing := scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 10 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxLateness, EndedJobRetention: time.Hour}
-	l := &simulatedLeader{simulation: sm, epoch: sm.epoch, scheduler: scheduler.New(timing, sm.epoch, sm.now, sm.now, sm.log), sessions: map[backend.Life]bool{}}
+	l := &simulatedLeader{simulation: sm, epoch: sm.epoch, scheduler: scheduler.New(timing, sm.epoch, sm.now, sm.now, sm.log), sessions: map[backend.Life]bool{}, holdsToInterrupt: map[backend.Life]bool{}}
 	sm.leaders = append(sm.leaders, l)
 	l.scheduler.SetTable(sm.table)
 	l.scheduler.SetAdviceVMs(sm.adviceVMs)
@@ -354,6 +357,8 @@
 	scheduler  *scheduler.Scheduler
 	sessions   map[backend.Life]bool
 	deposed    bool
+	// holdsToInterrupt contains the workers to which the next hold must be sent at once.
+	holdsToInterrupt map[backend.Life]bool
 	// frozen is true while the leader does nothing. Calls that it has already sent
 	// are still delivered.
 	frozen bool
@@ -387,6 +392,9 @@
 	for _, life := range e.SessionsToClose {
 		delete(l.sessions, life)
 	}
+	for _, life := range e.HoldAtOnce {
+		l.holdsToInterrupt[life] = true
+	}
 	for _, o := range e.Starts {
 		l.sendStart(o)
 	}
@@ -482,28 +490,29 @@
 		if !ok {
 			return
 		}
+		delete(l.holdsToInterrupt, life)
 		holdAgain := func() {
 			sm.schedule(sm.randomDuration(20*minEventDelay, 120*minEventDelay), func() { l.sendHold(life) })
 		}
+		fail := func(kind backend.Kind) {
+			l.updateScheduler(func(at time.Time) { l.scheduler.HoldFailed(life, kind, at) })
+			holdAgain()
+		}
 		sm.callWorker(life, func(v *fleet.Worker) func() {
 			report, kind := backend.Report{}, backend.KindLifeMismatch
 			if v != nil {
 				report, kind = v.Hold(hold, sm.now)
 			}
+			if kind != "" {
+				return func() { fail(kind) }
+			}
 			return func() {
-				l.updateScheduler(func(at time.Time) {
-					if kind != "" {
-						l.scheduler.HoldFailed(life, kind, at)
-					} else {
-						l.scheduler.HoldAnswered(life, sent, &report, at)
-					}
-				})
-				holdAgain()
+				l.awaitRunEnd(v, hold, report, sm.now.Add(hold.Wait), func(report backend.Report) {
+					l.updateScheduler(func(at time.Time) { l.scheduler.HoldAnswered(life, sent, &report, at) })
+					holdAgain()
+				}, func() { fail(backend.KindUnknown) })
 			}
-		}, func() {
-			l.updateScheduler(func(at time.Time) { l.scheduler.HoldFailed(life, backend.KindUnknown, at) })
-			holdAgain()
-		})
+		}, func() { fail(backend.KindUnknown) })
 	})
 }
 
