Count the late end of a gang

What callers would see: a gang completed while its workers were cut off, and ran again after the cut although the end of the first run had been acknowledged. Cause: after the lease the run counts as lapsed. The end that a worker lists later was handled for tasks outside of gangs only, but acknowledged for all. Change: one such end completes all members, as an end in time does. Later runs are stopped.

--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -123,28 +123,40 @@
 
 // applyOrphanRunEnd handles the end of an earlier run of a task, or of a run on a
 // worker that the task has left. A failed run counts as one of the attempts of the
-// task. A completed run completes the task, even if the task was placed again. The
-// later run is then stopped, and uses capacity until it has ended.
+// task. A completed run completes the task, or all tasks of its gang, even if they were
+// placed again. The later runs are then stopped, and use capacity until they have ended.
 func (s *Scheduler) applyOrphanRunEnd(t *task, e *backend.EndedRun, now time.Time) {
 	if t.phase == phaseDone || t.step.spec.Lasting || t.step.job.state.Ended() {
 		return
 	}
-	if e.Outcome == backend.Failed {
+	switch e.Outcome {
+	case backend.Failed:
 		s.countFailedRun(t, e.Run, now)
-		return
+	case backend.Done:
+		s.log.Info("late_run_accepted", "task", t.id.String(), "run", e.Run, "later_run", t.runNumber)
+		members := []*task{t}
+		if t.step.spec.Gang {
+			members = t.step.tasks
+		}
+		for _, m := range members {
+			s.stopLaterRun(m)
+			s.completeTask(m, now)
+		}
+	default:
 	}
-	if e.Outcome != backend.Done || t.step.spec.Gang {
+}
+
+// stopLaterRun stops the present run of a task that an earlier run has completed.
+func (s *Scheduler) stopLaterRun(t *task) {
+	w := t.worker
+	if w == nil || t.phase == phasePlaced {
 		return
 	}
-	s.log.Info("late_run_accepted", "task", t.id.String(), "run", e.Run, "later_run", t.runNumber)
-	if w := t.worker; w != nil && t.phase != phasePlaced {
-		w.addOrphanedRun(t, s.eventSequence)
-		if !t.runConfirmed {
-			s.raiseToken(w)
-		}
-		s.orderStop(w, t.id, t.runNumber)
+	w.addOrphanedRun(t, s.eventSequence)
+	if !t.runConfirmed {
+		s.raiseToken(w)
 	}
-	s.completeTask(t, now)
+	s.orderStop(w, t.id, t.runNumber)
 }
 
 // applyCompletedRun handles a run that has completed. A lasting task must not end, so
