Repeat lost stops at once after a worker has executed one

A run could go on for more than 1.3 s after its worker was reachable again:

A stop whose loss became known shortly after a hold had led to the repetition of the others waited for up to 0.6 s twice: until one could be sent, and until the answer of another one might lead to all. The second wait is meant for a worker that refuses stops. A worker that has just executed one doesn't, so its answer now leads to all at once; each run can cause that only once.

--- a/internal/cell/scheduler/stops.go
+++ b/internal/cell/scheduler/stops.go
@@ -69,6 +69,7 @@
 	switch kind {
 	case "":
 		w.lostStops.remove(run)
+		w.lostStops.nextAllAt = time.Time{} // The worker executes stops.
 		s.repeatLostStops(w, now)
 		return
 	case backend.KindStaleRun, backend.KindInvalid, backend.KindLifeMismatch:
