Check in the soak that cancelled runs end and that leases of reachable workers are held

New faults: domain_cut, cut_and_kill_leader, entries_lapse, lapse_and_kill_leader, answers_of_workers_lost. Calls between VMs are not cut. New jobs: tasks of twice the lease, and tasks that last until callers cancel them. Lulls between storms of faults give the checks time in which they apply.

--- a/internal/emulate/memory/fleet.go
+++ b/internal/emulate/memory/fleet.go
@@ -55,6 +55,15 @@
 	removed()
 }
 
+// Advance makes all workers end the runs that are over at now.
+func (f *Fleet) Advance(now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, w := range f.workers {
+		w.Advance(now)
+	}
+}
+
 // Add starts a worker and registers it in the store's Workers topic under its ID.
 func (f *Fleet) Add(s *Store, r backend.Registration) error {
 	f.Start(r, 1)
--- a/internal/emulate/soak/callers.go
+++ b/internal/emulate/soak/callers.go
@@ -92,14 +92,20 @@
 	for c.pause(ctx, 100*time.Millisecond) {
 		j := c.newJob()
 		if c.submit(ctx, j) {
-			c.follow(ctx, j.ID)
+			c.follow(ctx, j)
 		}
 	}
 }
 
-// newJob draws a job of one or two steps.
+// newJob draws a job of one or two steps, or one whose tasks outlive leases.
 func (c *caller) newJob() *work.Job {
 	j := &work.Job{ID: fmt.Sprintf("%016x", c.random.Uint64()), Payload: "payload"}
+	if c.random.Float64() < longProbability {
+		s := work.Step{Count: 1 + c.random.IntN(3), Size: resource.Vector{Milliprocessors: 200, MemoryMebibytes: 64}, Estimate: longRunTime}
+		s.Lasting = c.random.IntN(2) == 0
+		j.Steps = []work.Step{s}
+		return j
+	}
 	for i := range 1 + c.random.IntN(2) {
 		s := work.Step{
 			Count: 1 + c.random.IntN(4), Size: resource.Vector{Milliprocessors: 500 + c.random.Int64N(1500), MemoryMebibytes: 64},
@@ -138,22 +144,47 @@
 	return false
 }
 
-// cancelProbability is how likely a caller cancels its job before it asks for its state.
-const cancelProbability = 0.025
+const (
+	// cancelProbability is how likely a caller cancels its job before it asks for its state,
+	// and cutCancelProbability the same near a cut.
+	cancelProbability    = 0.025
+	cutCancelProbability = 0.15
+	// longProbability is the share of jobs with long tasks, longRunTime how long these run,
+	// unless they last, and maxLastingAge when callers cancel those that last.
+	longProbability = 0.3
+	longRunTime     = 2*workerLease + time.Second
+	maxLastingAge   = 12 * time.Second
+)
 
-// follow asks for the state of a job until it is final.
-func (c *caller) follow(ctx context.Context, id string) {
-	for c.pause(ctx, 400*time.Millisecond) {
-		if c.random.Float64() < cancelProbability {
-			c.cell.ledger.cancelling(id)
-			c.call(c.randomVM(), http.MethodDelete, queuePrefix+id, nil)
+// follow asks for the state of a job until it is final. A cancellation is repeated until it
+// is acknowledged.
+func (c *caller) follow(ctx context.Context, j *work.Job) {
+	cancelling := false
+	for begun := time.Now(); c.pause(ctx, 400*time.Millisecond); {
+		probability := cancelProbability
+		if c.cell.nearCuts.Load() > 0 {
+			probability = cutCancelProbability
+		}
+		overdue := j.Steps[0].Lasting && time.Since(begun) > maxLastingAge
+		if cancelling = cancelling || overdue || c.random.Float64() < probability; cancelling {
+			cancelling = !c.cancel(j.ID)
 		}
-		if c.askState(id).Ended() {
+		if c.askState(j.ID).Ended() {
 			return
 		}
 	}
 }
 
+// cancel asks an entry VM to cancel a job and reports whether it did or the job is unknown.
+func (c *caller) cancel(id string) bool {
+	c.cell.ledger.cancelling(id)
+	a, ok := c.call(c.randomVM(), http.MethodDelete, queuePrefix+id, nil)
+	if ok && a.status == http.StatusOK {
+		c.cell.ledger.cancelled(id, time.Now())
+	}
+	return ok && (a.status == http.StatusOK || a.status == http.StatusGone)
+}
+
 // askState asks an entry VM for the state of a job and checks the answer.
 func (c *caller) askState(id string) work.State {
 	vm, asked := c.randomVM(), time.Now()
--- /dev/null
+++ b/internal/emulate/soak/cancelled.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+)
+
+// longestLease is how long a lease lasts at most, by the slowest clock of a worker.
+const longestLease = workerLease + workerLease/40
+
+// The checks of this file hold for a worker that is reachable. It is reachable at a moment if
+// there was no fault of the following kinds for the whole time contact before it: the calls
+// to the worker were cut off, lost, delayed or held up to be executed late; or the process of
+// the VM that led was killed, stopped or frozen, or it was cut off from the store or had a
+// slow one. Faults of other VMs, keepers included, and missing entries do not count: the
+// leader has to cope with them in time.
+
+// connected records where the faults of the calls to a worker process are found.
+func (l *ledger) connected(life backend.Life, link *disturbance) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.links[life] = link
+}
+
+// cancelled records that a caller was told that a job is cancelled.
+func (l *ledger) cancelled(id string, at time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if j := l.jobs[id]; j.cancelledAt.IsZero() {
+		j.cancelledAt = at
+	}
+}
+
+// calmSince returns since when there is no fault that makes a worker process unreachable.
+// The caller must hold the mutex.
+func (l *ledger) calmSince(life backend.Life, now time.Time) time.Time {
+	since := l.leader.calmSince(now)
+	if link := l.links[life]; link != nil {
+		since = later(since, link.calmSince(now))
+	}
+	return since
+}
+
+// checkCancelledRuns checks that no run goes on that should have ended because its job is
+// cancelled: after the cancellation was acknowledged, its worker was reachable without a
+// break for cancelLimit and stopGrace. For a run that started later, the time counts from
+// contact after its start.
+func (l *ledger) checkCancelledRuns(now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for id, t := range l.tasks {
+		j := l.jobs[id.Job]
+		if len(t.running) == 0 || j == nil || j.cancelledAt.IsZero() {
+			continue
+		}
+		for _, r := range t.running {
+			since := later(j.cancelledAt, l.calmSince(r.life, now).Add(contact))
+			if r.at.After(j.cancelledAt) {
+				since = later(since, r.at.Add(contact))
+			}
+			if now.Sub(since) > cancelLimit+stopGrace && !r.overran {
+				r.overran = true
+				l.violateByRun("cancelled runs end", r, "task %s runs on %s, %.2f s after its job was cancelled and %.2f s of them in touch",
+					id, r.life.ID, now.Sub(j.cancelledAt).Seconds(), now.Sub(since).Seconds())
+			}
+		}
+	}
+}
+
+// checkStartsUncancelled checks that a run does not start later than cancelLimit after its job
+// was cancelled, unless the VM that sent the order was not in touch or the worker carried it
+// out late. The caller must hold the mutex.
+func (l *ledger) checkStartsUncancelled(j *jobRecord, r *startRecord) {
+	if j.cancelledAt.IsZero() || r.at.Sub(j.cancelledAt) <= cancelLimit || r.at.Sub(l.calmSince(r.life, r.at)) <= contact {
+		return
+	}
+	if vm := r.arrival.connection.caller(); vm != nil && r.at.Sub(vm.disturbed.calmSince(r.at)) <= contact {
+		return
+	}
+	l.violateByRun("cancelled jobs don't start", r, "worker %s started task %s %.2f s after its job was cancelled", r.life.ID, r.order.Task, r.at.Sub(j.cancelledAt).Seconds())
+}
+
+// checkLeaseExtended checks that a run whose lease has lapsed could not be held: there was a
+// fault of the calls to its worker or of the leader during the lease. The caller must hold
+// the mutex.
+func (l *ledger) checkLeaseExtended(w *fleet.Worker, r *startRecord, at time.Time) {
+	life := w.Registration.Life
+	if at.Sub(l.calmSince(life, at)) > longestLease && at.Sub(r.at) > longestLease {
+		l.violateByRun("runs on reachable workers are held", r, "the lease of worker %s lapsed while it ran task %s; its calls and the leader were without fault for %.2f s",
+			life.ID, r.order.Task, at.Sub(l.calmSince(life, at)).Seconds())
+	}
+}
+
+// violateByRun records that a run has broken a promise. The caller must hold the mutex.
+func (l *ledger) violateByRun(promise string, r *startRecord, format string, args ...any) {
+	l.violate(promise, format, args...)
+	l.violations[len(l.violations)-1].starts = []*startRecord{r}
+}
+
+// reportError records an error of a fault.
+func (l *ledger) reportError(kind string, err error) {
+	if err != nil {
+		l.report("processes start and stop", "%s: %s", kind, err)
+	}
+}
+
+// lastingJobs returns the IDs of the jobs without an end whose cancellation was not
+// acknowledged.
+func (l *ledger) lastingJobs() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var ids []string
+	for id, j := range l.jobs {
+		if j.spec.Steps[0].Lasting && j.cancelledAt.IsZero() && !j.rejected {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// runsCancelledJobs reports whether a run of a cancelled job goes on that has not broken a
+// promise.
+func (l *ledger) runsCancelledJobs() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for id, t := range l.tasks {
+		if j := l.jobs[id.Job]; j == nil || j.cancelledAt.IsZero() {
+			continue
+		}
+		for _, r := range t.running {
+			if !r.overran {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/emulate/soak/cell.go
+++ b/internal/emulate/soak/cell.go
@@ -60,11 +60,16 @@
 	// executed late.
 	lateCallPercent atomic.Int64
 	callers         callerTable
+	// cuts counts the faults that cut off each failure domain, and nearCuts the cuts that
+	// last, are about to begin or have just ended.
+	cuts     [domainCount]atomic.Int64
+	nearCuts atomic.Int64
 }
 
 // entryVM is one entry VM process, which is started again whenever it has ended.
 type entryVM struct {
-	name string
+	name   string
+	domain int
 	// program is the command line of the process.
 	program []string
 	front   netip.AddrPort
@@ -74,6 +79,14 @@
 	logs      *os.File
 	// lastWorkerCall is when the VM last called a worker, in Unix nanoseconds.
 	lastWorkerCall atomic.Int64
+	// lostAnswers counts the faults in which the answers of the workers of each failure
+	// domain to the VM are lost.
+	lostAnswers [domainCount]atomic.Int64
+	// disturbed covers faults of the process and of its way to the store.
+	disturbed disturbance
+	// storeMutex protects storeCuts, the number of faults that cut the VM off the store.
+	storeMutex sync.Mutex
+	storeCuts  int
 	// inFault is held during a fault of the process, so that they do not overlap.
 	inFault sync.Mutex
 
@@ -96,7 +109,7 @@
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
 		if j := l.jobs[t.Job]; j != nil {
-			return fleet.TaskProfile{Size: j.spec.Steps[t.Step].Size, RunTime: j.spec.Steps[t.Step].Estimate}
+			return fleet.TaskProfile{Size: j.spec.Steps[t.Step].Size, RunTime: j.spec.Steps[t.Step].Estimate, Lasting: j.spec.Steps[t.Step].Lasting}
 		}
 		return fleet.TaskProfile{}
 	}, l)
@@ -163,7 +176,7 @@
 func (c *cell) addEntryVMs(count int, program []string) error {
 	var stores []netip.AddrPort
 	for i := range count {
-		vm := &entryVM{name: fmt.Sprintf("vm-%d", i), program: program, storeLink: memory.NewLink(c.store)}
+		vm := &entryVM{name: fmt.Sprintf("vm-%d", i), domain: i % domainCount, program: program, storeLink: memory.NewLink(c.store)}
 		vm.storeLink.LimitPages(pageRecords)
 		vm.storeLink.HideChangesBetweenPages(true)
 		address, err := serve(&http.Server{Handler: platform.NewStoreHandler(vm.storeLink)})
@@ -180,7 +193,7 @@
 		own := ports[3*i : 3*i+3]
 		vm.front, vm.settings = own[0], filepath.Join(c.folder, vm.name+".json")
 		data := platform.EncodeSettings(platform.StandInSettings{
-			Name: vm.name, Zone: fmt.Sprintf("domain-%d", i%domainCount), Front: own[0], Ready: own[1], Peer: own[2],
+			Name: vm.name, Zone: fmt.Sprintf("domain-%d", vm.domain), Front: own[0], Ready: own[1], Peer: own[2],
 			Store: stores[i], Partitions: partitionCount, Adviser: stores[i], Grace: gracePeriod, Lease: workerLease,
 		})
 		if err := os.WriteFile(vm.settings, data, 0o600); err != nil {
@@ -231,6 +244,7 @@
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
 	vm.faulty, vm.healthySince = true, time.Time{}
+	vm.disturbed.begin()
 }
 
 // endFault records that a fault of the VM's process has ended.
@@ -238,6 +252,7 @@
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
 	vm.faulty, vm.faultEnded = false, time.Now()
+	vm.disturbed.end(vm.faultEnded)
 }
 
 // answered records that the VM has answered a request that was sent at begun.
@@ -311,6 +326,8 @@
 	vm.mutex.Lock()
 	vm.stopBegun = time.Now()
 	vm.mutex.Unlock()
+	vm.disturbed.begin()
+	defer func() { vm.disturbed.end(time.Now()) }()
 	vm.signal(syscall.SIGTERM)
 	var late error
 	select {
--- a/internal/emulate/soak/connections.go
+++ b/internal/emulate/soak/connections.go
@@ -34,6 +34,15 @@
 	return c.vm.Load()
 }
 
+// awaitCaller returns the entry VM that opened the connection. It waits until the VM is
+// known, but not for long: it may have ended.
+func (c *connection) awaitCaller() *entryVM {
+	for end := time.Now().Add(3 * callerScanInterval); c.caller() == nil && time.Now().Before(end); {
+		time.Sleep(callerScanInterval / 10)
+	}
+	return c.caller()
+}
+
 // callerTable finds out which entry VMs have opened the connections to the workers. All
 // entry VMs share a source address, so it compares the sockets of their processes. On
 // systems without the folder /proc of Linux, no caller is known.
--- a/internal/emulate/soak/faults.go
+++ b/internal/emulate/soak/faults.go
@@ -46,9 +46,9 @@
 		return c.vm(f).alone(func(vm *entryVM) error { vm.signal(syscall.SIGHUP); return nil })
 	}},
 	{"store_cut", func(c *cell, f fault) error {
-		c.vm(f).storeLink.RefuseCalls(true)
+		c.vm(f).cutStore(1)
 		time.Sleep(f.lasts)
-		c.vm(f).storeLink.RefuseCalls(false)
+		c.vm(f).cutStore(-1)
 		return nil
 	}},
 	{"store_down", func(c *cell, f fault) error {
@@ -58,18 +58,27 @@
 		return nil
 	}},
 	{"store_slow", func(c *cell, f fault) error {
-		c.vm(f).storeLink.DelayCalls(time.Duration(f.amount) * 8 * time.Millisecond)
-		time.Sleep(f.lasts)
-		c.vm(f).storeLink.DelayCalls(0)
+		vm := c.vm(f)
+		disturb(func() {
+			vm.storeLink.DelayCalls(time.Duration(f.amount) * 8 * time.Millisecond)
+			time.Sleep(f.lasts)
+			vm.storeLink.DelayCalls(0)
+		}, &vm.disturbed)
 		return nil
 	}},
 	{"partition_down", func(c *cell, f fault) error {
-		c.refusePartition(f.amount%partitionCount, true)
-		time.Sleep(f.lasts)
-		c.refusePartition(f.amount%partitionCount, false)
+		disturb(func() {
+			c.refusePartition(f.amount%partitionCount, true)
+			time.Sleep(f.lasts)
+			c.refusePartition(f.amount%partitionCount, false)
+		}, c.vmDisturbances()...)
+		return nil
+	}},
+	{"answers_lost", func(c *cell, f fault) error {
+		c.vm(f).disturbed.extend(time.Now().Add(lostAnswerDuration))
+		c.vm(f).storeLink.LoseAnswers(1 + f.amount%3)
 		return nil
 	}},
-	{"answers_lost", func(c *cell, f fault) error { c.vm(f).storeLink.LoseAnswers(1 + f.amount%3); return nil }},
 	{"history_dropped", func(c *cell, _ fault) error {
 		for part := range partitionCount {
 			c.store.DropRecords(store.Jobs, part)
@@ -80,9 +89,11 @@
 	{"configuration", func(c *cell, _ fault) error { return c.publishConfiguration() }},
 	{"worker_slow", func(c *cell, f fault) error {
 		w := c.workers[f.target%len(c.workers)]
-		w.delay.Store(int64(f.amount) * int64(20*time.Millisecond))
-		time.Sleep(f.lasts)
-		w.delay.Store(0)
+		disturb(func() {
+			w.delay.Store(int64(f.amount) * int64(20*time.Millisecond))
+			time.Sleep(f.lasts)
+			w.delay.Store(0)
+		}, &w.disturbed)
 		return nil
 	}},
 	{"worker_restart", func(c *cell, f fault) error {
@@ -93,9 +104,45 @@
 	}},
 	{"calls_late", func(c *cell, f fault) error {
 		percent := int64(1 + f.amount%maxLateCallPercent)
-		c.lateCallPercent.Add(percent)
-		time.Sleep(f.lasts)
-		c.lateCallPercent.Add(-percent)
+		disturb(func() {
+			c.lateCallPercent.Add(percent)
+			time.Sleep(f.lasts)
+			c.lateCallPercent.Add(-percent)
+		}, disturbancesOf(c.workers)...)
+		return nil
+	}},
+	{"domain_cut", func(c *cell, f fault) error { return c.cutDomain(f, func() error { return nil }) }},
+	{"cut_and_kill_leader", func(c *cell, f fault) error {
+		return c.cutDomain(f, func() error {
+			time.Sleep(rand.N(minCutDuration + f.lasts))
+			return c.replaceLeader(f)
+		})
+	}},
+	{"entries_lapse", func(c *cell, f fault) error {
+		var rack []*worker
+		for _, i := range c.rack(f) {
+			rack = append(rack, c.workers[i])
+		}
+		return c.lapseEntries(rack, func() { time.Sleep(rand.N(maxEntryLapse)) })
+
+	}},
+	{"lapse_and_kill_leader", func(c *cell, f fault) error {
+		return c.lapseEntries(c.workersIn(f.target%domainCount), func() {
+			time.Sleep(rand.N(time.Second))
+			c.ledger.reportError(f.kind, c.replaceLeader(f))
+			time.Sleep(maxEntryLapse/2 + rand.N(maxEntryLapse/2))
+		})
+	}},
+	{"answers_of_workers_lost", func(c *cell, f fault) error {
+		vm, domain := c.keeper(), f.amount%domainCount
+		if vm == nil {
+			vm = c.vm(f)
+		}
+		disturb(func() {
+			vm.lostAnswers[domain].Add(1)
+			time.Sleep(f.lasts)
+			vm.lostAnswers[domain].Add(-1)
+		}, disturbancesOf(c.workersIn(domain))...)
 		return nil
 	}},
 }
@@ -104,8 +151,12 @@
 
 // refuseCalls sets whether the store refuses the calls of all entry VMs.
 func (c *cell) refuseCalls(on bool) {
+	change := -1
+	if on {
+		change = 1
+	}
 	for _, vm := range c.vms {
-		vm.storeLink.RefuseCalls(on)
+		vm.cutStore(change)
 	}
 }
 
@@ -145,9 +196,9 @@
 // their numbers.
 func (c *cell) restartRack(f fault, newID func(i int) string) error {
 	var wait sync.WaitGroup
-	errs := make([]error, 1+f.amount%maxRackSize)
-	for k := range min(len(errs), len(c.workers)/domainCount) {
-		i := (f.target + k*domainCount) % len(c.workers)
+	rack := c.rack(f)
+	errs := make([]error, len(rack))
+	for k, i := range rack {
 		wait.Go(func() { errs[k] = c.startWorker(c.workers[i], newID(i), rand.N(maxRegistrationDelay)) })
 	}
 	wait.Wait()
@@ -172,8 +223,32 @@
 	maxRegistrationDelay = 1500 * time.Millisecond
 	// maxLateCallPercent limits the share of calls that one fault holds up.
 	maxLateCallPercent = 20
+	// minCutDuration is added to the duration of cuts, and cutNearness how long before and
+	// after a cut callers cancel more jobs.
+	minCutDuration = 3 * time.Second
+	cutNearness    = time.Second
+	// entryLifetime is how long the entry of a worker that cannot check in stays, and
+	// maxEntryReturn how long after that it takes at most to come back.
+	entryLifetime  = 4500 * time.Millisecond
+	maxEntryReturn = 2 * time.Second
+	// maxEntryLapse limits how long entries of reachable workers are missing.
+	maxEntryLapse = 10 * time.Second
+	// lostAnswerDuration is how long a VM counts as disturbed by the loss of answers of the
+	// store.
+	lostAnswerDuration = time.Second
+	// stormDuration is how long faults of all kinds begin, and lullDuration how long only
+	// those of few kinds do before the next storm.
+	stormDuration = 7 * time.Second
+	lullDuration  = 12 * time.Second
+	// takeOverInLull is when in each lull the leader is replaced while workers are not
+	// listed.
+	takeOverInLull = 3 * time.Second
 )
 
+// lullKinds are the kinds of faults that also begin in lulls: they leave the leader, the
+// store and the calls to the workers alone.
+var lullKinds = []string{"kill_keeper", "reload", "history_dropped", "configuration", "worker_restart", "entries_lapse"}
+
 // drawDuration draws a duration below limit that is more often short than long.
 func drawDuration(r *rand.Rand, limit time.Duration) time.Duration {
 	x := r.Float64()
@@ -183,9 +258,19 @@
 // newPlan draws the faults of a run and leaves out those of some kinds.
 func newPlan(r *rand.Rand, duration time.Duration, without []string) []fault {
 	var plan []fault
+	takenOver := false
 	for at := quietStart; at < duration; at += drawDuration(r, maxFaultPause) {
+		kind := faultKinds[r.IntN(len(faultKinds))].name
+		if lull := (at-quietStart)%(stormDuration+lullDuration) - stormDuration; lull >= 0 {
+			kind = lullKinds[r.IntN(len(lullKinds))]
+			if lull >= takeOverInLull && !takenOver {
+				kind, takenOver = "lapse_and_kill_leader", true
+			}
+		} else {
+			takenOver = false
+		}
 		f := fault{
-			kind: faultKinds[r.IntN(len(faultKinds))].name, at: at, lasts: 300*time.Millisecond + drawDuration(r, maxFaultDuration),
+			kind: kind, at: at, lasts: 300*time.Millisecond + drawDuration(r, maxFaultDuration),
 			target: r.IntN(1 << 16), amount: r.IntN(100),
 		}
 		if !slices.Contains(without, f.kind) {
--- a/internal/emulate/soak/ledger.go
+++ b/internal/emulate/soak/ledger.go
@@ -31,7 +31,11 @@
 	// arrivals holds when the newest order to start each run reached each worker.
 	arrivals map[runKey]arrival
 	leases   map[backend.Life]*leaseRecord
-	begun    time.Time
+	// leader covers faults of the VM that leads, and links those of the calls to each
+	// worker process.
+	leader disturbance
+	links  map[backend.Life]*disturbance
+	begun  time.Time
 }
 
 // violation is one broken promise.
@@ -63,6 +67,8 @@
 	rejected bool
 	// cancelSent is true once a caller has asked to cancel the job.
 	cancelSent bool
+	// cancelledAt is when a caller was told that the job is cancelled, or zero.
+	cancelledAt time.Time
 	// firstStartAt is when a worker first started a task of the job, or zero.
 	firstStartAt time.Time
 	// completed is true once a caller was told that the job has completed.
@@ -81,7 +87,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{jobs: map[string]*jobRecord{}, tasks: map[work.TaskID]*taskRecord{}, arrivals: map[runKey]arrival{}, leases: map[backend.Life]*leaseRecord{}, begun: time.Now()}
+	return &ledger{jobs: map[string]*jobRecord{}, tasks: map[work.TaskID]*taskRecord{}, arrivals: map[runKey]arrival{}, leases: map[backend.Life]*leaseRecord{}, links: map[backend.Life]*disturbance{}, begun: time.Now()}
 }
 
 // violate records a broken promise. The caller must hold the mutex.
@@ -276,6 +282,7 @@
 	if j.rejected {
 		l.violate("refused jobs never run", "worker %s started task %s", life.ID, s.Task)
 	}
+	l.checkStartsUncancelled(j, r)
 	l.checkRunsOnce(t, r)
 	for _, step := range j.spec.Steps[s.Task.Step].After {
 		for k := range j.spec.Steps[step].Count {
@@ -307,6 +314,9 @@
 	defer l.mutex.Unlock()
 	t := l.task(e.Task)
 	if r := t.running[w]; r != nil && r.order.Run == e.Run {
+		if e.Outcome == backend.LeaseExpired {
+			l.checkLeaseExtended(w, r, at)
+		}
 		r.outcome, r.endedAt = e.Outcome, at
 		delete(t.running, w)
 	}
--- a/internal/emulate/soak/ledger_test.go
+++ b/internal/emulate/soak/ledger_test.go
@@ -35,18 +35,37 @@
 	c.b.Advance(c.now)
 }
 
+// hold makes a leader extend the lease of a worker.
+func (c *course) hold(w *fleet.Worker) {
+	w.Hold(backend.Hold{Deadline: w.Clock(c.now) + testLease}, c.now)
+	c.ledger.leaseExtended(w.Registration.Life, c.now, c.now.Add(testLease))
+}
+
+// passHeld lets time pass while a leader holds the runs of a worker and the ledger looks at
+// them.
+func (c *course) passHeld(w *fleet.Worker, d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.hold(w)
+		c.pass(min(time.Second, end.Sub(c.now)))
+		c.ledger.checkCancelledRuns(c.now)
+	}
+}
+
 // acknowledge makes a leader acknowledge all ends at a worker.
 func (c *course) acknowledge(w *fleet.Worker) { w.Hold(backend.Hold{Acknowledged: 100}, c.now) }
 
+// ledgerScenario is a course of events and the promise that it breaks, or none.
+type ledgerScenario struct {
+	testName string
+	act      func(l *ledger, c *course)
+	expected string
+}
+
 func TestLedgerNoticesBrokenPromises(t *testing.T) {
 	const id = "job"
 	const runTime = time.Second
 	first, second, slow := taskID(id, 0, 0), taskID(id, 1, 0), taskID("slow", 0, 0)
-	scenarios := []struct {
-		testName string
-		act      func(l *ledger, c *course)
-		expected string
-	}{
+	scenarios := []ledgerScenario{
 		{"a whole life", func(l *ledger, c *course) {
 			l.accepted(id, c.now)
 			c.start(c.a, first)
@@ -139,7 +158,7 @@
 			l.pendingShown("vm", 0, c.now.Add(visibilityLimit+maxPendingAge))
 		}, ""},
 	}
-	for _, s := range scenarios {
+	for _, s := range append(scenarios, cancellationScenarios(id, first, slow)...) {
 		t.Run(s.testName, func(t *testing.T) {
 			is := is.New(t)
 			l := newLedger()
--- a/internal/emulate/soak/soak.go
+++ b/internal/emulate/soak/soak.go
@@ -126,6 +126,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	go c.callers.run(ctx, c.vms)
+	watchCtx, endWatch := context.WithCancel(context.Background())
+	var watch sync.WaitGroup
+	watch.Go(func() { c.watch(watchCtx) })
 	callerCount := max(minCallerCount, o.workers)
 	for i := range callerCount {
 		callers.Go(func() { newCaller(c, o.seed, i).submitJobs(ctx) })
@@ -137,7 +140,10 @@
 	c.runFaults(newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration, o.without))
 	cancel()
 	callers.Wait()
+	c.awaitCancelledJobs(newCaller(c, o.seed, 0))
 	c.awaitUnfinishedJobs(newCaller(c, o.seed, 0))
+	endWatch()
+	watch.Wait()
 	c.close()
 	if l.acceptedJobs() == 0 {
 		l.report("jobs are accepted", "no job was accepted in %s", o.duration)
@@ -149,6 +155,20 @@
 	return len(l.violations), err
 }
 
+// awaitCancelledJobs cancels the jobs without an end, which callers no longer follow, and
+// waits until all runs of cancelled jobs have ended or broken the promise that they end.
+func (c *cell) awaitCancelledJobs(asking *caller) {
+	end := time.Now().Add(finishLimit)
+	for _, id := range c.ledger.lastingJobs() {
+		for !asking.cancel(id) && time.Now().Before(end) {
+			time.Sleep(watchInterval)
+		}
+	}
+	for end = time.Now().Add(finishLimit); c.ledger.runsCancelledJobs() && time.Now().Before(end); {
+		time.Sleep(watchInterval)
+	}
+}
+
 // awaitUnfinishedJobs waits until all accepted jobs have completed and reports those that
 // do not within finishLimit.
 func (c *cell) awaitUnfinishedJobs(asking *caller) {
@@ -171,7 +191,7 @@
 	l := c.ledger
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	accepted, completed, rejected := 0, 0, 0
+	accepted, completed, cancelled, rejected := 0, 0, 0, 0
 	for _, j := range l.jobs {
 		if !j.acceptedAt.IsZero() {
 			accepted++
@@ -179,6 +199,9 @@
 		if j.completed {
 			completed++
 		}
+		if !j.cancelledAt.IsZero() {
+			cancelled++
+		}
 		if j.rejected {
 			rejected++
 		}
@@ -189,8 +212,8 @@
 			byKeepers++
 		}
 	}
-	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d refused=%d starts=%d starts_by_keepers=%d broken=%d\n",
-		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, rejected, len(l.starts), byKeepers, len(l.violations))
+	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d cancelled=%d refused=%d starts=%d starts_by_keepers=%d broken=%d\n",
+		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, cancelled, rejected, len(l.starts), byKeepers, len(l.violations))
 	for i, v := range l.violations {
 		if i == maxViolationsShown {
 			break
--- a/internal/emulate/soak/start.go
+++ b/internal/emulate/soak/start.go
@@ -25,6 +25,8 @@
 	endedAt time.Time
 	// acknowledgedAt is when a leader acknowledged the end, or zero.
 	acknowledgedAt time.Time
+	// overran is true once the run has gone on for too long after its job was cancelled.
+	overran bool
 	// ledgerBegun is the time from which String counts.
 	ledgerBegun time.Time
 }
--- a/internal/emulate/soak/workers.go
+++ b/internal/emulate/soak/workers.go
@@ -28,14 +28,20 @@
 // worker is an address at which one life of an emulated worker after the other serves.
 type worker struct {
 	address netip.AddrPort
-	domain  string
+	domain  int
 	// current is the life that runs.
 	current atomic.Pointer[workerLife]
 	// delay is how long calls are held up before the worker executes them.
 	delay atomic.Int64
-	// mutex protects listed, the ID under which the worker is registered in the store.
-	mutex  sync.Mutex
-	listed string
+	// disturbed covers faults of the calls to the worker.
+	disturbed disturbance
+	mutex     sync.Mutex
+	// registration is what the worker says of itself, or nil until its first life
+	// registers, and listed the ID under which it is in the store, or empty.
+	registration *backend.Registration
+	listed       string
+	// lapses counts the faults in which the worker is not listed.
+	lapses int
 }
 
 // workerLife is one process of a worker. It implements backend.Worker and notifies the
@@ -51,17 +57,19 @@
 
 // addWorker starts a worker at a new address.
 func (c *cell) addWorker(number int) error {
-	w := &worker{domain: fmt.Sprintf("domain-%d", number%domainCount)}
+	w := &worker{domain: number % domainCount}
 	handler := platform.NewWorkerHandler(func() (backend.Worker, backend.Life) {
 		v := w.current.Load()
 		return v, v.life
 	}, func() (delay time.Duration, answered bool) {
 		if rand.Int64N(100) < c.lateCallPercent.Load() {
-			return minLateness + rand.N(maxLateness-minLateness), false
+			lateness := minLateness + rand.N(maxLateness-minLateness)
+			w.disturbed.extend(time.Now().Add(lateness))
+			return lateness, false
 		}
 		return time.Duration(w.delay.Load()), true
 	})
-	address, err := c.callers.serve(handler)
+	address, err := c.callers.serve(c.throughCuts(w, handler))
 	if err != nil {
 		return err
 	}
@@ -76,7 +84,7 @@
 	next := &workerLife{ledger: c.ledger, started: time.Now(), clockRate: minClockRate + (1-minClockRate)*rand.Float64()}
 	next.life = backend.Life{ID: id, Born: next.started.UnixMilli()}
 	r := backend.Registration{
-		Address: w.address, Service: serviceName, Zone: w.domain,
+		Address: w.address, Service: serviceName, Zone: fmt.Sprintf("domain-%d", w.domain),
 		Capacity: resource.Vector{Milliprocessors: 4000, MemoryMebibytes: 4000},
 	}
 	w.mutex.Lock()
@@ -85,6 +93,7 @@
 		c.fleet.Remove(old.life, func() { c.ledger.workerEnded(old.life) })
 	}
 	r.Life = next.life
+	c.ledger.connected(next.life, &w.disturbed)
 	c.fleet.Start(r, next.clockRate)
 	next.Worker = c.fleet.Dial(r)
 	w.current.Store(next)
@@ -95,11 +104,26 @@
 	if w.current.Load() != next {
 		return nil
 	}
-	records := []store.Record{{Key: id, Value: platform.EncodeRegistration(r)}}
-	if w.listed != "" && w.listed != id {
+	w.registration = &r
+	return c.updateEntry(w)
+}
+
+// updateEntry makes the store list a worker unless its entry has lapsed. The caller must
+// hold the worker's mutex.
+func (c *cell) updateEntry(w *worker) error {
+	var records []store.Record
+	listed := ""
+	if w.registration != nil && w.lapses == 0 {
+		listed = w.registration.Life.ID
+		records = append(records, store.Record{Key: listed, Value: platform.EncodeRegistration(*w.registration)})
+	}
+	if w.listed != "" && w.listed != listed {
 		records = append(records, store.Record{Key: w.listed})
 	}
-	w.listed = id
+	w.listed = listed
+	if len(records) == 0 {
+		return nil
+	}
 	_, err := c.store.Append(store.Append{Topic: store.Workers, Records: records})
 	return err
 }
