Log the faults of the soak and notice workers with runs that nobody holds

A worker that had runs and was reachable could go without a holder until its lease lapsed, and the check of lapsed leases noticed none of it after a take-over, since the lease lapses before its own length has passed without a fault. Now the lease must be extended once the worker was in touch for a second.

Cuts no longer overlap each other: three at once left no workers. The VMs of connections are looked for again for a second.

--- a/internal/emulate/soak/cancelled.go
+++ b/internal/emulate/soak/cancelled.go
@@ -43,32 +43,48 @@
 	return since
 }
 
-// checkCancelledRuns checks that no run goes on that should have ended because its job is
-// cancelled: after the cancellation was acknowledged, its worker was reachable without a
-// break for cancelLimit and stopGrace. For a run that started later, the time counts from
-// contact after its start.
-func (l *ledger) checkCancelledRuns(now time.Time) {
+// checkRuns checks all runs.
+func (l *ledger) checkRuns(now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for id, t := range l.tasks {
 		j := l.jobs[id.Job]
-		if len(t.running) == 0 || j == nil || j.cancelledAt.IsZero() {
-			continue
-		}
 		for _, r := range t.running {
-			since := later(j.cancelledAt, l.calmSince(r.life, now).Add(contact))
-			if r.at.After(j.cancelledAt) {
-				since = later(since, r.at.Add(contact))
-			}
-			if now.Sub(since) > cancelLimit+stopGrace && !r.overran {
-				r.overran = true
-				l.violateByRun("cancelled runs end", r, "task %s runs on %s, %.2f s after its job was cancelled and %.2f s of them in touch",
-					id, r.life.ID, now.Sub(j.cancelledAt).Seconds(), now.Sub(since).Seconds())
+			l.checkHeld(r, now)
+			if j != nil && !j.cancelledAt.IsZero() {
+				l.checkCancelled(j, r, now)
 			}
 		}
 	}
 }
 
+// checkCancelled checks that a run of a cancelled job does not go on for too long: its worker
+// was reachable without a break for cancelLimit and stopGrace after the cancellation was
+// acknowledged. For a run that started later, the time counts from contact after its start.
+// The caller must hold the mutex.
+func (l *ledger) checkCancelled(j *jobRecord, r *startRecord, now time.Time) {
+	since := later(j.cancelledAt, l.calmSince(r.life, now).Add(contact))
+	if r.at.After(j.cancelledAt) {
+		since = later(since, r.at.Add(contact))
+	}
+	if now.Sub(since) > cancelLimit+stopGrace && !r.overran {
+		r.overran = true
+		l.violateByRun("cancelled runs end", r, "task %s runs on %s, %.2f s after its job was cancelled and %.2f s of them in touch",
+			r.order.Task, r.life.ID, now.Sub(j.cancelledAt).Seconds(), now.Sub(since).Seconds())
+	}
+}
+
+// checkHeld checks that the lease of a run's worker was extended if the worker was reachable
+// for holdLimit. The caller must hold the mutex.
+func (l *ledger) checkHeld(r *startRecord, now time.Time) {
+	since := later(later(l.calmSince(r.life, now), r.at), l.lease(r.life).extendedAt)
+	if now.Sub(since) > contact+holdLimit && !r.unheld {
+		r.unheld = true
+		l.violateByRun("runs on reachable workers are held", r, "the lease of worker %s, which runs task %s, was not extended for %.2f s; its calls and the leader were without fault for %.2f s",
+			r.life.ID, r.order.Task, now.Sub(l.lease(r.life).extendedAt).Seconds(), now.Sub(l.calmSince(r.life, now)).Seconds())
+	}
+}
+
 // checkStartsUncancelled checks that a run does not start later than cancelLimit after its job
 // was cancelled, unless the VM that sent the order was not in touch or the worker carried it
 // out late. The caller must hold the mutex.
@@ -82,12 +98,13 @@
 	l.violateByRun("cancelled jobs don't start", r, "worker %s started task %s %.2f s after its job was cancelled", r.life.ID, r.order.Task, r.at.Sub(j.cancelledAt).Seconds())
 }
 
-// checkLeaseExtended checks that a run whose lease has lapsed could not be held: there was a
+// checkLeaseExtended checks that a run whose lease has lapsed could not be held, even if the
+// lease was extended too little: there was a
 // fault of the calls to its worker or of the leader during the lease. The caller must hold
 // the mutex.
 func (l *ledger) checkLeaseExtended(w *fleet.Worker, r *startRecord, at time.Time) {
 	life := w.Registration.Life
-	if at.Sub(l.calmSince(life, at)) > longestLease && at.Sub(r.at) > longestLease {
+	if at.Sub(l.calmSince(life, at)) > longestLease && at.Sub(r.at) > longestLease && !r.unheld {
 		l.violateByRun("runs on reachable workers are held", r, "the lease of worker %s lapsed while it ran task %s; its calls and the leader were without fault for %.2f s",
 			life.ID, r.order.Task, at.Sub(l.calmSince(life, at)).Seconds())
 	}
@@ -137,3 +154,10 @@
 	}
 	return false
 }
+
+// isLong reports whether the tasks of a job are long.
+func (l *ledger) isLong(id string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.jobs[id].spec.Steps[0].Estimate >= longRunTime
+}
--- a/internal/emulate/soak/cancelled_test.go
+++ b/internal/emulate/soak/cancelled_test.go
@@ -121,6 +121,29 @@
 			c.passHeld(c.a, longestLease)
 			c.pass(testLease + moment)
 		}, lapsed},
+		{"nobody extends the lease of a run in time", func(l *ledger, c *course) {
+			c.start(c.a, slow)
+			c.passHeld(c.a, time.Second)
+			c.hold(c.a)
+			c.pass(contact + holdLimit + moment)
+			l.checkRuns(c.now)
+		}, lapsed},
+		{"the lease of a run is extended just in time", func(l *ledger, c *course) {
+			c.start(c.a, slow)
+			c.passHeld(c.a, time.Second)
+			c.hold(c.a)
+			c.pass(contact + holdLimit)
+			l.checkRuns(c.now)
+		}, ""},
+		{"nobody extends the lease of a run for a while after nobody led", func(l *ledger, c *course) {
+			c.start(c.a, slow)
+			c.passHeld(c.a, time.Second)
+			c.hold(c.a)
+			c.pass(moment)
+			l.leader.extend(c.now)
+			c.pass(contact + holdLimit)
+			l.checkRuns(c.now)
+		}, ""},
 		{"nobody holds a run at a worker that is cut off", func(l *ledger, c *course) {
 			c.start(c.a, slow)
 			cut(l, c, c.a, longestLease)
--- a/internal/emulate/soak/cell.go
+++ b/internal/emulate/soak/cell.go
@@ -64,6 +64,8 @@
 	// last, are about to begin or have just ended.
 	cuts     [domainCount]atomic.Int64
 	nearCuts atomic.Int64
+	// inCut is held during a cut, so that cuts do not overlap.
+	inCut sync.Mutex
 }
 
 // entryVM is one entry VM process, which is started again whenever it has ended.
@@ -382,6 +384,17 @@
 	return keepers[rand.IntN(len(keepers))]
 }
 
+// keeperOrFollower returns a keeper or, if there is none, another VM that does not lead.
+func (c *cell) keeperOrFollower(f fault) *entryVM {
+	if vm := c.keeper(); vm != nil {
+		return vm
+	}
+	if vm := c.vm(f); vm != c.leader() {
+		return vm
+	}
+	return c.vms[(f.target+1)%len(c.vms)]
+}
+
 // close ends all processes.
 func (c *cell) close() {
 	for _, vm := range c.vms {
--- a/internal/emulate/soak/connections.go
+++ b/internal/emulate/soak/connections.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,13 +15,18 @@
 	"time"
 )
 
-// callerScanInterval is how often callerTable looks for the callers of new connections.
-const callerScanInterval = 100 * time.Millisecond
+const (
+	// callerScanInterval is how often callerTable looks for the callers of new connections,
+	// and maxUnknownAge how old a connection is when it gives up.
+	callerScanInterval = 100 * time.Millisecond
+	maxUnknownAge      = time.Second
+)
 
 // connection is a connection from an entry VM to a worker.
 type connection struct {
 	// callerPort and workerPort are the ports of its ends.
 	callerPort, workerPort int
+	opened                 time.Time
 	vm                     atomic.Pointer[entryVM]
 }
 
@@ -34,10 +40,10 @@
 	return c.vm.Load()
 }
 
-// awaitCaller returns the entry VM that opened the connection. It waits until the VM is
-// known, but not for long: it may have ended.
+// awaitCaller returns the entry VM that opened the connection, as caller does, but waits
+// while the connection is too young to be known.
 func (c *connection) awaitCaller() *entryVM {
-	for end := time.Now().Add(3 * callerScanInterval); c.caller() == nil && time.Now().Before(end); {
+	for c != nil && c.caller() == nil && time.Since(c.opened) < maxUnknownAge {
 		time.Sleep(callerScanInterval / 10)
 	}
 	return c.caller()
@@ -54,7 +60,7 @@
 
 // add records a new connection and adds it to the context of its calls.
 func (c *callerTable) add(ctx context.Context, opened net.Conn) context.Context {
-	n := &connection{callerPort: opened.RemoteAddr().(*net.TCPAddr).Port, workerPort: opened.LocalAddr().(*net.TCPAddr).Port}
+	n := &connection{callerPort: opened.RemoteAddr().(*net.TCPAddr).Port, workerPort: opened.LocalAddr().(*net.TCPAddr).Port, opened: time.Now()}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.unknown = append(c.unknown, n)
@@ -69,9 +75,14 @@
 		unknown := c.unknown
 		c.unknown = nil
 		c.mutex.Unlock()
-		if len(unknown) > 0 {
-			findCallers(unknown, vms)
+		if len(unknown) == 0 {
+			continue
 		}
+		findCallers(unknown, vms)
+		unknown = slices.DeleteFunc(unknown, func(n *connection) bool { return n.caller() != nil || time.Since(n.opened) > maxUnknownAge })
+		c.mutex.Lock()
+		c.unknown = append(c.unknown, unknown...)
+		c.mutex.Unlock()
 	}
 }
 
--- a/internal/emulate/soak/cuts.go
+++ b/internal/emulate/soak/cuts.go
@@ -72,8 +72,12 @@
 // cutDomain cuts off a failure domain: calls between its workers and the VMs of other
 // domains, and between its VMs and other workers, get no answer, and its VMs don't reach the
 // store. The entries of its workers lapse and come back. VMs still reach each other. during
-// runs from the beginning of the cut.
+// runs from the beginning of the cut. While a domain is cut off, others are not.
 func (c *cell) cutDomain(f fault, during func() error) error {
+	if !c.inCut.TryLock() {
+		return nil
+	}
+	defer c.inCut.Unlock()
 	domain := f.target % domainCount
 	c.nearCuts.Add(1)
 	time.Sleep(cutNearness)
@@ -160,7 +164,7 @@
 func (c *cell) throughCuts(w *worker, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(response http.ResponseWriter, r *http.Request) {
 		connection, _ := r.Context().Value(connectionKey{}).(*connection)
-		if c.isCut(connection.awaitCaller(), w) {
+		if c.nearCuts.Load() > 0 && c.isCut(connection.awaitCaller(), w) {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/emulate/soak/disturbance.go
+++ b/internal/emulate/soak/disturbance.go
@@ -13,6 +13,9 @@
 	// tasks of the job, and stopGrace how much longer its runs may go on.
 	cancelLimit = 3 * time.Second
 	stopGrace   = 900 * time.Millisecond
+	// holdLimit is how long a leader in touch may leave the lease of a worker with runs
+	// without an extension.
+	holdLimit = time.Second
 	// watchInterval is how often the cell looks at the runs and the leader.
 	watchInterval = 20 * time.Millisecond
 )
@@ -64,8 +67,8 @@
 	return b
 }
 
-// watch notices ends of runs, changes of the leader and runs of cancelled jobs that go on,
-// until ctx is done.
+// watch notices ends of runs, changes of the leader and runs that go on for too long or that
+// nobody holds, until ctx is done.
 func (c *cell) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(watchInterval)
@@ -76,6 +79,6 @@
 		}
 		c.ledger.leader.extend(since)
 		c.fleet.Advance(now)
-		c.ledger.checkCancelledRuns(now)
+		c.ledger.checkRuns(now)
 	}
 }
--- a/internal/emulate/soak/faults.go
+++ b/internal/emulate/soak/faults.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -38,7 +41,7 @@
 		return c.vm(f).alone(func(vm *entryVM) error { return vm.kill(f.lasts / 3) })
 	}},
 	{"kill_leader", func(c *cell, f fault) error { return c.killSeries(f, c.leader) }},
-	{"kill_keeper", func(c *cell, f fault) error { return c.killSeries(f, c.keeper) }},
+	{"kill_keeper", func(c *cell, f fault) error { return c.killSeries(f, func() *entryVM { return c.keeperOrFollower(f) }) }},
 	{"replace", func(c *cell, f fault) error {
 		return c.vm(f).alone(func(vm *entryVM) error { return vm.replace(f.lasts / 6) })
 	}},
@@ -134,9 +137,9 @@
 		})
 	}},
 	{"answers_of_workers_lost", func(c *cell, f fault) error {
-		vm, domain := c.keeper(), f.amount%domainCount
-		if vm == nil {
-			vm = c.vm(f)
+		vm, domain := c.vm(f), f.amount%domainCount
+		if f.target%2 == 0 {
+			vm = c.keeperOrFollower(f)
 		}
 		disturb(func() {
 			vm.lostAnswers[domain].Add(1)
@@ -285,13 +288,23 @@
 	return slices.ContainsFunc(faultKinds, func(k faultKind) bool { return k.name == name })
 }
 
-// runFaults applies the faults of a plan and returns when the last one is over.
-func (c *cell) runFaults(plan []fault) {
+// runFaults applies the faults of a plan and returns when the last one is over. The file
+// faults.log lists their times in the form of the logs of the VMs.
+func (c *cell) runFaults(plan []fault) error {
+	file, err := os.Create(filepath.Join(c.folder, "faults.log"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	log := slog.New(slog.NewTextHandler(file, nil))
 	begun := time.Now()
 	var wait sync.WaitGroup
 	for _, f := range plan {
 		time.Sleep(time.Until(begun.Add(f.at)))
 		wait.Go(func() {
+			log := log.With("kind", f.kind, "target", f.target, "vm", c.vm(f).name, "domain", f.target%domainCount, "amount", f.amount)
+			log.Info("fault_begins", "lasts", f.lasts)
+			defer log.Info("fault_ended")
 			for _, k := range faultKinds {
 				if k.name != f.kind {
 					continue
@@ -303,4 +316,5 @@
 		})
 	}
 	wait.Wait()
+	return nil
 }
--- a/internal/emulate/soak/ledger.go
+++ b/internal/emulate/soak/ledger.go
@@ -56,6 +56,8 @@
 type leaseRecord struct {
 	// until is when the lease lapses, and lapsedAt when it last lapsed, or zero.
 	until, lapsedAt time.Time
+	// extendedAt is when the newest order that extends the lease arrived.
+	extendedAt time.Time
 }
 
 // jobRecord is what is known about one job.
@@ -233,6 +235,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	lease := l.lease(life)
+	lease.extendedAt = at
 	if !lease.until.IsZero() && at.After(lease.until) {
 		lease.lapsedAt = lease.until
 	}
--- a/internal/emulate/soak/soak.go
+++ b/internal/emulate/soak/soak.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,7 +22,8 @@
 	// minCallerCount is the smallest number of callers. There are at least as many as
 	// workers, so that the workers stay busy.
 	minCallerCount = 24
-	// finishLimit is how long after the last fault the accepted jobs may take.
+	// finishLimit is how long after the last fault the accepted jobs may take, besides the
+	// run time of long tasks.
 	finishLimit = 25 * time.Second
 	// maxViolationsShown limits the violations that are printed.
 	maxViolationsShown = 10
@@ -137,7 +140,7 @@
 	for i, vm := range c.vms {
 		callers.Go(func() { newCaller(c, o.seed, callerCount+1+i).watchConfiguration(ctx, vm) })
 	}
-	c.runFaults(newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration, o.without))
+	err = c.runFaults(newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration, o.without))
 	cancel()
 	callers.Wait()
 	c.awaitCancelledJobs(newCaller(c, o.seed, 0))
@@ -150,7 +153,7 @@
 	}
 	c.printResult(stdout, o, folder)
 	if len(l.violations) == 0 && temporary {
-		err = os.RemoveAll(folder)
+		err = errors.Join(err, os.RemoveAll(folder))
 	}
 	return len(l.violations), err
 }
@@ -170,18 +173,22 @@
 }
 
 // awaitUnfinishedJobs waits until all accepted jobs have completed and reports those that
-// do not within finishLimit.
+// do not within finishLimit and the run time of their long tasks.
 func (c *cell) awaitUnfinishedJobs(asking *caller) {
-	end := time.Now().Add(finishLimit)
-	ids := c.ledger.unfinishedJobs()
-	for len(ids) > 0 && time.Now().Before(end) {
+	begun, reported := time.Now(), map[string]bool{}
+	isAwaited := func(id string) bool { return !reported[id] }
+	for ids := c.ledger.unfinishedJobs(); slices.ContainsFunc(ids, isAwaited); ids = c.ledger.unfinishedJobs() {
 		for _, id := range ids {
 			asking.askState(id)
+			limit := finishLimit
+			if c.ledger.isLong(id) {
+				limit += longRunTime
+			}
+			if time.Since(begun) > limit && !reported[id] {
+				reported[id] = true
+				c.ledger.report("accepted jobs complete", "job %s has not completed %s after the last fault", id, limit)
+			}
 		}
-		ids = c.ledger.unfinishedJobs()
-	}
-	for _, id := range ids {
-		c.ledger.report("accepted jobs complete", "job %s has not completed %s after the last fault", id, finishLimit)
 	}
 }
 
--- a/internal/emulate/soak/start.go
+++ b/internal/emulate/soak/start.go
@@ -27,6 +27,8 @@
 	acknowledgedAt time.Time
 	// overran is true once the run has gone on for too long after its job was cancelled.
 	overran bool
+	// unheld is true once nobody has extended the lease of its worker for too long.
+	unheld bool
 	// ledgerBegun is the time from which String counts.
 	ledgerBegun time.Time
 }
