--- a/internal/emulate/soak/faults.go
+++ b/internal/emulate/soak/faults.go
@@ -23,6 +23,9 @@
 	at, lasts time.Duration
 	// target selects the entry VM or worker, and amount how strong the fault is.
 	target, amount int
+	// waits is true if the fault begins late rather than not at all when it would overlap
+	// one that excludes it.
+	waits bool
 }
 
 // faultKind applies one kind of fault to a cell until it is over.
@@ -130,7 +133,9 @@
 
 	}},
 	{"lapse_and_kill_leader", func(c *cell, f fault) error {
-		if !c.inCut.TryLock() {
+		if f.waits {
+			c.inCut.Lock()
+		} else if !c.inCut.TryLock() {
 			return nil
 		}
 		defer c.inCut.Unlock()
@@ -267,18 +272,19 @@
 	var plan []fault
 	takenOver := false
 	for at := quietStart; at < duration; at += drawDuration(r, maxFaultPause) {
+		waits := false
 		kind := faultKinds[r.IntN(len(faultKinds))].name
 		if lull := (at-quietStart)%(stormDuration+lullDuration) - stormDuration; lull >= 0 {
 			kind = lullKinds[r.IntN(len(lullKinds))]
 			if lull >= takeOverInLull && !takenOver {
-				kind, takenOver = "lapse_and_kill_leader", true
+				kind, takenOver, waits = "lapse_and_kill_leader", true, true
 			}
 		} else {
 			takenOver = false
 		}
 		f := fault{
 			kind: kind, at: at, lasts: 300*time.Millisecond + drawDuration(r, maxFaultDuration),
-			target: r.IntN(1 << 16), amount: r.IntN(100),
+			target: r.IntN(1 << 16), amount: r.IntN(100), waits: waits,
 		}
 		if !slices.Contains(without, f.kind) {
 			plan = append(plan, f)
