--- a/internal/emulate/soak/soak.go
+++ b/internal/emulate/soak/soak.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,7 +22,8 @@
 	// minCallerCount is the smallest number of callers. There are at least as many as
 	// workers, so that the workers stay busy.
 	minCallerCount = 24
-	// finishLimit is how long after the last fault the accepted jobs may take.
+	// finishLimit is how long after the last fault the accepted jobs may take, besides the
+	// run time of long tasks.
 	finishLimit = 25 * time.Second
 	// maxViolationsShown limits the violations that are printed.
 	maxViolationsShown = 10
@@ -126,6 +129,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	go c.callers.run(ctx, c.vms)
+	watchCtx, endWatch := context.WithCancel(context.Background())
+	var watch sync.WaitGroup
+	watch.Go(func() { c.watch(watchCtx) })
 	callerCount := max(minCallerCount, o.workers)
 	for i := range callerCount {
 		callers.Go(func() { newCaller(c, o.seed, i).submitJobs(ctx) })
@@ -134,34 +140,55 @@
 	for i, vm := range c.vms {
 		callers.Go(func() { newCaller(c, o.seed, callerCount+1+i).watchConfiguration(ctx, vm) })
 	}
-	c.runFaults(newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration, o.without))
+	err = c.runFaults(newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration, o.without))
 	cancel()
 	callers.Wait()
+	c.awaitCancelledJobs(newCaller(c, o.seed, 0))
 	c.awaitUnfinishedJobs(newCaller(c, o.seed, 0))
+	endWatch()
+	watch.Wait()
 	c.close()
 	if l.acceptedJobs() == 0 {
 		l.report("jobs are accepted", "no job was accepted in %s", o.duration)
 	}
 	c.printResult(stdout, o, folder)
 	if len(l.violations) == 0 && temporary {
-		err = os.RemoveAll(folder)
+		err = errors.Join(err, os.RemoveAll(folder))
 	}
 	return len(l.violations), err
 }
 
+// awaitCancelledJobs cancels the jobs without an end, which callers no longer follow, and
+// waits until all runs of cancelled jobs have ended or broken the promise that they end.
+func (c *cell) awaitCancelledJobs(asking *caller) {
+	end := time.Now().Add(finishLimit)
+	for _, id := range c.ledger.lastingJobs() {
+		for !asking.cancel(id) && time.Now().Before(end) {
+			time.Sleep(watchInterval)
+		}
+	}
+	for end = time.Now().Add(finishLimit); c.ledger.runsCancelledJobs() && time.Now().Before(end); {
+		time.Sleep(watchInterval)
+	}
+}
+
 // awaitUnfinishedJobs waits until all accepted jobs have completed and reports those that
-// do not within finishLimit.
+// do not within finishLimit and the run time of their long tasks.
 func (c *cell) awaitUnfinishedJobs(asking *caller) {
-	end := time.Now().Add(finishLimit)
-	ids := c.ledger.unfinishedJobs()
-	for len(ids) > 0 && time.Now().Before(end) {
+	begun, reported := time.Now(), map[string]bool{}
+	isAwaited := func(id string) bool { return !reported[id] }
+	for ids := c.ledger.unfinishedJobs(); slices.ContainsFunc(ids, isAwaited); ids = c.ledger.unfinishedJobs() {
 		for _, id := range ids {
 			asking.askState(id)
+			limit := finishLimit
+			if c.ledger.isLong(id) {
+				limit += longRunTime
+			}
+			if time.Since(begun) > limit && !reported[id] {
+				reported[id] = true
+				c.ledger.report("accepted jobs complete", "job %s has not completed %s after the last fault", id, limit)
+			}
 		}
-		ids = c.ledger.unfinishedJobs()
-	}
-	for _, id := range ids {
-		c.ledger.report("accepted jobs complete", "job %s has not completed %s after the last fault", id, finishLimit)
 	}
 }
 
@@ -171,7 +198,7 @@
 	l := c.ledger
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	accepted, completed, rejected := 0, 0, 0
+	accepted, completed, cancelled, rejected := 0, 0, 0, 0
 	for _, j := range l.jobs {
 		if !j.acceptedAt.IsZero() {
 			accepted++
@@ -179,6 +206,9 @@
 		if j.completed {
 			completed++
 		}
+		if !j.cancelledAt.IsZero() {
+			cancelled++
+		}
 		if j.rejected {
 			rejected++
 		}
@@ -189,8 +219,8 @@
 			byKeepers++
 		}
 	}
-	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d refused=%d starts=%d starts_by_keepers=%d broken=%d\n",
-		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, rejected, len(l.starts), byKeepers, len(l.violations))
+	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d cancelled=%d refused=%d starts=%d starts_by_keepers=%d broken=%d\n",
+		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, cancelled, rejected, len(l.starts), byKeepers, len(l.violations))
 	for i, v := range l.violations {
 		if i == maxViolationsShown {
 			break
