Rewrite the record of an ended job when the last of its runs is given up

Cause: a task of an ended job that is given up as absent or lapsed left its worker in memory, but not in the stored record, which then named a worker whose own record was deleted. The next leader waited for a run that did not exist, on a worker without an address, until its lease had surely expired. Change: the job counts as changed. Worker records are deleted after the progress of the same commit, and not if the process was added again.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -48,9 +48,10 @@
 			c.placedTasks = append(c.placedTasks, t)
 		}
 	}
-	// Records of workers come before the placements on them, since the caller may store the
-	// records in several appends.
-	c.Records = slices.Concat(c.Records, s.takeWorkerRecords(), progress)
+	// Records of workers come before the placements on them, and are deleted after these, since
+	// the caller may store the records in several appends.
+	workers, workerDeletions := s.takeWorkerRecords()
+	c.Records = slices.Concat(c.Records, workers, progress, workerDeletions)
 	clear(s.dirtyJobs)
 	for w := range s.workersWithNewEnds {
 		if w.removed || w.lastHandledEndNumber == w.lastStoredEndNumber {
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -294,6 +294,7 @@
 	t.phase, t.percentDone, t.pacePercent, t.runConfirmed = phaseWaiting, 0, fullPacePercent, false
 	if j.state.Ended() {
 		t.phase = phaseDone
+		s.markJobDirty(j) // The stored record names the worker of the task.
 		return
 	}
 	if t.step.open {
--- a/internal/cell/scheduler/worker_record.go
+++ b/internal/cell/scheduler/worker_record.go
@@ -78,19 +78,21 @@
 	}
 }
 
-// takeWorkerRecords returns the deletions and records of workers for the next commit.
-func (s *Scheduler) takeWorkerRecords() []store.Record {
-	var records []store.Record
-	for _, life := range s.workerRecordsToDelete {
-		records = append(records, store.Record{Key: workerRecordKey(life)})
-	}
+// takeWorkerRecords returns the records of workers for the next commit, and the deletions of
+// such records.
+func (s *Scheduler) takeWorkerRecords() (records, deletions []store.Record) {
 	for _, w := range s.workersToRecord {
 		if !w.removed {
 			records = append(records, encodeWorkerRecord(&w.registration))
 		}
 	}
-	s.workerRecordsToDelete, s.workersToRecord = nil, nil
-	return records
+	for _, life := range s.workerRecordsToDelete {
+		if w := s.workers[life]; w == nil || !w.recorded { // The same process may have been added again.
+			deletions = append(deletions, store.Record{Key: workerRecordKey(life)})
+		}
+	}
+	s.workersToRecord, s.workerRecordsToDelete = nil, nil
+	return records, deletions
 }
 
 // RestoreWorkers adds the workers that an earlier leader has recorded and that are not in the
