Call silent workers less often, and directly with the whole time

Cause: the leader's network link was full. Keepers whose answers came late were dismissed, so the leader called all workers directly. Such a call was given up after 250 ms and repeated every 350 ms, although its answer was on its way: the repeated calls kept the link full, and no keeper came back, 12 to 30 s after the trouble. It needs no cut and no change of leader. Change: a direct call has the time that a call through a keeper has, 550 ms, and the pause after failed holds of a worker doubles from 100 up to 800 ms.

--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -21,8 +21,11 @@
 	// holdReplyMargin is added to Hold.Wait to get the timeout of a hold. Hold.Wait is
 	// the longest time that the worker may take before it answers.
 	holdReplyMargin = 250*time.Millisecond + keeper.ForwardingMargin
-	// holdRetryPause is the pause after a failed hold.
-	holdRetryPause = 100 * time.Millisecond
+	// holdRetryPause is the pause after a failed hold. It doubles with each further failure
+	// up to maxHoldRetryPause, so that the holds of many silent workers leave the leader's
+	// network link and processor to the others.
+	holdRetryPause    = 100 * time.Millisecond
+	maxHoldRetryPause = 800 * time.Millisecond
 	// fencedHoldRetryPause is the pause after a worker has refused a hold because of its
 	// fencing token. Meanwhile the leader renews its claim to find out whether it was
 	// superseded.
@@ -50,6 +53,9 @@
 	mutex  sync.Mutex
 	// cancelHold cancels the hold that is in flight.
 	cancelHold context.CancelFunc
+	// retryPause is the last pause after a failed hold, or 0 after an answer. Only run and
+	// what it calls use it.
+	retryPause time.Duration
 	// holdInterrupted is true if interruptHold was called since the current hold began.
 	holdInterrupted bool
 }
@@ -121,10 +127,11 @@
 			s.leader.signalClaimRenewal()
 			sleep(s.ctx, fencedHoldRetryPause)
 		} else if !s.wasHoldInterrupted() {
-			sleep(s.ctx, holdRetryPause)
+			sleep(s.ctx, s.nextRetryPause())
 		}
 		return true
 	}
+	s.holdAnswered()
 	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
 		c.HoldSent(s.life, s.worker.KeeperOfLastHold())
 		c.HoldAnswered(s.life, sent, &report, at)
@@ -138,6 +145,15 @@
 	return true
 }
 
+// holdAnswered makes the next pause after a failed hold short again.
+func (s *workerSession) holdAnswered() { s.retryPause = 0 }
+
+// nextRetryPause returns the pause after a failed hold.
+func (s *workerSession) nextRetryPause() time.Duration {
+	s.retryPause = min(2*max(s.retryPause, holdRetryPause/2), maxHoldRetryPause)
+	return s.retryPause
+}
+
 // awaitReportedEndsStored waits until the run ends that the worker has reported are
 // stored, so that the next hold can acknowledge them. It waits for at most
 // maxEndsStoredWait.
--- a/internal/node/keeper/bypass_test.go
+++ b/internal/node/keeper/bypass_test.go
@@ -232,3 +232,13 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// The leader's link is busy, so that direct calls are answered late.
+func TestDirectCallHasTheWholeTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLoopback(t.Context())
+		w := keeper.NewWorkerClient(l.dispatcher, backend.Registration{Life: backend.Life{ID: "worker-1", Born: 1}, Zone: "without keepers"}, &countingWorker{scriptedWorker: scriptedWorker{latency: 500 * time.Millisecond}})
+		is.Equal(callStop(t.Context(), w), backend.Kind(""))
+	})
+}
--- a/internal/node/keeper/worker.go
+++ b/internal/node/keeper/worker.go
@@ -28,8 +28,8 @@
 // directly if there is no usable keeper. After a call through the keeper got no answer, it
 // calls directly for bypassTime or until such a call gets no answer, so that the failures of
 // one way do not cut off the worker. The deadline of each context must include
-// ForwardingMargin for the way through the keeper and back: in both cases the worker has
-// that much less time to answer.
+// ForwardingMargin for the way through the keeper and back. A direct call has all of that
+// time, since the leader's link may be busy when it has no keepers.
 type WorkerClient struct {
 	dispatcher   *Dispatcher
 	registration backend.Registration
@@ -117,8 +117,6 @@
 		}
 		return a, err
 	}
-	ctx, cancel := withoutForwardingMargin(ctx)
-	defer cancel()
 	a, err := direct(ctx)
 	if bypass {
 		w.endBypass(limited, err)
@@ -193,13 +191,3 @@
 	kind := fault.KindOr(err, backend.KindUnknown)
 	return kind == backend.KindUnknown || kind == backend.KindUnreachable
 }
-
-// withoutForwardingMargin returns a copy of ctx whose deadline, if there is one, is
-// ForwardingMargin earlier.
-func withoutForwardingMargin(ctx context.Context) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
-	}
-	return context.WithDeadline(ctx, deadline.Add(-ForwardingMargin))
-}
