--- a/internal/node/entryvm/keeper_faults_test.go
+++ b/internal/node/entryvm/keeper_faults_test.go
@@ -368,30 +368,34 @@
 	return lines
 }
 
-// playSeeds plays seeds 1 to count, or those that VIRTUAL_SEEDS names as FIRST+COUNT.
-func playSeeds(t *testing.T, count uint64, prepare func(*virtualCell)) {
+// forEachSeed plays seeds 1 to count, or those that VIRTUAL_SEEDS names as FIRST+COUNT.
+func forEachSeed(t *testing.T, count uint64, play func(t *testing.T, seed uint64)) {
 	first := uint64(1)
 	if v := os.Getenv("VIRTUAL_SEEDS"); v != "" {
 		_, err := fmt.Sscanf(v, "%d+%d", &first, &count)
 		is.New(t).NoErr(err)
 	}
 	for seed := first; seed < first+count; seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newVirtualCell(t, seed)
-				prepare(c)
-				violations := c.run()
-				t.Logf("%d starts, %d claims, start orders by caller: %v", c.fleet.starts, len(c.store.Records(store.Claims, 0)), c.fleet.callersOfStarts)
-				c.is.True(len(c.fleet.callersOfStarts) > virtualDomains) // Keepers carry the orders.
-				for i, v := range violations {
-					t.Error(v)
-					if keepVirtualLog && i < 2 {
-						t.Log(strings.Join(c.linesOf(c.fleet.violatingTasks[i]), "\n"))
-					}
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { play(t, seed) })
+	}
+}
+
+func playSeeds(t *testing.T, count uint64, prepare func(*virtualCell)) {
+	forEachSeed(t, count, func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newVirtualCell(t, seed)
+			prepare(c)
+			violations := c.run()
+			t.Logf("%d starts, %d claims, start orders by caller: %v", c.fleet.starts, len(c.store.Records(store.Claims, 0)), c.fleet.callersOfStarts)
+			c.is.True(len(c.fleet.callersOfStarts) > virtualDomains) // Keepers carry the orders.
+			for i, v := range violations {
+				t.Error(v)
+				if keepVirtualLog && i < 2 {
+					t.Log(strings.Join(c.linesOf(c.fleet.violatingTasks[i]), "\n"))
 				}
-			})
+			}
 		})
-	}
+	})
 }
 
 // Leaders and keepers are killed, restarted in place and frozen while calls and answers
