Spare the leases of silent workers, and record a worker whose address becomes known

The scheduler now says how long to wait: the pause still doubles up to 800 ms, but a hold is sent 0.3 s before the lease of runs ends. An interrupted hold ends the pause. In fleets that need no keepers, direct calls are given up after 250 ms again. - A placement without a record, stored by an earlier build, was not recorded when its worker was listed again (TestRestoredWorkerIsRecordedOnceItIsListed). - A record of a later process displaced a listed one that is alive (TestListedProcessIsHeldBesideARecordOfALaterOne). - Lost stops to silent workers came every 0.6 s, and kept holds from the direct way. They come every 2 s, and stops and other calls bypass a keeper apart.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -123,6 +123,46 @@
 	s.sendDelayedStarts(w, now)
 }
 
+const (
+	// minHoldRetryPause is the pause after a hold without an answer. It doubles with each
+	// further one up to maxHoldRetryPause, so that the holds of many silent workers leave
+	// the leader's network link and processor to the others.
+	minHoldRetryPause = 100 * time.Millisecond
+	maxHoldRetryPause = 800 * time.Millisecond
+	// unansweredHoldDuration is how long a hold without a wait takes if it is not answered.
+	unansweredHoldDuration = 550 * time.Millisecond
+	// lastHoldMargin is how long before the lease of a worker ends the last hold is sent that
+	// may save it. The next hold, which extends the lease, follows its answer.
+	lastHoldMargin = 300 * time.Millisecond
+	// silentAfterHolds is the number of holds without an answer after which a worker counts
+	// as silent.
+	silentAfterHolds = 3
+)
+
+// HoldRetryPause returns how long to wait after a hold without an answer before the next one
+// is sent. If there are runs, a hold is sent lastHoldMargin before their lease ends.
+func (s *Scheduler) HoldRetryPause(life backend.Life, now time.Time) time.Duration {
+	w := s.workers[life]
+	if w == nil {
+		return minHoldRetryPause
+	}
+	pause := minHoldRetryPause
+	for i := 1; i < w.unansweredHolds && pause < maxHoldRetryPause; i++ {
+		pause *= 2
+	}
+	if w.runs() == 0 {
+		return pause
+	}
+	// The worker may have executed the last hold with a deadline, although it was not answered.
+	for _, extended := range []time.Time{w.held.extensionConfirmedAt, w.held.extensionSentAt} {
+		left := extended.Add(s.timing.Lease - lastHoldMargin).Sub(now)
+		if left > 0 && left < pause+unansweredHoldDuration {
+			return left
+		}
+	}
+	return pause
+}
+
 // fencedTokenIncrement is added to the fencing token of a worker after the worker has
 // refused it as too low. It is large enough to skip the tokens that this leader may
 // have used for the worker in an earlier session.
--- a/internal/cell/scheduler/stops.go
+++ b/internal/cell/scheduler/stops.go
@@ -13,8 +13,10 @@
 	// still reports. It is longer than a worker takes to end a run.
 	stopRetryInterval = 1500 * time.Millisecond
 	// lostStopRetryInterval is the shortest interval between repetitions of the lost stops
-	// of one worker. A worker that does not answer gets no more of them than holds.
-	lostStopRetryInterval = 600 * time.Millisecond
+	// of one worker, and silentStopRetryInterval the same while it answers no holds either.
+	// Its next answer causes all of them to be repeated.
+	lostStopRetryInterval   = 600 * time.Millisecond
+	silentStopRetryInterval = 2 * time.Second
 )
 
 // lostStops holds the runs on a worker whose stop the worker may not have executed.
@@ -108,6 +110,9 @@
 	l.runs = slices.DeleteFunc(l.runs, func(r runID) bool { return !w.awaitsStopOf(r) })
 	if len(l.runs) > 0 {
 		l.nextAt = now.Add(lostStopRetryInterval)
+		if w.unansweredHolds >= silentAfterHolds {
+			l.nextAt = now.Add(silentStopRetryInterval)
+		}
 		s.repeatStop(w, l.runs[0], now)
 	}
 }
--- a/internal/cell/scheduler/unlisted_test.go
+++ b/internal/cell/scheduler/unlisted_test.go
@@ -155,3 +155,46 @@
 		}
 	})
 }
+
+// A placement without a record of its worker was stored by an earlier build. The worker is
+// recorded once its address is known, for the next leader.
+func TestRestoredWorkerIsRecordedOnceItIsListed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	life := backend.Life{ID: "a", Born: 1}
+	c := newRestoredRun(life, now)
+	c.NextCommit(now)
+	c.SetWorkers([]backend.Registration{{Life: life, Address: netip.MustParseAddrPort("10.0.0.1:8400"), Service: "desk", Capacity: workerCapacity}}, now)
+	is.Equal(len(c.TakeEffects().SessionsToOpen), 1)
+	commit := c.NextCommit(now)
+	is.True(commit != nil)
+	is.Equal(len(commit.Records), 1)
+	is.True(scheduler.IsWorkerRecord(&commit.Records[0]))
+}
+
+// The list names an earlier process of a worker than the record, such as after its clock was
+// set back. The process that answers is held.
+func TestListedProcessIsHeldBesideARecordOfALaterOne(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	listed := backend.Registration{Life: backend.Life{ID: "a", Born: 5}, Address: netip.MustParseAddrPort("10.0.0.1:8400"), Service: "desk", Capacity: workerCapacity}
+	c := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, EndedJobRetention: time.Hour}, 2, now, now, logr.Discard())
+	c.SetWorkers([]backend.Registration{listed}, now)
+	c.RestoreWorkers([]store.Record{{Key: "worker/a/9", Value: []byte(`{"id":"a","born":9,"address":"10.0.0.1:8400","service":"desk"}`)}}, now)
+	e := c.TakeEffects()
+	is.Equal(len(e.SessionsToOpen), 1)
+	is.Equal(len(e.SessionsToClose), 0)
+	_, sent, ok := c.NextHold(listed.Life, now)
+	is.True(ok)
+	c.HoldAnswered(listed.Life, sent, &backend.Report{Life: listed.Life, Clock: time.Second}, now)
+	hold, _, _ := c.NextHold(listed.Life, now)
+	is.True(hold.Deadline > 0)
+}
+
+// newRestoredRun returns a scheduler that has restored a job with one run on a worker.
+func newRestoredRun(life backend.Life, now time.Time) *scheduler.Scheduler {
+	c := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, EndedJobRetention: time.Hour}, 2, now, now, logr.Discard())
+	p := &work.Progress{State: work.Running, Started: true, Steps: []work.StepProgress{{Tasks: []work.TaskProgress{{Run: 1, Worker: life.ID, Born: life.Born}}}}}
+	c.Restore(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize, Lasting: true}}}, p, now)
+	return c
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -162,6 +162,9 @@
 	}
 	w.registration, w.registered = r, true
 	s.pools = nil
+	if w.runs() > 0 {
+		s.recordWorker(w) // Its address may have been unknown before.
+	}
 	if !w.sessionOpen && !w.removed {
 		s.openSession(w)
 	}
@@ -306,6 +309,9 @@
 		s.openSession(next)
 		s.logOpenedWorkers()
 	}
+	if next.runs() > 0 {
+		s.recordWorker(next)
+	}
 	s.replaceProcess(w, next, "another life of the worker answered", now)
 	s.latestWorkerByID[life.ID] = next
 }
--- a/internal/cell/scheduler/worker_record.go
+++ b/internal/cell/scheduler/worker_record.go
@@ -109,9 +109,14 @@
 			w.recorded = w.registration.Address == r.Address
 			continue
 		}
-		if latest := s.latestWorkerByID[r.Life.ID]; latest != nil && latest.registration.Life.Born > r.Life.Born {
-			s.workerRecordsToDelete = append(s.workerRecordsToDelete, r.Life)
-			continue
+		if latest := s.latestWorkerByID[r.Life.ID]; latest != nil {
+			if latest.registration.Life.Born > r.Life.Born {
+				s.workerRecordsToDelete = append(s.workerRecordsToDelete, r.Life)
+				continue
+			}
+			if latest.registered {
+				continue // The hold of the listed process shows which process runs under the ID.
+			}
 		}
 		w := s.addWorker(r, now)
 		w.recorded = true
--- a/internal/node/entryvm/cut_domain_test.go
+++ b/internal/node/entryvm/cut_domain_test.go
@@ -101,3 +101,28 @@
 		synctest.Test(t, func(t *testing.T) { newVirtualCell(t, seed).playCutDomain(t) })
 	})
 }
+
+// Pauses between failed holds grew until no hold was sent between the end of a cut and the end
+// of the leases.
+func TestRunsSurviveCutsShorterThanTheLease(t *testing.T) {
+	for _, cut := range []time.Duration{3800 * time.Millisecond, 4150 * time.Millisecond, 4400 * time.Millisecond} {
+		t.Run(cut.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newVirtualCell(t, 1)
+				time.Sleep(2 * time.Second)
+				c.submitLasting("job", virtualWorkers)
+				time.Sleep(3 * time.Second)
+				for i := range 8 {
+					c.cutOffZone(1, cut)
+					time.Sleep(15*time.Second + time.Duration(i)*170*time.Millisecond)
+					c.is.Equal(c.fleet.running("job"), virtualWorkers)
+				}
+				c.is.Equal(c.fleet.starts, virtualWorkers) // No run has lapsed and begun again.
+				for i := range virtualVMs {
+					c.killVM(i)
+				}
+				time.Sleep(2 * maxLateness)
+			})
+		})
+	}
+}
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -21,11 +22,6 @@
 	// holdReplyMargin is added to Hold.Wait to get the timeout of a hold. Hold.Wait is
 	// the longest time that the worker may take before it answers.
 	holdReplyMargin = 250*time.Millisecond + keeper.ForwardingMargin
-	// holdRetryPause is the pause after a failed hold. It doubles with each further failure
-	// up to maxHoldRetryPause, so that the holds of many silent workers leave the leader's
-	// network link and processor to the others.
-	holdRetryPause    = 100 * time.Millisecond
-	maxHoldRetryPause = 800 * time.Millisecond
 	// fencedHoldRetryPause is the pause after a worker has refused a hold because of its
 	// fencing token. Meanwhile the leader renews its claim to find out whether it was
 	// superseded.
@@ -53,9 +49,6 @@
 	mutex  sync.Mutex
 	// cancelHold cancels the hold that is in flight.
 	cancelHold context.CancelFunc
-	// retryPause is the last pause after a failed hold, or 0 after an answer. Only run and
-	// what it calls use it.
-	retryPause time.Duration
 	// holdInterrupted is true if interruptHold was called since the current hold began.
 	holdInterrupted bool
 }
@@ -99,19 +92,8 @@
 // sendHold sends one hold and passes the worker's report to the scheduler. It returns
 // false if the session must end.
 func (s *workerSession) sendHold(interruptible context.Context) bool {
-	var hold backend.Hold
-	var sent scheduler.SentHold
-	ok := false
-	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
-		hold, sent, ok = c.NextHold(s.life, at)
-	})
-	if !ok {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(interruptible, hold.Wait+holdReplyMargin)
-	report, err := s.worker.Hold(ctx, hold)
-	cancel()
-	if s.ctx.Err() != nil {
+	hold, sent, report, err := s.callHold(interruptible)
+	if s.ctx.Err() != nil || errors.Is(err, errWorkerRemoved) {
 		return false
 	}
 	if err != nil {
@@ -119,19 +101,20 @@
 		if !s.wasHoldInterrupted() {
 			s.leader.node.log.Info("hold_failed", "worker", s.life.ID, "kind", string(kind), "error", err.Error())
 		}
+		var pause time.Duration
 		s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
 			c.HoldSent(s.life, s.worker.KeeperOfLastHold())
 			c.HoldFailed(s.life, kind, at)
+			pause = c.HoldRetryPause(s.life, at)
 		})
 		if kind == backend.KindFenced {
 			s.leader.signalClaimRenewal()
 			sleep(s.ctx, fencedHoldRetryPause)
 		} else if !s.wasHoldInterrupted() {
-			sleep(s.ctx, s.nextRetryPause())
+			sleep(interruptible, pause)
 		}
 		return true
 	}
-	s.holdAnswered()
 	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
 		c.HoldSent(s.life, s.worker.KeeperOfLastHold())
 		c.HoldAnswered(s.life, sent, &report, at)
@@ -145,13 +128,20 @@
 	return true
 }
 
-// holdAnswered makes the next pause after a failed hold short again.
-func (s *workerSession) holdAnswered() { s.retryPause = 0 }
+// errWorkerRemoved is the error of a hold to a worker that the scheduler has removed.
+var errWorkerRemoved = errors.New("the worker was removed")
 
-// nextRetryPause returns the pause after a failed hold.
-func (s *workerSession) nextRetryPause() time.Duration {
-	s.retryPause = min(2*max(s.retryPause, holdRetryPause/2), maxHoldRetryPause)
-	return s.retryPause
+// callHold sends the next hold and waits for its answer.
+func (s *workerSession) callHold(interruptible context.Context) (hold backend.Hold, sent scheduler.SentHold, report backend.Report, err error) {
+	ok := false
+	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) { hold, sent, ok = c.NextHold(s.life, at) })
+	if !ok {
+		return hold, sent, report, errWorkerRemoved
+	}
+	ctx, cancel := context.WithTimeout(interruptible, hold.Wait+holdReplyMargin)
+	defer cancel()
+	report, err = s.worker.Hold(ctx, hold)
+	return hold, sent, report, err
 }
 
 // awaitReportedEndsStored waits until the run ends that the worker has reported are
--- a/internal/node/keeper/assignment.go
+++ b/internal/node/keeper/assignment.go
@@ -38,8 +38,14 @@
 type Assignment struct {
 	// keepersByDomain maps each failure domain to its keepers.
 	keepersByDomain map[string][]hashedMember
+	// large is true if there are more than maxDirectWorkers workers.
+	large bool
 }
 
+// needsKeepers reports whether there are too many workers for the leader to call all of them
+// directly.
+func (a *Assignment) needsKeepers() bool { return a != nil && a.large }
+
 // hashedMember is an entry VM with the hash of its name.
 type hashedMember struct {
 	member Member
@@ -58,6 +64,7 @@
 	if total <= maxDirectWorkers {
 		return a
 	}
+	a.large = true
 	for _, m := range members {
 		a.keepersByDomain[m.Domain] = append(a.keepersByDomain[m.Domain], hashedMember{m, xxhash.Sum64String(m.Name)})
 	}
--- a/internal/node/keeper/worker.go
+++ b/internal/node/keeper/worker.go
@@ -28,8 +28,8 @@
 // directly if there is no usable keeper. After a call through the keeper got no answer, it
 // calls directly for bypassTime or until such a call gets no answer, so that the failures of
 // one way do not cut off the worker. The deadline of each context must include
-// ForwardingMargin for the way through the keeper and back. A direct call has all of that
-// time, since the leader's link may be busy when it has no keepers.
+// ForwardingMargin for the way through the keeper and back. In a fleet that needs keepers, a
+// direct call has all of that time, since the link of a leader without them may be busy.
 type WorkerClient struct {
 	dispatcher   *Dispatcher
 	registration backend.Registration
@@ -37,15 +37,30 @@
 	directClient backend.Worker
 
 	mutex sync.Mutex
-	// bypassUntil is the time until which the keeper is bypassed. bypassAnswered is true if
-	// the worker has answered a direct call in this period.
-	bypassUntil    time.Time
-	bypassAnswered bool
+	// stopBypass is for stops, and bypass for all other calls: a stop that is lost must not
+	// keep the next hold from trying the other way.
+	bypass, stopBypass bypassState
 	// keeperOfLastHold is the keeper through which the last hold went, or the zero value if
 	// it went directly.
 	keeperOfLastHold netip.AddrPort
-	// bypassFailedAt is when a direct call that bypassed the keeper last got no answer.
-	bypassFailedAt time.Time
+}
+
+// bypassState says when calls to a worker bypass its keeper.
+type bypassState struct {
+	// until is the time until which the keeper is bypassed. answered is true if the worker
+	// has answered a direct call in this period.
+	until    time.Time
+	answered bool
+	// failedAt is when a direct call that bypassed the keeper last got no answer.
+	failedAt time.Time
+}
+
+// bypassOf returns the state for stops or for other calls. The caller must hold the mutex.
+func (w *WorkerClient) bypassOf(isStop bool) *bypassState {
+	if isStop {
+		return &w.stopBypass
+	}
+	return &w.bypass
 }
 
 // NewWorkerClient returns a client for the worker with registration r. direct is the
@@ -112,14 +127,21 @@
 		a, err := w.dispatcher.call(ctx, keeper, c.operation(), c)
 		if isUnanswered(err) {
 			w.mutex.Lock()
-			w.bypassUntil, w.bypassAnswered = time.Now().Add(bypassTime), false
+			for _, b := range []*bypassState{&w.bypass, &w.stopBypass} {
+				b.until, b.answered = time.Now().Add(bypassTime), false
+			}
 			w.mutex.Unlock()
 		}
 		return a, err
 	}
+	if !w.dispatcher.assignment.Load().needsKeepers() {
+		shorter, cancel := withoutForwardingMargin(ctx)
+		defer cancel()
+		ctx = shorter
+	}
 	a, err := direct(ctx)
 	if bypass {
-		w.endBypass(limited, err)
+		w.endBypass(c.Stop != nil, limited, err)
 	}
 	return a, err
 }
@@ -147,12 +169,13 @@
 func (w *WorkerClient) beginBypass(isStop bool) (bypass, limited bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	b := w.bypassOf(isStop)
 	switch {
-	case !time.Now().Before(w.bypassUntil):
+	case !time.Now().Before(b.until):
 		return false, false
-	case w.bypassAnswered:
+	case b.answered:
 		return true, false
-	case !isStop && time.Since(w.bypassFailedAt) < bypassRetryDelay:
+	case !isStop && time.Since(b.failedAt) < bypassRetryDelay:
 		return false, false
 	}
 	limit := int64(maxBypasses)
@@ -167,17 +190,18 @@
 }
 
 // endBypass must be called with the result of a call that bypassed the keeper.
-func (w *WorkerClient) endBypass(limited bool, err error) {
+func (w *WorkerClient) endBypass(isStop, limited bool, err error) {
 	if limited {
 		w.dispatcher.bypasses.Add(-1)
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	b := w.bypassOf(isStop)
 	switch {
 	case err == nil:
-		w.bypassAnswered = true
+		b.answered = true
 	case isUnanswered(err):
-		w.bypassUntil, w.bypassFailedAt = time.Time{}, time.Now()
+		b.until, b.failedAt = time.Time{}, time.Now()
 	}
 }
 
@@ -191,3 +215,13 @@
 	kind := fault.KindOr(err, backend.KindUnknown)
 	return kind == backend.KindUnknown || kind == backend.KindUnreachable
 }
+
+// withoutForwardingMargin returns a copy of ctx whose deadline, if there is one, is
+// ForwardingMargin earlier.
+func withoutForwardingMargin(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-ForwardingMargin))
+}
