--- a/internal/cell/scheduler/held.go
+++ b/internal/cell/scheduler/held.go
@@ -11,8 +11,9 @@
 // longer than the sum counts as unheld.
 const unheldMargin = time.Second
 
-// holdTimes says when and by which way a worker was held. The zero time stands for never,
-// the zero address for the direct way, without a keeper.
+// holdTimes says when and by which way a worker was held. The zero time stands for never, the
+// zero address for the direct way, without a keeper. HoldRetryPause uses the times of the
+// extensions; everything else is for logs.
 type holdTimes struct {
 	sentAt, answeredAt time.Time
 	// failure is the kind of error of the last hold that failed.
--- a/internal/emulate/soak/cancelled.go
+++ b/internal/emulate/soak/cancelled.go
@@ -64,8 +64,8 @@
 
 // checkCancelled checks that a run of a cancelled job does not go on for too long: its worker
 // was reachable and the leader in touch, without a break, for cancelLimit and stopGrace after
-// the cancellation was acknowledged. For a run that started later, the time counts from contact after its start.
-// The caller must hold the mutex.
+// the cancellation was acknowledged. For a run that started later, the time counts from
+// contact after its start. The caller must hold the mutex.
 func (l *ledger) checkCancelled(j *jobRecord, r *startRecord, now time.Time) {
 	since := later(l.linkedSince(r.life, now), l.leader.calmSince(now).Add(contact))
 	since = later(since, j.cancelledAt)
@@ -103,10 +103,9 @@
 	l.violateByRun("cancelled jobs don't start", r, "worker %s started task %s %.2f s after its job was cancelled", r.life.ID, r.order.Task, r.at.Sub(j.cancelledAt).Seconds())
 }
 
-// checkLeaseExtended checks that a run whose lease has lapsed could not be held, even if the
-// lease was extended too little: there was a
-// fault of the calls to its worker or of the leader during the lease. The caller must hold
-// the mutex.
+// checkLeaseExtended checks that a run whose lease has lapsed could not be held: there was a
+// fault of the calls to its worker or of the leader during the lease. Unlike checkHeld it also
+// notices extensions that are too short. The caller must hold the mutex.
 func (l *ledger) checkLeaseExtended(w *fleet.Worker, r *startRecord, at time.Time) {
 	life := w.Registration.Life
 	if at.Sub(l.calmSince(life, at)) > longestLease && at.Sub(r.at) > longestLease && !r.unheld {
--- a/internal/emulate/soak/faults.go
+++ b/internal/emulate/soak/faults.go
@@ -130,7 +130,6 @@
 			rack = append(rack, c.workers[i])
 		}
 		return c.lapseEntries(rack, func() { time.Sleep(rand.N(maxEntryLapse)) })
-
 	}},
 	{"lapse_and_kill_leader", func(c *cell, f fault) error {
 		if f.waits {
