--- a/internal/cell/scheduler/cancellation_property_test.go
+++ b/internal/cell/scheduler/cancellation_property_test.go
@@ -24,11 +24,11 @@
 	stopGrace   = 900 * time.Millisecond
 	// takeOverLimit is the time within which a new leader opens its sessions.
 	takeOverLimit = time.Second
-	// checkInInterval is the interval at which a worker confirms its entry in the list of
-	// workers. After missedCheckIns intervals without one, the entry lapses.
-	checkInInterval = 1500 * time.Millisecond
-	missedCheckIns  = 3
-	// maxListingDelay is the longest time from a check-in until its entry is back.
+	// heartbeatInterval is the interval at which a worker confirms its entry in the list of
+	// workers. After missedHeartbeats intervals without one, the entry lapses.
+	heartbeatInterval = 1500 * time.Millisecond
+	missedHeartbeats  = 3
+	// maxListingDelay is the longest time from a heartbeat until its entry is back.
 	maxListingDelay = 500 * time.Millisecond
 	// electionDelay is the time after which a leader that can't renew its claim is replaced.
 	electionDelay = 1300 * time.Millisecond
@@ -118,12 +118,12 @@
 // within cancelLimit + stopGrace of reachable time. A moment is reachable for a run if a
 // leader leads that is elected and neither killed, frozen nor cut off from the store, if
 // calls to the worker and their answers arrive, and if no call to it is lost that the
-// leader still waits for. These are the impairments for which a machine is not in touch by
-// the platform's rules: kills, freezes, lost packets, no path to the platform. An entry that
+// leader still waits for. The platform excuses orders of a VM during the same faults:
+// kills, freezes, lost packets, no path to the platform. An entry that
 // is missing in the list of workers, a change of leader that is over, workers that drain
 // and restarts of workers excuse nothing. The rules take a calm stretch of the whole length
-// and a further time after each impairment. Here all calm moments are added up, so that
-// repeated impairments give no new time.
+// and a further time after each fault. Here all calm moments are added up, so that
+// repeated faults give no new time.
 //
 // HELD: takeOverLimit after it began to lead, the leader has a session with each reachable
 // worker on which a task runs that is placed there by the stored progress.
@@ -137,20 +137,20 @@
 	// reported contains the runs that have broken a promise.
 	reported map[string]bool
 	// zoneCutUntil maps a zone to the time until which its workers are unreachable and can't
-	// check in. callsLostUntil maps a zone to the time until which its workers are
+	// send heartbeats. callsLostUntil maps a zone to the time until which its workers are
 	// unreachable.
 	zoneCutUntil, callsLostUntil map[string]time.Time
-	// silentUntil maps the ID of a worker to the time until which it can't check in.
+	// silentUntil maps the ID of a worker to the time until which it can't send heartbeats.
 	silentUntil map[string]time.Time
-	// lastCheckIn maps the ID of a worker to its last check-in.
-	lastCheckIn map[string]time.Time
-	nextCheckIn map[backend.Life]time.Time
+	// lastHeartbeat maps the ID of a worker to its last heartbeat.
+	lastHeartbeat map[string]time.Time
+	nextHeartbeat map[backend.Life]time.Time
 }
 
 func newCancellationCheck(sm *simulation) *cancellationCheck {
 	c := &cancellationCheck{
 		simulation: sm, goesOnFor: map[runOnWorker]time.Duration{}, ledFor: map[*simulatedLeader]time.Duration{}, reported: map[string]bool{},
-		zoneCutUntil: map[string]time.Time{}, callsLostUntil: map[string]time.Time{}, silentUntil: map[string]time.Time{}, lastCheckIn: map[string]time.Time{}, nextCheckIn: map[backend.Life]time.Time{},
+		zoneCutUntil: map[string]time.Time{}, callsLostUntil: map[string]time.Time{}, silentUntil: map[string]time.Time{}, lastHeartbeat: map[string]time.Time{}, nextHeartbeat: map[backend.Life]time.Time{},
 	}
 	c.check()
 	return c
@@ -193,36 +193,36 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(sm.listed)) {
-		if sm.now.Sub(c.lastCheckIn[id]) > missedCheckIns*checkInInterval {
+		if sm.now.Sub(c.lastHeartbeat[id]) > missedHeartbeats*heartbeatInterval {
 			delete(sm.listed, id)
 		}
 	}
 	sm.schedule(checkInterval, c.check)
 }
 
-// updateEntry updates whether a worker is reachable and lets it check in if that is due.
+// updateEntry updates whether a worker is reachable and lets it send a heartbeat if that is due.
 func (c *cancellationCheck) updateEntry(v *fleet.Worker) {
 	sm, life := c.simulation, v.Registration.Life
 	cut := sm.now.Before(c.zoneCutUntil[v.Registration.Zone])
 	sm.unreachableWorkers[life] = cut || sm.now.Before(c.callsLostUntil[v.Registration.Zone])
-	if cut || sm.now.Before(c.silentUntil[life.ID]) || sm.now.Before(c.nextCheckIn[life]) {
+	if cut || sm.now.Before(c.silentUntil[life.ID]) || sm.now.Before(c.nextHeartbeat[life]) {
 		return
 	}
-	if c.nextCheckIn[life].IsZero() { // The workers check in one after the other.
-		c.nextCheckIn[life] = sm.now.Add(sm.randomDuration(0, checkInInterval))
+	if c.nextHeartbeat[life].IsZero() { // The workers send heartbeats one after the other.
+		c.nextHeartbeat[life] = sm.now.Add(sm.randomDuration(0, heartbeatInterval))
 		if sm.listed[life.ID] == v {
-			c.lastCheckIn[life.ID] = sm.now
+			c.lastHeartbeat[life.ID] = sm.now
 		}
 		return
 	}
-	c.nextCheckIn[life] = sm.now.Add(checkInInterval)
+	c.nextHeartbeat[life] = sm.now.Add(heartbeatInterval)
 	if sm.listed[life.ID] == v {
-		c.lastCheckIn[life.ID] = sm.now
+		c.lastHeartbeat[life.ID] = sm.now
 		return
 	}
 	sm.schedule(sm.randomDuration(0, maxListingDelay), func() {
 		if sm.workers[life] == v {
-			sm.listed[life.ID], c.lastCheckIn[life.ID] = v, sm.now
+			sm.listed[life.ID], c.lastHeartbeat[life.ID] = v, sm.now
 		}
 	})
 }
