--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,6 +15,7 @@
 var scenarios = map[string]scenario{
 	"lost-kind":     {6 * time.Second, playLostKind},
 	"lost-worker":   {10 * time.Second, playLostWorker},
+	"early-answer":  {6 * time.Second, playEarlyAnswer},
 	"dropped-route": {6 * time.Second, playDroppedRoute},
 	"stale-leader":  {6 * time.Second, playStaleLeader},
 	"late-schedule": {6 * time.Second, playLateSchedule},
@@ -198,6 +199,60 @@
 	return fmt.Sprintf("LOST: for 3 s, %d of %d accepted submissions have nothing running, though a task's turn has come and there is room; processes were killed %d times for their memory", len(stalled), len(in.accepted), kills)
 }
 
+// playEarlyAnswer takes the store down for 4.2 s. Meanwhile one worker of eight is lost for good
+// and the leader is killed. Clients ask for the states of their submissions all the while.
+func playEarlyAnswer(in *installation, trouble bool) string {
+	const contact = 3 * time.Second
+	in.needsTicket = true
+	urgent, normal := urgent, normal
+	urgent.Advice, normal.Advice = advised, advised
+	in.begin(pool("desk", 8, 3), []string{"desk"}, urgent, normal)
+	var group sync.WaitGroup
+	stop := time.Now().Add(6 * time.Second)
+	for i := 0; time.Now().Before(stop); i++ {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			id := fmt.Sprintf("a%015x", i)
+			// Each submission has a task on each worker.
+			if in.submit(urgent, id, submission{Spec: "700", Steps: []step{{Count: 8, CPU: 1000, MemMb: 500, EstimateMs: 700, AntiAffinity: 1}}}) {
+				in.await(urgent, id, "completed", 15*time.Second)
+			}
+		}()
+		if i == 30 && trouble {
+			go in.playOutage(contact)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	group.Wait()
+	in.record.event("traffic_ends")
+	time.Sleep(finish)
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	if len(in.startedAgain) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("TWICE: %d tasks were started again, first %s", len(in.startedAgain), in.startedAgain[0])
+}
+
+func (in *installation) playOutage(contact time.Duration) {
+	in.record.event("store_down")
+	in.store.down.Store(true)
+	time.Sleep(time.Second)
+	in.workers[7].crash()
+	time.Sleep(400 * time.Millisecond)
+	in.store.mutex.Lock()
+	leader := in.vms[in.store.lastConditional]
+	in.store.mutex.Unlock()
+	in.restart(leader)
+	time.Sleep(4200*time.Millisecond - 1400*time.Millisecond - restartPause)
+	in.store.down.Store(false)
+	in.record.event("store_up")
+	in.mutex.Lock()
+	in.calmFrom = time.Now().Add(contact)
+	in.mutex.Unlock()
+}
+
 // playStaleLeader kills the leader. Then all open connections to the store go silent, while new
 // ones work, and the configuration changes.
 func playStaleLeader(in *installation, trouble bool) string {
--- a/review/standin/installation.go
+++ b/review/standin/installation.go
@@ -76,6 +76,12 @@
 	starts, done map[string]int
 	// accepted holds the submissions that were answered with 2xx.
 	accepted map[string]submission
+	// shown holds when a submission was first shown as completed.
+	shown map[string]time.Time
+	// startedAgain lists the tasks that a worker has started over a second after their
+	// submission was shown as completed, and after calmFrom.
+	startedAgain []string
+	calmFrom     time.Time
 }
 
 func newInstallation(recordPath, program string, lease time.Duration) *installation {
@@ -86,7 +92,7 @@
 	in := &installation{
 		record: &recorder{file: file, begun: time.Now()}, store: newStore(), lease: lease, folder: folder, program: program,
 		stopped: make(chan struct{}), limiterEnded: make(chan struct{}),
-		starts: map[string]int{}, done: map[string]int{}, accepted: map[string]submission{},
+		starts: map[string]int{}, done: map[string]int{}, accepted: map[string]submission{}, shown: map[string]time.Time{},
 	}
 	return in
 }
@@ -169,6 +175,11 @@
 	in.mutex.Lock()
 	defer in.mutex.Unlock()
 	in.starts[task]++
+	id, _, _ := strings.Cut(task, ".")
+	at, shown := in.shown[id]
+	if shown && time.Since(at) > time.Second && !in.calmFrom.IsZero() && time.Now().After(in.calmFrom) {
+		in.startedAgain = append(in.startedAgain, fmt.Sprintf("%s, %.1f s after it was shown as completed", task, time.Since(at).Seconds()))
+	}
 }
 
 func (in *installation) noteEnd(task, how string) {
@@ -453,6 +464,13 @@
 	var body struct{ State string }
 	_ = json.Unmarshal([]byte(text), &body)
 	in.record.event("asked", "id", id, "vm", v.name, "status", status, "state", body.State)
+	if body.State == "completed" {
+		in.mutex.Lock()
+		if _, known := in.shown[id]; !known {
+			in.shown[id] = time.Now()
+		}
+		in.mutex.Unlock()
+	}
 	return status, body.State
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	parts map[string]*partition
 	// lastConditional is the index of the entry VM that last wrote under a condition.
 	lastConditional int
+	// down is true while every new call is cut off without an answer and has no effect.
+	down atomic.Bool
 }
 
 type partition struct {
@@ -96,7 +99,12 @@
 	})
 	mux.HandleFunc("GET /-/log-read", s.handleRead)
 	mux.HandleFunc("GET /-/log-newest", s.handleNewest)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.down.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
