--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -42,6 +42,21 @@
 	time.Sleep(3 * time.Second)
 }
 
+// judgeLost judges the rule LOST for accepted submissions after the end of the traffic. It returns
+// what broke the rule, or an empty text.
+func (in *installation) judgeLost(r route, ids []string) string {
+	in.record.event("traffic_ends")
+	time.Sleep(finish)
+	stalled := in.stalledFor3s(r.Service, ids...)
+	for _, id := range ids[:min(len(ids), 5)] {
+		in.state(r, id)
+	}
+	if len(stalled) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("LOST: for 3 s, %d of %d submissions have nothing running, though they were accepted, a task's turn has come and there is room: %s and others", len(stalled), len(ids), stalled[0])
+}
+
 var (
 	urgent = route{Name: "r-urgent", Host: host, PathPrefix: "/quick/", Kind: "non_idempotent", TimeoutMs: 3000, SloMs: 250, Priority: 0, Service: "desk", MaxAttempts: 2, Stretch: 1.5}
 	normal = route{Name: "r-normal", Host: host, PathPrefix: "/scan/", Kind: "non_idempotent", TimeoutMs: 3000, SloMs: 1000, Priority: 1, Service: "desk", MaxAttempts: 2, Stretch: 2.2}
@@ -77,16 +92,7 @@
 	}
 	tick.Stop()
 	group.Wait()
-	in.record.event("traffic_ends")
-	time.Sleep(finish)
-	stalled := in.stalledFor3s("desk", ids...)
-	for _, id := range ids {
-		in.state(normal, id)
-	}
-	if len(stalled) == 0 {
-		return ""
-	}
-	return fmt.Sprintf("LOST: for 3 s, %d of %d accepted submissions have nothing running, though a task's turn has come and there is room: %v", len(stalled), len(ids), stalled)
+	return in.judgeLost(normal, ids)
 }
 
 // playLostKind loses one worker of eight for good, the only one of its kind, while all queues
@@ -115,16 +121,7 @@
 			time.Sleep(200 * time.Millisecond)
 		}
 	}
-	in.record.event("traffic_ends")
-	time.Sleep(finish)
-	stalled := in.stalledFor3s("desk", ids...)
-	for _, id := range ids {
-		in.state(normal, id)
-	}
-	if len(stalled) == 0 {
-		return ""
-	}
-	return fmt.Sprintf("LOST: for 3 s, %d of %d accepted submissions have nothing running, though a task's turn has come and there is room: %v", len(stalled), len(ids), stalled)
+	return in.judgeLost(normal, ids)
 }
 
 // playDroppedRoute removes a route while accepted submissions of it are under way.
@@ -144,16 +141,7 @@
 		in.submit(urgent, fmt.Sprintf("d%015x", i), submission{Spec: "300", Steps: []step{{Count: 2, CPU: 1000, MemMb: 500, EstimateMs: 300}}})
 		time.Sleep(100 * time.Millisecond)
 	}
-	in.record.event("traffic_ends")
-	time.Sleep(finish)
-	stalled := in.stalledFor3s("desk", ids...)
-	for _, id := range ids {
-		in.state(normal, id)
-	}
-	if len(stalled) == 0 {
-		return ""
-	}
-	return fmt.Sprintf("LOST: for 3 s, %d of %d accepted submissions have nothing running, though a task's turn has come and there is room: %v", len(stalled), len(ids), stalled)
+	return in.judgeLost(normal, ids)
 }
 
 // playLateSchedule hands in a schedule for each minute of the year, on a day late in the year.
@@ -181,22 +169,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	group.Wait()
-	in.record.event("traffic_ends")
-	time.Sleep(finish)
-	stalled := in.stalledFor3s("desk", ids...)
-	for _, id := range ids[:5] {
-		in.state(urgent, id)
-	}
-	in.mutex.Lock()
-	defer in.mutex.Unlock()
-	kills := 0
-	for _, v := range in.vms {
-		kills += v.kills
-	}
-	if len(stalled) == 0 {
-		return ""
-	}
-	return fmt.Sprintf("LOST: for 3 s, %d of %d accepted submissions have nothing running, though a task's turn has come and there is room; processes were killed %d times for their memory", len(stalled), len(in.accepted), kills)
+	return in.judgeLost(urgent, ids)
 }
 
 // playEarlyAnswer takes the store down for 4.2 s. Meanwhile one worker of eight is lost for good
