Log when ends of jobs are stored and told, long polls, and what tasks wait for

New lines: job_end_stored, job_end_told, job_restored, long_poll_ended, configuration_behind, and no_worker, outranked and left_out in waiting_tasks.

Tests of the scheduler and of entryvm pass.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -74,6 +74,9 @@
 		s.lastConfirmedAppendStart = c.startedAt
 	}
 	for j, state := range c.jobStates {
+		if state.Ended() && !j.finalRecordStored {
+			s.log.Info("job_end_stored", "job", j.spec.ID, "state", string(state), "after_ms", now.Sub(j.endedAt).Milliseconds())
+		}
 		j.finalRecordStored = j.finalRecordStored || state.Ended()
 		if !j.storedState.Ended() {
 			j.storedState = state
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -24,7 +24,9 @@
 	// submittedAt is when an entry VM accepted the job.
 	submittedAt time.Time
 	// endedAt is when state became final.
-	endedAt     time.Time
+	endedAt time.Time
+	// endTold is true once this leader has told anyone the final state.
+	endTold     bool
 	occurrences []*occurrence
 	// submissionDropped is true once the caller was told to delete the submission
 	// from the store.
@@ -37,6 +39,8 @@
 	// waitingTasks counts the tasks of open steps that wait for a worker.
 	// tasksOnWorkers counts the tasks that use capacity of a worker.
 	waitingTasks, tasksOnWorkers int
+	// leftOut is true if the last scheduling pass left the job out.
+	leftOut bool
 	// remainingRuns describes the runs that may exist when the job ends.
 	remainingRuns remainingRuns
 	// criticalPaths holds, for each step, the declared run time of its critical path:
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -40,7 +40,22 @@
 	}
 	if j.state.Ended() {
 		s.stopRestoredTasks(j, now)
+		return
+	}
+	s.logRestored(j)
+}
+
+// logRestored logs what the stored progress of an active job says, so that the log tells
+// which ends of its runs this leader does not know.
+func (s *Scheduler) logRestored(j *job) {
+	done, tasks := 0, 0
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			done += len(st.tasks) - st.tasksLeft
+			tasks += len(st.tasks)
+		}
 	}
+	s.log.Info("job_restored", "job", j.spec.ID, "state", string(j.state), "tasks", tasks, "done", done, "on_workers", j.tasksOnWorkers)
 }
 
 // RestoreEnded adds an ended job of which only the progress record is still stored;
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -323,10 +323,15 @@
 	if j == nil {
 		return "", false
 	}
+	state := j.storedState
 	if soleLeader && j.state == work.Completed {
-		return j.state, true
+		state = j.state
 	}
-	return j.storedState, true
+	if state.Ended() && !j.endTold {
+		j.endTold = true
+		s.log.Info("job_end_told", "job", id, "state", string(state), "stored", j.storedState.Ended())
+	}
+	return state, true
 }
 
 // Pending returns the number of active jobs of a queue of which no worker has reported a
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -73,10 +73,12 @@
 	})
 	order := make([]*job, 0, len(ranks))
 	for i := range ranks {
-		if ranks[i].timeliness == timelinessTooLate && len(order) >= tooLateJobsCutoff {
-			break // No caller waits for these jobs any more, and the other jobs come first.
+		j := ranks[i].job
+		// No caller waits for these jobs any more, and the other jobs come first.
+		j.leftOut = ranks[i].timeliness == timelinessTooLate && len(order) >= tooLateJobsCutoff
+		if !j.leftOut {
+			order = append(order, j)
 		}
-		order = append(order, ranks[i].job)
 	}
 	return order
 }
--- a/internal/cell/scheduler/waiting.go
+++ b/internal/cell/scheduler/waiting.go
@@ -12,6 +12,9 @@
 type waitReason string
 
 const (
+	// waitForWorker means that no registered worker could run a task, even if it were
+	// empty.
+	waitForWorker waitReason = "no_worker"
 	// waitForCapacity means that too few workers have enough free capacity, whether
 	// the step may use them or not.
 	waitForCapacity waitReason = "no_capacity"
@@ -39,6 +42,9 @@
 	if st.spec.Gang {
 		needed = st.spec.Count
 	}
+	if len(s.capableWorkers(st, q.Service)) == 0 {
+		return waitForWorker
+	}
 	free, approved, valid, unreserved := 0, 0, 0, 0
 	expectedEnd := now.Add(s.runTimes.expectedOccupancy(st))
 	for _, w := range s.poolOfService(q.Service).readyWorkers {
@@ -74,10 +80,19 @@
 	return waitForScheduling
 }
 
+// waitingTasksSummary counts the waiting tasks of a queue.
+type waitingTasksSummary struct {
+	byReason map[waitReason]int
+	// outranked counts the tasks of steps whose further requests for advice are held
+	// back because earlier steps claim the free capacity. leftOut counts those of jobs
+	// that the last scheduling pass left out.
+	outranked, leftOut int
+}
+
 // logWaitReasons logs, for each queue with waiting tasks, how many of them wait for
 // which reason.
 func (s *Scheduler) logWaitReasons(now time.Time) {
-	tasks := map[string]map[waitReason]int{}
+	summaries := map[string]*waitingTasksSummary{}
 	for _, j := range s.activeJobs {
 		q := s.table.Queue(j.spec.Queue)
 		if q == nil || j.waitingTasks == 0 {
@@ -88,18 +103,26 @@
 				if !st.open || !st.hasPlaceableTask(now) {
 					continue
 				}
-				if tasks[q.Name] == nil {
-					tasks[q.Name] = map[waitReason]int{}
+				if summaries[q.Name] == nil {
+					summaries[q.Name] = &waitingTasksSummary{byReason: map[waitReason]int{}}
+				}
+				v, tasks := summaries[q.Name], st.countWaitingTasks()
+				v.byReason[s.waitReasonOf(st, q, now)] += tasks
+				if st.advice.outranked {
+					v.outranked += tasks
+				}
+				if j.leftOut {
+					v.leftOut += tasks
 				}
-				tasks[q.Name][s.waitReasonOf(st, q, now)] += st.countWaitingTasks()
 			}
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(tasks)) {
+	for _, name := range slices.Sorted(maps.Keys(summaries)) {
+		v := summaries[name]
 		fields := []any{"queue", name}
-		for _, r := range []waitReason{waitForCapacity, waitForFirstAdvice, waitForApprovedCapacity, waitForTickets, waitForReservation, waitForScheduling} {
-			fields = append(fields, string(r), tasks[name][r])
+		for _, r := range []waitReason{waitForWorker, waitForCapacity, waitForFirstAdvice, waitForApprovedCapacity, waitForTickets, waitForReservation, waitForScheduling} {
+			fields = append(fields, string(r), v.byReason[r])
 		}
-		s.log.Info("waiting_tasks", fields...)
+		s.log.Info("waiting_tasks", append(fields, "outranked", v.outranked, "left_out", v.leftOut)...)
 	}
 }
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -95,7 +95,14 @@
 	l.mutex.Lock()
 	l.lastHeartbeatAnswer[m.Name], l.vmReachesStore[m.Name] = now(), r.ReachesStore
 	send := l.outdatedVMs.shouldSend(m.Name, r.Version < args.Version, now())
+	behind := r.Version > max(args.Version, l.newestVersionSeen)
+	if behind {
+		l.newestVersionSeen = r.Version
+	}
 	l.mutex.Unlock()
+	if behind {
+		l.node.log.Info("configuration_behind", "vm", m.Name, "version", args.Version, "newer", r.Version)
+	}
 	if send {
 		go l.sendConfiguration(m)
 	}
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -180,7 +180,9 @@
 func followTopic(ctx context.Context, n *Node, topic store.Topic, wait func() time.Duration, apply func([]store.Record)) {
 	from := int64(-1)
 	for ctx.Err() == nil {
-		batch, err := readFrom(ctx, n.store, store.Read{Topic: topic, From: from, Wait: wait()})
+		read, begun, leading := store.Read{Topic: topic, From: from, Wait: wait()}, now(), n.activeLeader() != nil
+		batch, err := readFrom(ctx, n.store, read)
+		n.logLongPoll(read, begun, leading, len(batch.Records))
 		if err != nil {
 			if storeErrorKind(err) == store.KindDropped {
 				from = -1
@@ -199,6 +201,18 @@
 	}
 }
 
+// longPollLogMargin is by how much a long poll must exceed its wait to be logged.
+const longPollLogMargin = 500 * time.Millisecond
+
+// logLongPoll logs a long poll that took much longer than the store may wait, or during
+// which this VM began or ceased to lead: it was sent with the wait of the other role.
+func (n *Node) logLongPoll(r store.Read, begun time.Time, ledAtBegin bool, records int) {
+	took, leads := now().Sub(begun), n.activeLeader() != nil
+	if r.From >= 0 && (leads != ledAtBegin || took > r.Wait+longPollLogMargin) {
+		n.log.Info("long_poll_ended", "topic", string(r.Topic), "wait_ms", r.Wait.Milliseconds(), "took_ms", took.Milliseconds(), "led_at_begin", ledAtBegin, "leads", leads, "records", records)
+	}
+}
+
 // readFrom reads the records from the offset r.From on, or a snapshot if r.From is -1.
 func readFrom(ctx context.Context, s store.Store, r store.Read) (store.Batch, error) {
 	if r.From < 0 {
