Leave work that no worker can run out of scheduling passes

Callers saw: LOST.

Cause: steps took part in scheduling passes whether or not any worker could run them. They claimed free capacity of the whole pool, so that later steps never renewed their tickets, and counted for the cutoff of late jobs and other limits. The limits were shared by steps that compete for different workers.

Evidence: waiting_tasks shows no_worker=120 outranked=90 for the lost kind and ticket_expired=3 outranked=3 for the three submissions, beside seven workers in which 0 % of the processors are used.

Change: a step that the registered workers could not run if they were empty (label, size, width of a gang, tasks per worker), or of which the adviser approves none, takes no part until that changes. While no worker of a label answers, no advice about it is requested.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -63,7 +63,7 @@
 // is idle or the limits allow no further request. It returns the next idle VM; ok is
 // false if there is none.
 func (s *Scheduler) dispatchWithinLimits(candidates []requestCandidate, limits *requestLimits, idle string, now time.Time) (nextIdle string, ok bool) {
-	stepsWithoutCapacity := map[string]int{}
+	stepsWithoutCapacity := map[*workerClass]int{}
 	for i := range candidates {
 		c := &candidates[i]
 		st, q := c.step, c.queue
@@ -161,20 +161,12 @@
 }
 
 // markOutrankedSteps notes for each open step that needs tickets whether the steps
-// before it in the scheduling order need all free capacity of the pool. It leaves out
-// large steps, which need entire workers and reserve them.
+// before it in the scheduling order need all free capacity of the workers that may run it.
+// It leaves out large steps, which need entire workers and reserve them.
 func (s *Scheduler) markOutrankedSteps(sortedJobs []*job) {
 	if len(s.dispatcher.pendingSteps) == 0 {
 		return
 	}
-	unclaimed := map[string]resource.Vector{}
-	for name, p := range s.pools {
-		free := resource.Vector{}
-		for _, w := range p.readyWorkers {
-			free = free.Add(w.freeCapacity())
-		}
-		unclaimed[name] = free
-	}
 	for _, j := range sortedJobs {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
@@ -182,15 +174,7 @@
 				if q == nil || !st.open || s.isLargeStep(st, q) {
 					continue
 				}
-				left, size := unclaimed[q.Service], st.spec.ReservedCapacity()
-				st.advice.outranked = !size.Fits(left)
-				for range st.countWaitingTasks() {
-					if !size.Fits(left) {
-						break
-					}
-					left = left.Sub(size)
-				}
-				unclaimed[q.Service] = left
+				st.advice.outranked = s.poolOfService(q.Service).claimCapacity(st, q)
 			}
 		}
 	}
@@ -199,20 +183,25 @@
 // isAdviceWorthRequesting reports whether an open step could use tickets before they
 // expire. It could if a worker has enough free capacity for a task now or soon. If the
 // steps before it need all free capacity, it may request advice only once. If no worker
-// has enough, it may do so only if it is among the first steps of its service that wait
-// for capacity. stepsWithoutCapacity counts these steps by service.
+// has enough, it may do so only if it is among the first steps that wait for capacity of
+// the same workers. stepsWithoutCapacity counts these steps. While none of these workers
+// answers, it requests nothing.
 //
 // Under a backlog, tickets for steps further back would expire unused, while the
 // steps at the front wait for a VM to send their requests.
-func (s *Scheduler) isAdviceWorthRequesting(st *step, q *queue.Queue, stepsWithoutCapacity map[string]int) bool {
+func (s *Scheduler) isAdviceWorthRequesting(st *step, q *queue.Queue, stepsWithoutCapacity map[*workerClass]int) bool {
 	if st.areReservedWorkersSoonFree(q) {
 		return true
 	}
-	if st.spec.ReservedCapacity().Fits(s.poolOfService(q.Service).maxFreeCapacity) {
+	class := s.poolOfService(q.Service).classOf(st.spec.Label)
+	if st.spec.ReservedCapacity().Fits(class.maxFreeCapacity) {
 		return !st.advice.outranked || len(st.advice.answered) == 0
 	}
-	stepsWithoutCapacity[q.Service]++
-	return len(st.advice.answered) == 0 && stepsWithoutCapacity[q.Service] <= maxStepsWithoutCapacity
+	if class.readyWorkers == 0 {
+		return false
+	}
+	stepsWithoutCapacity[class]++
+	return len(st.advice.answered) == 0 && stepsWithoutCapacity[class] <= maxStepsWithoutCapacity
 }
 
 // workersForRequest returns the workers about which a step should request advice now.
--- /dev/null
+++ b/internal/cell/scheduler/feasibility.go
@@ -0,0 +1,165 @@
+package scheduler
+
+import (
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+// A step that no worker can run must not keep others from running, however many such steps
+// wait. It therefore takes no part in scheduling passes: it claims no capacity, reserves no
+// workers, requests no advice and counts for no limit, until workers that can run it come.
+
+// shape is what decides whether the workers of a service can run a step.
+type shape struct {
+	label                 string
+	size                  resource.Vector
+	count                 int
+	gang                  bool
+	mostPerWorker, placed int
+}
+
+// canRun reports whether the registered workers could run a waiting task of a step, or all
+// tasks of a gang, if they ran nothing but the tasks of this step. If the queue needs
+// advice, that is false once the adviser was asked about all workers and approves none.
+func (s *Scheduler) canRun(st *step, q *queue.Queue) bool {
+	p := s.poolOfService(q.Service)
+	v := shape{label: st.spec.Label, size: st.spec.ReservedCapacity(), count: 1, gang: st.spec.Gang, mostPerWorker: st.spec.MostPerWorker}
+	if v.gang {
+		v.count = st.spec.Count
+	} else if v.mostPerWorker > 0 {
+		v.placed = st.countTasksOnWorkersOf(q)
+	}
+	return p.hasPlacesFor(v) && (q.Advice == nil || !s.isRejected(st, q, p))
+}
+
+// hasPlacesFor reports whether the workers of the pool could run the tasks of a shape if
+// they were empty.
+func (p *pool) hasPlacesFor(v shape) bool {
+	if !v.size.Fits(p.maxCapacity) || p.infeasible[v] {
+		return false
+	}
+	places, needed := 0, v.count+v.placed
+	for _, w := range p.classOf(v.label).workers {
+		n := countPlaces(v.size, w.registration.Capacity)
+		if v.mostPerWorker > 0 {
+			n = min(n, v.mostPerWorker)
+		}
+		if places += n; places >= needed {
+			return true
+		}
+	}
+	if p.infeasible == nil {
+		p.infeasible = map[shape]bool{}
+	}
+	p.infeasible[v] = true
+	return false
+}
+
+// isRejected reports whether the adviser was asked about all workers that could run a step
+// and approves none that is left.
+func (s *Scheduler) isRejected(st *step, q *queue.Queue, p *pool) bool {
+	if len(st.advice.answered) == 0 || len(st.advice.workersAwaitingAnswer) > 0 {
+		return false
+	}
+	for w := range st.advice.tickets {
+		if w.acceptsTasksOf(q) {
+			return false
+		}
+	}
+	for _, w := range p.classOf(st.spec.Label).workers {
+		if isCapable(w, st) && !st.advice.answered[w] {
+			return false
+		}
+	}
+	return true
+}
+
+// hasRunnableStep reports whether a job has an open step with waiting tasks that can run,
+// and returns the class of workers that may run it.
+func (s *Scheduler) hasRunnableStep(j *job, q *queue.Queue) (classKey, bool) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if st.open && st.tasksLeft > 0 && st.countWaitingTasks() > 0 && s.canRun(st, q) {
+				return classKey{q.Service, st.spec.Label, st.spec.Size.Accelerators > 0}, true
+			}
+		}
+	}
+	return classKey{service: q.Service}, false
+}
+
+// classKey identifies the workers for which jobs compete: those of a service that have a
+// label, and whether accelerators are needed.
+type classKey struct {
+	service, label string
+	accelerators   bool
+}
+
+// workerClass holds the workers of a pool that have a label, as the last scheduling pass
+// found them.
+type workerClass struct {
+	workers []*worker
+	// readyWorkers is the number of workers that could be given tasks.
+	readyWorkers int
+	// maxFreeCapacity is an upper bound of the free capacity of any ready worker, for each
+	// resource separately.
+	maxFreeCapacity resource.Vector
+	// unclaimedCapacity is the free capacity of all ready workers that the steps handled so
+	// far in the pass do not need.
+	unclaimedCapacity resource.Vector
+}
+
+// classOf returns the workers of the pool that have a label. If it is empty, these are all
+// workers.
+func (p *pool) classOf(label string) *workerClass {
+	if c := p.classes[label]; c != nil {
+		return c
+	}
+	c := &workerClass{}
+	for _, w := range p.workers {
+		if !w.registration.HasLabel(label) {
+			continue
+		}
+		c.workers = append(c.workers, w)
+		if w.ready {
+			c.readyWorkers++
+			c.maxFreeCapacity = c.maxFreeCapacity.Max(w.freeCapacity())
+			c.unclaimedCapacity = c.unclaimedCapacity.Add(w.freeCapacity())
+		}
+	}
+	if p.classes == nil {
+		p.classes = map[string]*workerClass{}
+	}
+	p.classes[label] = c
+	return c
+}
+
+// claimCapacity subtracts the capacity that the waiting tasks of a step need from the
+// unclaimed capacity of the workers that may run them. It reports whether there was none
+// left for a single task.
+func (p *pool) claimCapacity(st *step, q *queue.Queue) (outranked bool) {
+	own, all, size := p.classOf(st.spec.Label), p.classOf(""), st.spec.ReservedCapacity()
+	outranked = !size.Fits(own.unclaimedCapacity)
+	tasks := st.countWaitingTasks()
+	if st.spec.MostPerWorker > 0 {
+		tasks = min(tasks, st.spec.MostPerWorker*own.readyWorkers-st.countTasksOnWorkersOf(q))
+	}
+	for ; tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
+		own.unclaimedCapacity = own.unclaimedCapacity.Sub(size)
+		if own != all { // Steps without a label may have claimed more of it already.
+			all.unclaimedCapacity = all.unclaimedCapacity.Sub(size).Max(resource.Vector{})
+		}
+	}
+	return outranked
+}
+
+// countTasksOnWorkersOf returns the number of tasks of a step that use capacity of a worker
+// that may get further ones of the queue.
+func (st *step) countTasksOnWorkersOf(q *queue.Queue) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.onWorker() && t.worker.acceptsTasksOf(q) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/cell/scheduler/pool.go
+++ b/internal/cell/scheduler/pool.go
@@ -24,6 +24,10 @@
 	// stays an upper bound during the pass, which only places tasks and frees
 	// nothing.
 	maxFreeCapacity resource.Vector
+	// classes caches the results of classOf until the next scheduling pass.
+	classes map[string]*workerClass
+	// infeasible holds the shapes for which hasPlacesFor is false.
+	infeasible map[shape]bool
 	// leastUsed and mostUsed cache the results of workersLeastUsedFirst and
 	// workersMostUsedFirst until the next scheduling pass.
 	leastUsed, mostUsed []*worker
@@ -68,7 +72,7 @@
 // longer than maxSilence is not ready.
 func (p *pool) refreshReadyWorkers(now time.Time, maxSilence time.Duration) {
 	p.maxFreeCapacity, p.readyWorkers, p.leastUsed = resource.Vector{}, p.readyWorkers[:0], nil
-	p.mostUsed = nil
+	p.mostUsed, p.classes = nil, nil
 	for _, w := range p.workers {
 		w.ready = !w.tokenUnconfirmed() && !now.Before(w.avoidUntil) && now.Sub(w.lastAnswerAt) <= maxSilence && !w.clockReadAt.IsZero()
 		if w.ready {
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -76,7 +76,7 @@
 // large.
 func (s *Scheduler) scheduleStep(st *step, q *queue.Queue, reserved *reservations, now time.Time) {
 	st.advice.reservedWorkers = nil
-	if st.tasksLeft == 0 {
+	if st.tasksLeft == 0 || !s.canRun(st, q) {
 		return
 	}
 	if !st.open {
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -107,6 +107,11 @@
 	// queue's AdviceCost says. Otherwise it takes a random time.
 	useDeclaredAdviceTimes bool
 	callFaults             callFaults
+	// fixedDelays makes each random duration the shortest possible one.
+	fixedDelays bool
+	// lastDoneAt maps the ID of each job to the time at which a worker last completed a
+	// task of it.
+	lastDoneAt map[string]time.Time
 	// holdsWait makes workers answer holds as late as Hold.Wait allows. Otherwise they
 	// answer at once.
 	holdsWait bool
@@ -130,7 +135,7 @@
 			{Name: "advised", Service: "desk", Priority: 2, Stretch: 4, Objective: 3 * time.Second, Advice: &queue.AdviceCost{Fixed: 50 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}},
 		}},
 		workers: map[backend.Life]*fleet.Worker{}, listed: map[string]*fleet.Worker{}, keeperGenerations: map[string]int{}, unreachableWorkers: map[backend.Life]bool{}, storedProgress: map[string]*work.Progress{}, storedWorkers: map[string]store.Record{}, storedRuns: map[work.TaskID]int64{}, endStoredAt: map[string]time.Time{}, startSentAt: map[startKey]time.Time{},
-		cancelledJobs: map[string]bool{}, taskProfiles: map[work.TaskID]fleet.TaskProfile{}, completedTasks: map[work.TaskID]bool{}, lastExpiredLeaseEnd: map[backend.Life]int64{}, log: logr.Discard(),
+		cancelledJobs: map[string]bool{}, taskProfiles: map[work.TaskID]fleet.TaskProfile{}, completedTasks: map[work.TaskID]bool{}, lastExpiredLeaseEnd: map[backend.Life]int64{}, lastDoneAt: map[string]time.Time{}, log: logr.Discard(),
 		adviceVMs: []string{"vm-1", "vm-2"}, callFaults: newCallFaults(),
 	}
 }
@@ -153,6 +158,9 @@
 }
 
 func (sm *simulation) randomDuration(shortest, longest time.Duration) time.Duration {
+	if sm.fixedDelays {
+		return shortest
+	}
 	return shortest + time.Duration(sm.randomSource.Int64N(int64(longest-shortest)+1))
 }
 
@@ -274,8 +282,12 @@
 	return false
 }
 
-// Ended implements fleet.Observer. It records ends that an expired lease has caused.
-func (sm *simulation) Ended(on *fleet.Worker, e backend.EndedRun, _ time.Time) {
+// Ended implements fleet.Observer. It records when tasks complete, and ends that an expired
+// lease has caused.
+func (sm *simulation) Ended(on *fleet.Worker, e backend.EndedRun, at time.Time) {
+	if e.Outcome == backend.Done {
+		sm.lastDoneAt[e.Task.Job] = at
+	}
 	if e.Outcome == backend.LeaseExpired {
 		sm.lastExpiredLeaseEnd[on.Registration.Life] = e.Number
 	}
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -32,8 +32,9 @@
 // takes twice as long as estimated.
 const minAmpleSlackShare = 0.5
 
-// tooLateJobsCutoff is a number of jobs. Once a scheduling pass contains that many,
-// it takes no further jobs whose results would come too late to be useful.
+// tooLateJobsCutoff is a number of jobs. Once a scheduling pass contains that many that
+// compete for the same workers, it takes no further ones of these whose results would come
+// too late to be useful.
 const tooLateJobsCutoff = 500
 
 // rankedJob is a job that takes part in a scheduling pass, with the keys by which it
@@ -43,10 +44,11 @@
 	timeliness timeliness
 	priority   int
 	due        time.Time
+	class      classKey
 }
 
-// jobsInSchedulingOrder returns the active jobs that have tasks to place or may need
-// advice soon, sorted by timeliness, then by priority, then by due time.
+// jobsInSchedulingOrder returns the active jobs that have tasks to place on workers that can
+// run them, or may need advice soon, sorted by timeliness, then by priority, then by due time.
 //
 // Timeliness comes first because of overload. If jobs were sorted by due time alone,
 // each job would wait until it is late, so that all jobs would be late. After an
@@ -62,9 +64,13 @@
 		if q == nil {
 			continue
 		}
+		class, runnable := s.hasRunnableStep(j, q)
+		if !runnable && !s.mayOpenLaterStep(j) {
+			continue
+		}
 		allowance := s.jobAllowance(j, q)
 		ranks = append(ranks, rankedJob{
-			job: j, priority: q.Priority, due: j.submittedAt.Add(allowance),
+			job: j, priority: q.Priority, due: j.submittedAt.Add(allowance), class: class,
 			timeliness: s.timelinessOf(j, q, allowance, now),
 		})
 	}
@@ -72,12 +78,14 @@
 		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
 	order := make([]*job, 0, len(ranks))
+	jobsByClass := map[classKey]int{}
 	for i := range ranks {
-		j := ranks[i].job
+		r := &ranks[i]
 		// No caller waits for these jobs any more, and the other jobs come first.
-		j.leftOut = ranks[i].timeliness == timelinessTooLate && len(order) >= tooLateJobsCutoff
-		if !j.leftOut {
-			order = append(order, j)
+		r.job.leftOut = r.timeliness == timelinessTooLate && jobsByClass[r.class] >= tooLateJobsCutoff
+		if !r.job.leftOut {
+			jobsByClass[r.class]++
+			order = append(order, r.job)
 		}
 	}
 	return order
--- a/internal/cell/scheduler/waiting.go
+++ b/internal/cell/scheduler/waiting.go
@@ -12,8 +12,8 @@
 type waitReason string
 
 const (
-	// waitForWorker means that no registered worker could run a task, even if it were
-	// empty.
+	// waitForWorker means that the registered workers could not run the step even if they
+	// were empty, or that the adviser approves none of them.
 	waitForWorker waitReason = "no_worker"
 	// waitForCapacity means that too few workers have enough free capacity, whether
 	// the step may use them or not.
@@ -42,7 +42,7 @@
 	if st.spec.Gang {
 		needed = st.spec.Count
 	}
-	if len(s.capableWorkers(st, q.Service)) == 0 {
+	if !s.canRun(st, q) {
 		return waitForWorker
 	}
 	free, approved, valid, unreserved := 0, 0, 0, 0
