Send long polls again when this VM begins to lead, and fetch newer configurations

Callers saw: CONFIG.

Cause: the wait of a read was chosen when it was sent, 20 s on a VM that does not lead, and the read went on when the VM began to lead. If it hung, no VM had another source: a leader told others its version, but took none from them.

Change: a VM that begins to lead sends its long polls again, with the wait of a leader, for the configuration, the claims and the VMs. Any VM does so when the store has not answered an append. A leader fetches a newer configuration from the VM whose heartbeat answer shows it; VMs of earlier builds do not know the call, and it logs that.

--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -260,12 +260,33 @@
 	firstPageEnds map[partitionKey]int64
 	// pageRecords limits the records of a page.
 	pageRecords int
+	// silence is closed and replaced when the reads that wait for records are never to be
+	// answered. silentTopics are the topics of which no read is answered.
+	silence      chan struct{}
+	silentTopics map[store.Topic]bool
 }
 
 // NewLink returns a connection to a store. No faults are injected until a method
 // of the Link sets them.
 func NewLink(s *Store) *Link {
-	return &Link{Store: s, appendDelays: map[store.Topic]time.Duration{}, refusedPartitions: map[int]bool{}, firstPageEnds: map[partitionKey]int64{}, pageRecords: maxPageRecords}
+	return &Link{Store: s, appendDelays: map[store.Topic]time.Duration{}, refusedPartitions: map[int]bool{}, firstPageEnds: map[partitionKey]int64{}, pageRecords: maxPageRecords, silence: make(chan struct{}), silentTopics: map[store.Topic]bool{}}
+}
+
+// SilenceWaitingReads makes the reads that wait for records at the moment get no answer.
+func (l *Link) SilenceWaitingReads() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	close(l.silence)
+	l.silence = make(chan struct{})
+}
+
+// SilenceTopic makes all reads of a topic get no answer.
+func (l *Link) SilenceTopic(t store.Topic) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.silentTopics[t] = true
+	close(l.silence)
+	l.silence = make(chan struct{})
 }
 
 // LateAppends makes the next n appends get no answer. Each is passed to schedule, which
@@ -415,6 +436,16 @@
 // after r.Wait.
 func (l *Link) Read(ctx context.Context, r store.Read) (store.Batch, error) {
 	deadline := time.Now().Add(r.Wait)
+	l.mutex.Lock()
+	silence, silent := l.silence, l.silentTopics[r.Topic]
+	l.mutex.Unlock()
+	unanswered := func() (store.Batch, error) {
+		<-ctx.Done()
+		return store.Batch{}, fault.New("read", store.KindUnknown, ctx.Err())
+	}
+	if silent {
+		return unanswered()
+	}
 	for {
 		if err := l.applyFaults("read", r.Part); err != nil {
 			return store.Batch{}, err
@@ -425,6 +456,8 @@
 			return batch, err
 		}
 		select {
+		case <-silence:
+			return unanswered()
 		case <-changed:
 		case <-time.After(remaining):
 		case <-ctx.Done():
--- a/internal/node/entryvm/configuration.go
+++ b/internal/node/entryvm/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/peer/store"
@@ -40,7 +39,7 @@
 
 // run applies each configuration that is stored, until ctx is done.
 func (c *configurationWatcher) run(ctx context.Context) {
-	followTopic(ctx, c.node, store.Configuration, c.pollWait, func(records []store.Record) {
+	followTopic(ctx, c.node, store.Configuration, func(records []store.Record) {
 		for i := range records {
 			if records[i].Key == configurationKey && len(records[i].Value) > 0 {
 				c.applyIfNewer(records[i].Value, "store")
@@ -49,6 +48,21 @@
 	})
 }
 
+// applyCompressed makes a configuration that another VM passes on the current one if its
+// version is higher.
+func (c *configurationWatcher) applyCompressed(a ConfigurationArgs) error {
+	if a.Version <= c.currentVersion() {
+		return nil
+	}
+	text, err := decompress(a.Text)
+	if err != nil {
+		c.node.log.Error(err, "configuration_unreadable", "source", "peer")
+		return err
+	}
+	c.applyIfNewer(text, "peer")
+	return nil
+}
+
 // applyIfNewer decodes a configuration and makes it the current one if its version is
 // higher. source tells where it came from, for the log.
 func (c *configurationWatcher) applyIfNewer(text []byte, source string) {
@@ -73,18 +87,3 @@
 		l.setTable(table)
 	}
 }
-
-// leaderLongPollWait is used instead of longPollWait on the leader. A read hangs when
-// its connection to the store stops delivering messages. VMs whose reads hang get a new
-// configuration from the leader, so a read of the leader that hangs must time out soon
-// and be repeated.
-const leaderLongPollWait = 1500 * time.Millisecond
-
-// pollWait returns how long the store may wait for a new configuration before it
-// answers a read.
-func (c *configurationWatcher) pollWait() time.Duration {
-	if c.node.activeLeader() != nil {
-		return leaderLongPollWait
-	}
-	return longPollWait
-}
--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -110,7 +110,7 @@
 // run follows the claims in the store and claims leadership when another VM asks for
 // it or no leader is heard.
 func (e *election) run(ctx context.Context) {
-	go followTopic(ctx, e.node, store.Claims, fixedWait(longPollWait), e.applyClaims)
+	go followTopic(ctx, e.node, store.Claims, e.applyClaims)
 	for sleep(ctx, electionPollInterval) {
 		select {
 		case epoch := <-e.takeOverRequests:
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -76,19 +76,65 @@
 	l.mutex.Lock()
 	l.lastHeartbeatAnswer[m.Name], l.vmReachesStore[m.Name] = now(), r.ReachesStore
 	send := l.outdatedVMs.shouldSend(m.Name, r.Version < args.Version, now())
-	behind := r.Version > max(args.Version, l.newestVersionSeen)
-	if behind {
-		l.newestVersionSeen = r.Version
-	}
+	fetch := l.newerVersion.shouldFetch(r.Version, args.Version, now())
 	l.mutex.Unlock()
-	if behind {
+	if fetch {
 		l.node.log.Info("configuration_behind", "vm", m.Name, "version", args.Version, "newer", r.Version)
+		go l.fetchConfiguration(m)
 	}
 	if send {
 		go l.sendConfiguration(m)
 	}
 }
 
+// configurationFetchDelay is how long another VM must have had a newer configuration before
+// the leader fetches it from there. A leader whose reads do not hang has it by then.
+const configurationFetchDelay = 200 * time.Millisecond
+
+// newerVersionTracker tracks whether other VMs have a newer configuration than the leader.
+type newerVersionTracker struct {
+	// since is when that was first noticed, or zero.
+	since time.Time
+	// fetching is true while the configuration is fetched from a VM.
+	fetching bool
+}
+
+// shouldFetch records the version of another VM beside the leader's own and reports whether
+// the configuration must be fetched from that VM now. If so, it sets fetching.
+func (t *newerVersionTracker) shouldFetch(version, own int64, at time.Time) bool {
+	switch {
+	case version == own:
+		t.since = time.Time{}
+		return false
+	case version < own, t.fetching:
+		return false
+	case t.since.IsZero():
+		t.since = at
+		return false
+	case at.Sub(t.since) < configurationFetchDelay:
+		return false
+	}
+	t.fetching = true
+	return true
+}
+
+// fetchConfiguration fetches the configuration of another VM and applies it if it is newer.
+// A VM of an earlier build does not return it.
+func (l *leader) fetchConfiguration(m member) {
+	ctx, cancel := context.WithTimeout(l.ctx, configurationSendTimeout)
+	defer cancel()
+	r, err := link.Call[Nothing, ConfigurationArgs](ctx, l.node.peerClient, m.Address, "Configuration", Nothing{})
+	if err == nil {
+		err = l.node.configuration.applyCompressed(r)
+	}
+	if err != nil {
+		l.node.log.Info("configuration_not_fetched", "vm", m.Name, "error", err.Error())
+	}
+	l.mutex.Lock()
+	l.newerVersion = newerVersionTracker{}
+	l.mutex.Unlock()
+}
+
 const (
 	// configurationSendDelay is how long a VM must have an outdated configuration before
 	// the leader sends it the current one. A VM that reaches the store reads the
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -110,10 +110,9 @@
 	lastHeartbeatAnswer map[string]time.Time
 	vmReachesStore      map[string]bool
 	// outdatedVMs tracks the entry VMs whose configuration is older than the leader's.
-	// newestVersionSeen is the highest version that another VM had while this one had
-	// an older one, or 0.
-	outdatedVMs       *outdatedVMTracker
-	newestVersionSeen int64
+	// newerVersion tracks whether other VMs have a newer one.
+	outdatedVMs  *outdatedVMTracker
+	newerVersion newerVersionTracker
 }
 
 func newLeader(ctx context.Context, n *Node, epoch int64) *leader {
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -64,9 +64,6 @@
 }
 
 const (
-	// longPollWait is how long the store may wait for a new record before it answers a
-	// read of a topic that rarely changes.
-	longPollWait = 20 * time.Second
 	// storeRetryPause is the shortest pause after a failed call to the store.
 	storeRetryPause = 200 * time.Millisecond
 	// storeCallTimeout limits a call to the store. For a long poll, the time that the
@@ -81,7 +78,7 @@
 // ctx is done.
 func (m *memberList) run(ctx context.Context) {
 	go m.registerThisVM(ctx)
-	followTopic(ctx, m.node, store.VMs, fixedWait(longPollWait), m.applyRecords)
+	followTopic(ctx, m.node, store.VMs, m.applyRecords)
 }
 
 // registerThisVM stores the record of this VM, so that the other VMs can call it. It retries
@@ -169,20 +166,17 @@
 	return slices.ContainsFunc(m.otherMembers(), func(vm member) bool { return vm.Fitness > muchFitterRatio*m.node.settings.Fitness })
 }
 
-// fixedWait returns a function that always returns d.
-func fixedWait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
-
 // followTopic passes the records of a topic to apply until ctx is done: first a
-// snapshot with the newest record of each key, then the appended records. wait returns
-// how long the store may wait for a new record before it answers the next read. If the
+// snapshot with the newest record of each key, then the appended records. If the
 // store has already dropped the records that are to be read next, followTopic starts
 // again with a snapshot.
-func followTopic(ctx context.Context, n *Node, topic store.Topic, wait func() time.Duration, apply func([]store.Record)) {
+func followTopic(ctx context.Context, n *Node, topic store.Topic, apply func([]store.Record)) {
 	from := int64(-1)
 	for ctx.Err() == nil {
-		read, begun, leading := store.Read{Topic: topic, From: from, Wait: wait()}, now(), n.activeLeader() != nil
-		batch, err := readFrom(ctx, n.store, read)
-		n.logLongPoll(read, begun, leading, len(batch.Records))
+		batch, interrupted, err := n.pollTopic(ctx, topic, from)
+		if interrupted {
+			continue
+		}
 		if err != nil {
 			if storeErrorKind(err) == store.KindDropped {
 				from = -1
@@ -201,6 +195,24 @@
 	}
 }
 
+// pollTopic reads a snapshot of a topic if from is -1, and otherwise waits for records from
+// the offset from on. interrupted is true if the wait has failed because of an interruption
+// of the long polls.
+func (n *Node) pollTopic(ctx context.Context, topic store.Topic, from int64) (batch store.Batch, interrupted bool, err error) {
+	// The round comes before the wait: a wait that is outdated when it is used belongs to
+	// a round that has ended.
+	round := n.longPolls.currentRound()
+	read, begun, leading := store.Read{Topic: topic, From: from, Wait: n.longPollWait()}, now(), n.activeLeader() != nil
+	pollCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if from >= 0 {
+		defer context.AfterFunc(round, cancel)()
+	}
+	batch, err = readFrom(pollCtx, n.store, read)
+	n.logLongPoll(read, begun, leading, len(batch.Records))
+	return batch, err != nil && pollCtx.Err() != nil && ctx.Err() == nil, err
+}
+
 // longPollLogMargin is by how much a long poll must exceed its wait to be logged.
 const longPollLogMargin = 500 * time.Millisecond
 
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -127,6 +127,7 @@
 	members       *memberList
 	writer        *jobWriter
 	configuration *configurationWatcher
+	longPolls     longPolls
 	election      *election
 	// isolation detects whether this VM is isolated, so that callers should use a VM of
 	// another failure domain.
@@ -228,13 +229,18 @@
 }
 
 // swapLeader replaces the leader on this VM by next, but only if the current leader is
-// expected. Both can be nil.
+// expected. Both can be nil. If this VM begins to lead, its long polls are sent again with
+// the wait of a leader.
 func (n *Node) swapLeader(expected, next *leader) {
 	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if n.leader == expected {
+	swapped := n.leader == expected
+	if swapped {
 		n.leader = next
 	}
+	n.mutex.Unlock()
+	if swapped && next != nil {
+		n.longPolls.interrupt()
+	}
 }
 
 // isStopping reports whether a planned stop of this VM has begun.
--- a/internal/node/entryvm/node_test.go
+++ b/internal/node/entryvm/node_test.go
@@ -537,6 +537,7 @@
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
+			t.Parallel()
 			f := newFixture(t, 3, time.Second)
 			f.is.NoErr(f.submit(f.nodes[0], "job"))
 			f.awaitState(f.nodes[1], "job", work.Running)
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -101,7 +101,7 @@
 	Timeout time.Duration
 }
 
-// ConfigurationArgs is a published configuration that the leader sends to another VM.
+// ConfigurationArgs is a published configuration that one VM passes on to another.
 type ConfigurationArgs struct {
 	Version int64
 	// Text is the text of the configuration, compressed with gzip.
@@ -203,15 +203,16 @@
 
 // Table applies a configuration that the leader sends.
 func (h *rpcHandler) Table(a ConfigurationArgs, _ *Nothing) error {
-	if a.Version <= h.node.configuration.currentVersion() {
-		return nil
-	}
-	text, err := decompress(a.Text)
-	if err != nil {
-		h.node.log.Error(err, "configuration_unreadable", "source", "peer")
-		return err
+	return h.node.configuration.applyCompressed(a)
+}
+
+// Configuration returns the current configuration of this VM.
+func (h *rpcHandler) Configuration(_ Nothing, r *ConfigurationArgs) error {
+	table := h.node.configuration.currentTable()
+	if table == nil {
+		return fault.Newf("configuration", KindNoLeader, "this VM has no configuration yet")
 	}
-	h.node.configuration.applyIfNewer(text, "peer")
+	*r = ConfigurationArgs{Version: table.Version, Text: compress(table.Text)}
 	return nil
 }
 
--- a/internal/node/entryvm/relay.go
+++ b/internal/node/entryvm/relay.go
@@ -124,6 +124,9 @@
 		s.appendLatency.Store((s.appendLatency.Load() + int64(took)) / 2)
 		return
 	}
+	if storeErrorKind(err) == store.KindUnknown {
+		s.node.longPolls.interruptIfDue()
+	}
 	if storeErrorKind(err) == store.KindUnknown && took >= minAppendTimeout {
 		s.appendLatency.Store(min(2*max(s.appendLatency.Load(), int64(minAppendTimeout/appendTimeoutFactor)), int64(maxAppendTimeout/appendTimeoutFactor)))
 	}
