Soak: lose the store, workers, the leader and all VMs together, in each order

The new fault refuses all calls to the store and meanwhile ends up to three workers for good, kills the leader and kills all VMs, in one of the six orders or at once. The ledger notices a start that was ordered over a second after its job was shown as completed.

--- a/internal/emulate/soak/callers.go
+++ b/internal/emulate/soak/callers.go
@@ -192,7 +192,7 @@
 	switch {
 	case !ok:
 	case a.status == http.StatusOK:
-		c.cell.ledger.shown(vm.name, id, a.state, asked)
+		c.cell.ledger.shown(vm.name, id, a.state, time.Now())
 	case a.status == http.StatusGone:
 		c.cell.ledger.unknown(vm.name, id, asked)
 	}
--- a/internal/emulate/soak/cell.go
+++ b/internal/emulate/soak/cell.go
@@ -67,6 +67,8 @@
 	// inCut is held during faults that let the entries of a whole failure domain lapse, so
 	// that they do not overlap.
 	inCut sync.Mutex
+	// inOutage is held during faults that kill all entry VMs.
+	inOutage sync.Mutex
 }
 
 // entryVM is one entry VM process, which is started again whenever it has ended.
--- a/internal/emulate/soak/faults.go
+++ b/internal/emulate/soak/faults.go
@@ -63,6 +63,7 @@
 		c.refuseCalls(false)
 		return nil
 	}},
+	{"outage", func(c *cell, f fault) error { return c.playOutage(f) }},
 	{"store_slow", func(c *cell, f fault) error {
 		vm := c.vm(f)
 		disturb(func() {
--- a/internal/emulate/soak/ledger.go
+++ b/internal/emulate/soak/ledger.go
@@ -15,6 +15,9 @@
 const (
 	// visibilityLimit is how long after its acceptance a job may be unknown.
 	visibilityLimit = 3 * time.Second
+	// lateStartLimit is how long after a job was shown as completed an order to start a task
+	// of it may still arrive.
+	lateStartLimit = time.Second
 	// maxPendingAge is the largest age of a number of pending jobs.
 	maxPendingAge = 2 * time.Second
 )
@@ -73,8 +76,10 @@
 	cancelledAt time.Time
 	// firstStartAt is when a worker first started a task of the job, or zero.
 	firstStartAt time.Time
-	// completed is true once a caller was told that the job has completed.
-	completed bool
+	// completed is true once a caller was told that the job has completed, and completedAt
+	// is when.
+	completed   bool
+	completedAt time.Time
 }
 
 // taskRecord is what is known about one task.
@@ -156,8 +161,8 @@
 	l.jobs[id].cancelSent = true
 }
 
-// shown checks a state that a caller was told, in answer to a question sent at asked.
-func (l *ledger) shown(vm, id string, state work.State, asked time.Time) {
+// shown checks a state that a caller was told at the given time.
+func (l *ledger) shown(vm, id string, state work.State, at time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	j := l.jobs[id]
@@ -168,14 +173,16 @@
 			l.violate("states are true", "%s shows job %s as cancelled, which nobody cancelled", vm, id)
 		}
 	case work.Completed:
-		j.completed = true
+		if !j.completed {
+			j.completed, j.completedAt = true, at
+		}
 		for _, t := range l.unfinishedTasks(j.spec) {
 			l.violate("states are true", "%s shows job %s as completed while task %s has not ended", vm, id, t)
 		}
 	case work.Failed:
 		l.violate("states are true", "%s shows job %s as failed, although no task failed", vm, id)
 	default:
-		l.violate("states are true", "%s shows job %s in the unknown state %q (asked at %s)", vm, id, state, asked.Format(time.TimeOnly))
+		l.violate("states are true", "%s shows job %s in the unknown state %q (told at %s)", vm, id, state, at.Format(time.TimeOnly))
 	}
 }
 
@@ -287,6 +294,9 @@
 	}
 	l.checkStartsUncancelled(j, r)
 	l.checkRunsOnce(t, r)
+	if sent := r.arrival.at; j.completed && sent.Sub(j.completedAt) > lateStartLimit {
+		l.violateTwice(append(slices.Clone(t.starts), r), "worker %s started task %s, whose job was shown as completed %s before", life.ID, s.Task, at.Sub(j.completedAt))
+	}
 	for _, step := range j.spec.Steps[s.Task.Step].After {
 		for k := range j.spec.Steps[step].Count {
 			if !l.task(taskID(s.Task.Job, step, k)).done {
--- a/internal/emulate/soak/ledger_test.go
+++ b/internal/emulate/soak/ledger_test.go
@@ -95,6 +95,26 @@
 			c.start(c.b, first)
 			c.acknowledge(c.a)
 		}, "no task runs twice"},
+		{"a run that is ordered after its job was shown as completed", func(l *ledger, c *course) {
+			c.start(c.a, first)
+			c.pass(runTime)
+			c.start(c.b, second)
+			c.pass(runTime)
+			l.shown("vm", id, work.Completed, c.now)
+			c.pass(2 * lateStartLimit)
+			l.startArrived(c.b.Registration.Life, backend.Start{Task: first, Run: 3}, arrival{at: c.now})
+			c.start(c.b, first)
+		}, "no task runs twice"},
+		{"a run that was ordered before its job was shown as completed", func(l *ledger, c *course) {
+			c.start(c.a, first)
+			c.pass(runTime)
+			c.start(c.b, second)
+			c.pass(runTime)
+			l.shown("vm", id, work.Completed, c.now)
+			l.startArrived(c.b.Registration.Life, backend.Start{Task: first, Run: 3}, arrival{at: c.now})
+			c.pass(2 * lateStartLimit)
+			c.start(c.b, first)
+		}, ""},
 		{"a run after an end that nobody acknowledges", func(_ *ledger, c *course) {
 			c.start(c.a, first)
 			c.pass(runTime)
