Store the definition of its queue with an accepted job

Callers saw: LOST.

Cause: the scheduler passes over jobs whose queue the newest configuration lacks, since service, priority, limits and need of advice are known from there only.

Change: Node.Submit stores the queue, as configured then, with the job. The scheduler uses it while the configuration has no queue of that name. A service counts as one with starts without tickets also after its last such queue was removed, so acknowledgements stay guarded. VMs of earlier builds ignore the field.

--- a/internal/cell/queue/table.go
+++ b/internal/cell/queue/table.go
@@ -35,6 +35,20 @@
 	Advice *AdviceCost
 }
 
+// Validate returns what is wrong with the numbers of a queue, or an empty string.
+func (q *Queue) Validate() string {
+	if q.Service == "" {
+		return "there is no service"
+	}
+	if q.Priority < 0 || q.MaxAttempts < 0 || q.Stretch < 0 || q.Objective < 0 || q.Timeout < 0 {
+		return "a number is negative"
+	}
+	if a := q.Advice; a != nil && (a.Fixed < 0 || a.PerWorker < 0 || a.Validity < 0) {
+		return "a duration of advice is negative"
+	}
+	return ""
+}
+
 // AdviceCost describes how long requests to the adviser take. The adviser is a
 // service that returns which of the given workers may run a step, with a ticket for
 // each of them. A request is expected to take Fixed, plus PerWorker for each worker
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -113,7 +113,7 @@
 		maxSlowRequests: max(int(maxVMShareForSlowRequests*float64(vms)), 1), maxRequests: max(vms-kept, 1),
 	}
 	for _, o := range s.dispatcher.inFlightRequests {
-		if q := s.table.Queue(o.step.job.spec.Queue); q != nil {
+		if q := s.queueOf(o.step.job); q != nil {
 			l.countRequestInFlight(q)
 		}
 	}
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -311,7 +311,7 @@
 	if t.startSettled || t.step.spec.Speculative || t.step.job.state.Ended() || !at.Before(t.orderedAt.Add(s.timing.MaxOrderDelay)) {
 		return false
 	}
-	q := s.table.Queue(t.step.job.spec.Queue)
+	q := s.queueOf(t.step.job)
 	return q == nil || q.Advice == nil
 }
 
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -183,6 +183,9 @@
 func (s *Scheduler) addJob(spec *work.Job, now time.Time) *job {
 	age := min(max(now.Sub(s.toSchedulerClock(spec.Accepted)), 0), maxJobAge)
 	j := &job{spec: spec, state: work.Queued, storedState: work.Queued, submittedAt: now.Add(-age), criticalPaths: spec.CriticalPaths()}
+	if d := spec.Definition; d != nil && d.Advice == nil {
+		s.servicesWithoutAdvice[d.Service] = true
+	}
 	s.jobs[spec.ID] = j
 	s.activeJobs[spec.ID] = j
 	return j
--- a/internal/cell/scheduler/load.go
+++ b/internal/cell/scheduler/load.go
@@ -37,7 +37,7 @@
 	}
 	jobs, tasks := map[string]int{}, map[string]int{}
 	for _, j := range s.activeJobs {
-		if q := s.table.Queue(j.spec.Queue); q != nil && j.waitingTasks > 0 {
+		if q := s.queueOf(j); q != nil && j.waitingTasks > 0 {
 			jobs[q.Service]++
 			tasks[q.Service] += j.waitingTasks
 		}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -199,7 +199,7 @@
 	}
 	s.markJobDirty(t.step.job)
 	limit := 0
-	if q := s.table.Queue(t.step.job.spec.Queue); q != nil {
+	if q := s.queueOf(t.step.job); q != nil {
 		limit = q.MaxAttempts
 	}
 	if limit == 0 || len(t.failedRuns) < limit || t.step.spec.Lasting {
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -24,7 +24,7 @@
 		p.largeStepWaiting = false
 	}
 	for _, j := range sortedJobs {
-		q := s.table.Queue(j.spec.Queue)
+		q := s.queueOf(j)
 		if q == nil || j.state.Ended() {
 			continue
 		}
@@ -51,7 +51,7 @@
 // job would wait for one pass to request advice and for the next one to use the
 // answer.
 func (s *Scheduler) scheduleUrgentJob(j *job, now time.Time) {
-	q := s.table.Queue(j.spec.Queue)
+	q := s.queueOf(j)
 	if q == nil || q.Priority != urgentPriority || j.state.Ended() || s.reservations == nil {
 		return
 	}
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -114,7 +114,8 @@
 	clockBase time.Time
 	wallBase  time.Time
 	table     *queue.Table
-	// servicesWithoutAdvice holds the services with a queue that needs no advice. Starts
+	// servicesWithoutAdvice holds the services with a queue that needs no advice, or that had
+	// one: its jobs may still run. Starts
 	// on their workers may carry no ticket, which would hold for one process only.
 	servicesWithoutAdvice map[string]bool
 
@@ -213,7 +214,6 @@
 func (s *Scheduler) SetTable(t *queue.Table) {
 	if t.Version > s.table.Version {
 		s.table = t
-		clear(s.servicesWithoutAdvice)
 		for i := range t.Queues {
 			if t.Queues[i].Advice == nil {
 				s.servicesWithoutAdvice[t.Queues[i].Service] = true
@@ -223,6 +223,16 @@
 	}
 }
 
+// queueOf returns the queue of a job as it is configured. If it no longer is, or there is no
+// configuration yet, this is the queue as it was when the job was accepted: an accepted job
+// runs to its end. It is nil if that is not known.
+func (s *Scheduler) queueOf(j *job) *queue.Queue {
+	if q := s.table.Queue(j.spec.Queue); q != nil {
+		return q
+	}
+	return j.spec.Definition
+}
+
 // Table returns the current configuration.
 func (s *Scheduler) Table() *queue.Table { return s.table }
 
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -60,7 +60,7 @@
 		if j.waitingTasks == 0 && !s.mayOpenLaterStep(j) {
 			continue
 		}
-		q := s.table.Queue(j.spec.Queue)
+		q := s.queueOf(j)
 		if q == nil {
 			continue
 		}
--- a/internal/cell/scheduler/waiting.go
+++ b/internal/cell/scheduler/waiting.go
@@ -94,7 +94,7 @@
 func (s *Scheduler) logWaitReasons(now time.Time) {
 	summaries := map[string]*waitingTasksSummary{}
 	for _, j := range s.activeJobs {
-		q := s.table.Queue(j.spec.Queue)
+		q := s.queueOf(j)
 		if q == nil || j.waitingTasks == 0 {
 			continue
 		}
--- a/internal/cell/work/job.go
+++ b/internal/cell/work/job.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
@@ -45,6 +46,10 @@
 	ID string `json:"id"`
 	// Queue is the name of the queue to which the job was submitted.
 	Queue string `json:"queue"`
+	// Definition is the queue as it was configured when the job was accepted, without its
+	// host and prefix. It counts once the queue is no longer configured. It is nil in the
+	// records of earlier builds.
+	Definition *queue.Queue `json:"definition,omitempty"`
 	// Payload is passed unchanged to every task.
 	Payload string `json:"payload,omitempty"`
 	// Steps run as soon as the steps listed in their After fields have completed.
@@ -152,6 +157,11 @@
 			}
 		}
 	}
+	if d := j.Definition; d != nil {
+		if problem := d.Validate(); problem != "" {
+			return invalid("the definition of its queue: %s", problem)
+		}
+	}
 	if j.Repeat == nil {
 		return nil
 	}
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -25,10 +25,17 @@
 	askLeaderRetryPause = 100 * time.Millisecond
 )
 
-// Submit stores a job. The error has KindNotStored if the job is not stored and never
+// Submit stores a job with the definition of its queue. The error has KindNotStored if the job is not stored and never
 // will be, KindTooLarge if the store does not take a job of this size, and KindUnknown if
 // it may be stored.
 func (n *Node) Submit(ctx context.Context, j *work.Job) error {
+	if table := n.Table(); table != nil && j.Definition == nil {
+		if q := table.Queue(j.Queue); q != nil {
+			definition := *q
+			definition.Host, definition.Prefix = "", ""
+			j.Definition = &definition
+		}
+	}
 	r := store.Record{Key: j.ID, Value: work.Encode(j)}
 	if size := r.EncodedSize(); size > n.settings.MaxRecordBytes {
 		return fault.Newf("store_job", KindTooLarge, "the job takes %d bytes in the store, which are more than %d", size, n.settings.MaxRecordBytes)
