Hold a bounded number of tasks of a repeated job

Callers saw: LOST.

Cause: all due occurrences were opened at once, and completed ones were kept in memory and in the progress record.

Change: at most 1,024 tasks of a repeated job are held, but always one occurrence. Before a further due one is opened, the completed ones at the front are dropped; the progress record counts them.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -157,7 +157,7 @@
 
 // progress returns the progress record of a job.
 func (j *job) progress() *work.Progress {
-	p := &work.Progress{State: j.state, Started: j.anyTaskPlaced}
+	p := &work.Progress{State: j.state, Started: j.anyTaskPlaced, DoneOccurrences: j.doneOccurrences}
 	if j.state.Ended() {
 		p.Ended = j.endedAt.UnixMilli()
 	}
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
@@ -26,8 +27,11 @@
 	// endedAt is when state became final.
 	endedAt time.Time
 	// endTold is true once this leader has told anyone the final state.
-	endTold     bool
-	occurrences []*occurrence
+	endTold bool
+	// occurrences holds the open occurrences and some that have completed, without gaps.
+	// doneOccurrences is the number of the first: all earlier ones have completed.
+	occurrences     []*occurrence
+	doneOccurrences int
 	// submissionDropped is true once the caller was told to delete the submission
 	// from the store.
 	submissionDropped bool
@@ -245,9 +249,38 @@
 	}
 }
 
-// openDueOccurrencesOfJob opens the occurrences of one job that are due.
+// maxHeldTasks limits the tasks of the occurrences of a repeated job that are held at the
+// same time, unless a single occurrence has more. It bounds the memory and the progress
+// record of a job of which many occurrences are due at once.
+const maxHeldTasks = 1024
+
+// dropDoneOccurrences drops the completed occurrences before the first one that has not
+// completed, if no further occurrence may be opened otherwise. It reports whether one may.
+func (s *Scheduler) dropDoneOccurrences(j *job) bool {
+	limit := max(maxHeldTasks/j.spec.TasksPerOccurrence(), 1)
+	if len(j.occurrences) < limit {
+		return true
+	}
+	done := slices.IndexFunc(j.occurrences, func(o *occurrence) bool { return o.stepsLeft > 0 })
+	if done < 0 {
+		done = len(j.occurrences)
+	}
+	if done == 0 {
+		return false
+	}
+	j.occurrences = slices.Delete(j.occurrences, 0, done)
+	j.doneOccurrences += done
+	s.markJobDirty(j)
+	return true
+}
+
+// openDueOccurrencesOfJob opens the occurrences of one job that are due, as many as may be
+// held.
 func (s *Scheduler) openDueOccurrencesOfJob(j *job, now time.Time) {
 	for j.nextOccurrenceNumber < j.spec.Occurrences() && (j.spec.Repeat == nil || !now.Before(s.toSchedulerClock(j.spec.Due(j.nextOccurrenceNumber)).Add(-s.timing.EarlyStart))) {
+		if !s.dropDoneOccurrences(j) {
+			return
+		}
 		o := s.addOccurrence(j, j.nextOccurrenceNumber)
 		j.nextOccurrenceNumber++
 		s.openReadySteps(o, now)
@@ -379,19 +412,19 @@
 	}
 }
 
-// findTask returns the task with this ID, or nil if there is none.
+// findTask returns the task with this ID, or nil if there is none or its occurrence was
+// dropped.
 func (s *Scheduler) findTask(id work.TaskID) *task {
 	j := s.jobs[id.Job]
 	if j == nil {
 		return nil
 	}
-	for _, o := range j.occurrences {
-		if o.number != id.Occurrence || id.Step >= len(o.steps) {
-			continue
-		}
-		if tasks := o.steps[id.Step].tasks; id.Index < len(tasks) {
-			return tasks[id.Index]
-		}
+	i := id.Occurrence - j.doneOccurrences
+	if i < 0 || i >= len(j.occurrences) || id.Step >= len(j.occurrences[i].steps) {
+		return nil
+	}
+	if tasks := j.occurrences[i].steps[id.Step].tasks; id.Index < len(tasks) {
+		return tasks[id.Index]
 	}
 	return nil
 }
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -20,6 +20,8 @@
 	}
 	j.anyTaskPlaced, j.anyStartOrdered = p.Started, p.Started
 	j.state, j.storedState = p.State, p.State
+	j.doneOccurrences, j.nextOccurrenceNumber = p.DoneOccurrences, p.DoneOccurrences
+	j.anyRunReported = p.DoneOccurrences > 0
 	if p.State.Ended() {
 		j.endedAt, j.finalRecordStored = now, true
 		delete(s.activeJobs, spec.ID)
@@ -68,14 +70,14 @@
 }
 
 func (s *Scheduler) restoreStep(j *job, p *work.StepProgress, now time.Time) {
-	if p.Step >= len(j.spec.Steps) || p.Occurrence >= j.spec.Occurrences() {
+	if p.Step >= len(j.spec.Steps) || p.Occurrence < j.doneOccurrences || p.Occurrence >= j.spec.Occurrences() {
 		return
 	}
 	for j.nextOccurrenceNumber <= p.Occurrence {
 		s.addOccurrence(j, j.nextOccurrenceNumber)
 		j.nextOccurrenceNumber++
 	}
-	st := j.occurrences[p.Occurrence].steps[p.Step]
+	st := j.occurrences[p.Occurrence-j.doneOccurrences].steps[p.Step]
 	if p.Done {
 		j.anyRunReported = true
 		st.tasksLeft = 0
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -268,6 +268,9 @@
 	if p == nil || p.State.Ended() {
 		return p != nil && p.State == work.Completed
 	}
+	if id.Occurrence < p.DoneOccurrences {
+		return true
+	}
 	for _, sp := range p.Steps {
 		if sp.Step != id.Step || sp.Occurrence != id.Occurrence {
 			continue
--- a/internal/cell/work/job.go
+++ b/internal/cell/work/job.go
@@ -182,6 +182,15 @@
 	return j.Repeat.Count
 }
 
+// TasksPerOccurrence returns the number of tasks of all steps together.
+func (j *Job) TasksPerOccurrence() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // Due returns the wall-clock time at which an occurrence should start.
 func (j *Job) Due(occurrence int) time.Time {
 	if j.Repeat == nil {
--- a/internal/cell/work/progress.go
+++ b/internal/cell/work/progress.go
@@ -15,7 +15,10 @@
 	// Ended is when the job ended, in Unix milliseconds; 0 means that it has
 	// not ended.
 	Ended int64 `json:"ended,omitempty"`
-	// Steps holds each step, in every occurrence, of which at least one task was
+	// DoneOccurrences is the number of occurrences, from the first one on, that have completed
+	// and that Steps no longer holds.
+	DoneOccurrences int `json:"done_occurrences,omitempty"`
+	// Steps holds each step, in every other occurrence, of which at least one task was
 	// placed on a worker. Once the job has ended, it holds only the steps with tasks
 	// that may still be running.
 	Steps []StepProgress `json:"steps,omitempty"`
@@ -102,6 +105,9 @@
 			return invalid("state is %.32q", string(p.State))
 		}
 	}
+	if p.DoneOccurrences < 0 {
+		return invalid("%d occurrences are done", p.DoneOccurrences)
+	}
 	for i := range p.Steps {
 		s := &p.Steps[i]
 		if s.Occurrence < 0 || s.Step < 0 {
