Fetch a newer configuration also while other VMs have the leader's version

Read in the second pass over the change: an answer with the leader's own version reset the time since when a newer one was known, so the leader did not fetch it if further VMs had not read it either.

The time now belongs to the leader's version. TestConfigurationIsAppliedWhileReadsHang has a scenario for it, which fails without the change; the others pass as before. Also: a queue definition that a leader would not accept is not stored with a job; comments.

--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -5,26 +5,28 @@
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
-// A step that no worker can run must not keep others from running, however many such steps
-// wait. It therefore takes no part in scheduling passes: it claims no capacity, reserves no
-// workers, requests no advice and counts for no limit, until workers that can run it come.
-
 // shape is what decides whether the workers of a service can run a step.
 type shape struct {
-	label                 string
-	size                  resource.Vector
-	count                 int
-	gang                  bool
-	mostPerWorker, placed int
+	label string
+	size  resource.Vector
+	// count is the number of tasks that must fit at the same time: all of a gang, or one.
+	// placed is the number of tasks that are on workers already.
+	count, placed int
+	// mostPerWorker is the largest number of tasks on one worker; 0 means no limit.
+	mostPerWorker int
 }
 
 // canRun reports whether the registered workers could run a waiting task of a step, or all
 // tasks of a gang, if they ran nothing but the tasks of this step. If the queue needs
 // advice, that is false once the adviser was asked about all workers and approves none.
+//
+// A step that can't run takes no part in scheduling passes until workers that can run it
+// come. Otherwise it would claim capacity, ask the adviser and count for limits, and many
+// such steps would keep others from running.
 func (s *Scheduler) canRun(st *step, q *queue.Queue) bool {
 	p := s.poolOfService(q.Service)
-	v := shape{label: st.spec.Label, size: st.spec.ReservedCapacity(), count: 1, gang: st.spec.Gang, mostPerWorker: st.spec.MostPerWorker}
-	if v.gang {
+	v := shape{label: st.spec.Label, size: st.spec.ReservedCapacity(), count: 1, mostPerWorker: st.spec.MostPerWorker}
+	if st.spec.Gang {
 		v.count = st.spec.Count
 	} else if v.mostPerWorker > 0 {
 		v.placed = st.countTasksOnWorkersOf(q)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -115,8 +115,8 @@
 	wallBase  time.Time
 	table     *queue.Table
 	// servicesWithoutAdvice holds the services with a queue that needs no advice, or that had
-	// one: its jobs may still run. Starts
-	// on their workers may carry no ticket, which would hold for one process only.
+	// one, whose jobs may still run. Starts on their workers may carry no ticket, which would
+	// hold for one process only.
 	servicesWithoutAdvice map[string]bool
 
 	jobs map[string]*job
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -93,7 +93,8 @@
 
 // newerVersionTracker tracks whether other VMs have a newer configuration than the leader.
 type newerVersionTracker struct {
-	// since is when that was first noticed, or zero.
+	// own is the leader's version at which a newer one was noticed, and since is when.
+	own   int64
 	since time.Time
 	// fetching is true while the configuration is fetched from a VM.
 	fetching bool
@@ -102,20 +103,15 @@
 // shouldFetch records the version of another VM beside the leader's own and reports whether
 // the configuration must be fetched from that VM now. If so, it sets fetching.
 func (t *newerVersionTracker) shouldFetch(version, own int64, at time.Time) bool {
-	switch {
-	case version == own:
-		t.since = time.Time{}
+	if version <= own || t.fetching {
 		return false
-	case version < own, t.fetching:
-		return false
-	case t.since.IsZero():
-		t.since = at
-		return false
-	case at.Sub(t.since) < configurationFetchDelay:
+	}
+	if t.since.IsZero() || t.own != own {
+		t.own, t.since = own, at
 		return false
 	}
-	t.fetching = true
-	return true
+	t.fetching = at.Sub(t.since) >= configurationFetchDelay
+	return t.fetching
 }
 
 // fetchConfiguration fetches the configuration of another VM and applies it if it is newer.
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/peer/link"
@@ -25,17 +26,11 @@
 	askLeaderRetryPause = 100 * time.Millisecond
 )
 
-// Submit stores a job with the definition of its queue. The error has KindNotStored if the job is not stored and never
-// will be, KindTooLarge if the store does not take a job of this size, and KindUnknown if
-// it may be stored.
+// Submit stores a job with the definition of its queue. The error has KindNotStored if the
+// job is not stored and never will be, KindTooLarge if the store does not take a job of this
+// size, and KindUnknown if it may be stored.
 func (n *Node) Submit(ctx context.Context, j *work.Job) error {
-	if table := n.Table(); table != nil && j.Definition == nil {
-		if q := table.Queue(j.Queue); q != nil {
-			definition := *q
-			definition.Host, definition.Prefix = "", ""
-			j.Definition = &definition
-		}
-	}
+	j.Definition = n.queueDefinition(j.Queue)
 	r := store.Record{Key: j.ID, Value: work.Encode(j)}
 	if size := r.EncodedSize(); size > n.settings.MaxRecordBytes {
 		return fault.Newf("store_job", KindTooLarge, "the job takes %d bytes in the store, which are more than %d", size, n.settings.MaxRecordBytes)
@@ -43,6 +38,22 @@
 	return n.storeJobRecord(ctx, r)
 }
 
+// queueDefinition returns a queue as it is configured, without its host and prefix. It
+// returns nil if there is none or a leader would not accept it.
+func (n *Node) queueDefinition(name string) *queue.Queue {
+	table := n.Table()
+	if table == nil {
+		return nil
+	}
+	q := table.Queue(name)
+	if q == nil || q.Validate() != "" {
+		return nil
+	}
+	definition := *q
+	definition.Host, definition.Prefix = "", ""
+	return &definition
+}
+
 // errIsolated is the error of Submit and Cancel while this VM is isolated. In that case
 // they send nothing to the store.
 var errIsolated = fault.Newf("store_job", KindNotStored, "this VM reaches neither the store nor another failure domain")
--- a/internal/node/entryvm/long_polls_test.go
+++ b/internal/node/entryvm/long_polls_test.go
@@ -7,6 +7,10 @@
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
 
+// configurationLimit is how long after its publication a configuration may take to come into
+// force on all VMs.
+const configurationLimit = 2 * time.Second
+
 // A VM began to lead while its read of the configuration, with the long wait of a VM that
 // does not lead, got no answer. For 20 s it and all VMs whose reads hung too served an old
 // configuration. The same must not happen if the leader alone can't read it.
@@ -27,6 +31,11 @@
 			time.Sleep(time.Second)
 			return -1
 		}},
+		{"one VM alone can read it", func(f *fixture, leader int) int {
+			f.storeLinks[leader].SilenceTopic(store.Configuration)
+			f.storeLinks[(leader+1)%3].SilenceTopic(store.Configuration)
+			return -1
+		}},
 		{"no read of the leader is answered", func(f *fixture, leader int) int {
 			f.storeLinks[leader].SilenceTopic(store.Configuration)
 			return -1
@@ -40,7 +49,7 @@
 			time.Sleep(300 * time.Millisecond)
 			closed := sc.hang(f, leader)
 			f.publishConfiguration(9, "newer")
-			end := time.Now().Add(2 * time.Second)
+			end := time.Now().Add(configurationLimit)
 			for i, n := range f.nodes {
 				for i != closed && n.Table().Version != 9 && time.Now().Before(end) {
 					time.Sleep(5 * time.Millisecond)
