Soak: count calls that it holds up itself as disturbed

Trace: during a cut the soak holds up each call on a new connection until it has found the VM that opened it, up to 1 s; on the busy machine it found none. The leader gave up each call after 0.55 s and called again on another new connection, to all workers alike (18 of them, 5 failed holds each in 5 s), while its commits took milliseconds and its timers were on time.

So the calls had a fault that the soak made itself and did not record. It does now, if it takes longer than two scans. TestCallsHeldUpByTheSoakCountAsDisturbed fails without it (the function is new; with the extension taken out its second scenario fails).

--- a/internal/cell/scheduler/status_property_test.go
+++ b/internal/cell/scheduler/status_property_test.go
@@ -551,13 +551,6 @@
 	"hold", "hold", "hold", "advance", "advance", "advance", "advance", "cancel", "restart", "cut", "takeOver", "storeDeletions",
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // What callers are told of jobs must follow from what was stored and what workers have
 // reported, not from what a leader has planned: jobs whose start orders were lost were
 // not counted as pending.
--- a/internal/emulate/soak/cuts.go
+++ b/internal/emulate/soak/cuts.go
@@ -164,7 +164,7 @@
 func (c *cell) throughCuts(w *worker, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(response http.ResponseWriter, r *http.Request) {
 		connection, _ := r.Context().Value(connectionKey{}).(*connection)
-		if c.nearCuts.Load() > 0 && c.isCut(connection.awaitCaller(), w) {
+		if c.nearCuts.Load() > 0 && c.isCut(w.awaitCaller(connection), w) {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -176,6 +176,22 @@
 	})
 }
 
+// maxCallerWait is how long a call to a worker may wait for the VM that opened its connection
+// to be known without counting as held up.
+const maxCallerWait = 2 * callerScanInterval
+
+// awaitCaller returns the entry VM that opened a connection to the worker, as
+// connection.awaitCaller does. If that takes long, as on a busy machine, the call was held up
+// by the soak itself, which counts as a fault of the calls to the worker.
+func (w *worker) awaitCaller(n *connection) *entryVM {
+	begun := time.Now()
+	vm := n.awaitCaller()
+	if waited := time.Since(begun); waited > maxCallerWait {
+		w.disturbed.extend(begun.Add(waited))
+	}
+	return vm
+}
+
 // lossyWriter is a response that does not arrive if lost is true when it is sent.
 type lossyWriter struct {
 	http.ResponseWriter
--- a/internal/emulate/soak/cuts_test.go
+++ b/internal/emulate/soak/cuts_test.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// On a busy machine, calls waited for so long for the soak to find their callers that these
+// gave up and called again on a new connection. The worker counted as not held.
+func TestCallsHeldUpByTheSoakCountAsDisturbed(t *testing.T) {
+	known := &connection{}
+	known.vm.Store(&entryVM{})
+	scenarios := []struct {
+		testName   string
+		connection *connection
+		disturbed  bool
+	}{
+		{"the caller is known", known, false},
+		{"the caller is not found", &connection{opened: time.Now()}, true},
+		{"it was not found before", &connection{opened: time.Now().Add(-maxUnknownAge)}, false},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			w, begun := &worker{}, time.Now()
+			w.awaitCaller(sc.connection)
+			is.New(t).Equal(w.disturbed.calmSince(time.Now()).After(begun), sc.disturbed)
+		})
+	}
+}
+
 func TestEntriesLapseAndComeBack(t *testing.T) {
 	is := is.New(t)
 	c := &cell{store: memory.New(), ledger: newLedger()}
