Keep the states of ended jobs until all job partitions were read

Callers would see: a completed job runs again.

Cause: a caller's submission is stored without an answer and submitted again, which goes to another partition. If the first partition can't be read for longer than the state of the ended job is kept (130 s on the platform), the leader deletes the submission only where it knows it, drops the state, and takes the first copy for a new job when the partition is read again.

Change: the state of an ended job expires by the time up to which all job partitions were read, not by the clock of the leader. A copy is known by then, and is deleted before the state.

The tests of expiry in the scheduler say now that the partitions were read, each at the time of its tick, so that only what they check keeps the state.

--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -167,10 +167,12 @@
 	deleted := s.TakeEffects().SubmissionsToDelete
 	is.Equal(deleted, []string{"job"})
 	now = now.Add(retention)
+	s.JobsRead(now)
 	s.Tick(now)
 	is.True(s.NextCommit(now) == nil) // The final state is not deleted.
 	s.SubmissionsDeleted(deleted)
 	now = now.Add(3 * time.Second)
+	s.JobsRead(now)
 	s.Tick(now)
 	c := s.NextCommit(now)
 	is.True(c != nil)
@@ -194,6 +196,7 @@
 	s.SubmissionsDeleted([]string{"job"})
 	now = now.Add(20 * time.Second)
 	addHeldWorkers(s, 1, now, "desk")
+	s.JobsRead(now)
 	s.Tick(now) // The record expires.
 	s.Submit(job, now)
 	s.Schedule(now)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -40,7 +40,8 @@
 	// HoldWait is how long a worker may wait before it answers a hold if no run ends
 	// in this time.
 	HoldWait time.Duration
-	// EndedJobRetention is how long the state of a job is kept after the job has ended.
+	// EndedJobRetention is how long the state of a job is kept after the job has ended. It is
+	// longer than the store takes to execute a submission that it has not answered.
 	EndedJobRetention time.Duration
 	// MaxOrderDelay is the longest time after which a worker may still execute a start
 	// order that it has not answered. 0 means that it executes such an order before
@@ -165,6 +166,8 @@
 	// lastConfirmedAppendStart is the start time of the last append in this epoch
 	// that the store accepted.
 	lastConfirmedAppendStart time.Time
+	// jobsReadAt is a time by which all submissions that were stored before it are known.
+	jobsReadAt time.Time
 	// eventSequence is increased with each hold that is sent and each start that is
 	// confirmed. It shows which of two such events came first.
 	eventSequence          int64
@@ -304,13 +307,18 @@
 			j.submissionDropped = true
 			s.effects.SubmissionsToDelete = append(s.effects.SubmissionsToDelete, id)
 		}
-		if j.submissionDeleted && now.Sub(j.endedAt) > s.timing.EndedJobRetention {
+		// A copy of the submission may be stored in a partition that could not be read so far.
+		if j.submissionDeleted && s.jobsReadAt.Sub(j.endedAt) > s.timing.EndedJobRetention {
 			delete(s.jobs, id)
 			s.expiredJobs = append(s.expiredJobs, id)
 		}
 	}
 }
 
+// JobsRead must be called when all submissions that were stored before the given time are
+// known. The states of ended jobs expire only by this time.
+func (s *Scheduler) JobsRead(at time.Time) { s.jobsReadAt = at }
+
 // SubmissionsDeleted must be called once the deletion of the submissions of ended jobs is
 // stored. Their final states are kept until then: a later leader that found a submission
 // without one would run the job again.
--- a/internal/cell/scheduler/status_property_test.go
+++ b/internal/cell/scheduler/status_property_test.go
@@ -419,6 +419,9 @@
 		w.Advance(m.now)
 	}
 	for _, l := range m.leaders {
+		if len(l.told) == len(m.jobs) {
+			l.scheduler.JobsRead(m.now)
+		}
 		l.scheduler.Tick(m.now)
 		m.takeEffects(l)
 	}
--- a/internal/node/entryvm/tail.go
+++ b/internal/node/entryvm/tail.go
@@ -195,7 +195,10 @@
 
 // jobsUpToDate reports whether every job partition was read up to its end within
 // maxJobsReadAge. The caller must hold the mutex.
-func (l *leader) jobsUpToDate() bool {
-	oldestRead := slices.MinFunc(l.jobsReadStartTimes, time.Time.Compare)
-	return now().Sub(oldestRead) < maxJobsReadAge
+func (l *leader) jobsUpToDate() bool { return now().Sub(l.oldestJobsRead()) < maxJobsReadAge }
+
+// oldestJobsRead returns the earliest time at which the last read of a job partition up to
+// its end began. The caller must hold the mutex.
+func (l *leader) oldestJobsRead() time.Time {
+	return slices.MinFunc(l.jobsReadStartTimes, time.Time.Compare)
 }
--- a/internal/node/entryvm/takeover_test.go
+++ b/internal/node/entryvm/takeover_test.go
@@ -162,9 +162,13 @@
 }
 
 // lead starts an entry VM that leads with the next epoch.
-func (c *leaderTrial) lead(s store.Store) *leader {
+func (c *leaderTrial) lead(s store.Store) *leader { return c.leadWithRetention(s, time.Hour) }
+
+// leadWithRetention is like lead, and sets how long the states of ended jobs are kept.
+func (c *leaderTrial) leadWithRetention(s store.Store, retention time.Duration) *leader {
 	c.epoch++
 	n := c.startNode("vm-0", s)
+	n.settings.Timing.EndedJobRetention = retention
 	l := newLeader(n.ctx, n, c.epoch)
 	n.swapLeader(nil, l)
 	go l.run()
