Log why a task ran again, which ends are stored, and offsets of the progress

No line told up to which number a leader can have acknowledged ends of runs, which record of a job the next leader had read, or why a task could start again.

Change: only log lines. ends_stored tells, once a commit, which ends it has made acknowledgeable, how many final states it has stored, and the end offset of the progress topic, which the store's answer gives and which was dropped. take_over_done tells that offset after the fencing append and of the read, job_restored the offset of the record. run_repeated, directly after start_ordered, tells how the run before ended, on which process, when this leader first heard that process, what its first report listed, what was acknowledged to it, and what was restored. A task has one more pointer, which is nil unless it was restored or a run of it has ended early since its last start.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -15,7 +15,11 @@
 type Commit struct {
 	// Records are the records to store, of the progress of jobs and of workers. The list may
 	// be empty: then the ends of runs were handled, but no job has changed.
-	Records   []store.Record
+	Records []store.Record
+	// EndOffset is the end offset of the progress topic after the last append of the commit.
+	// The caller sets it before Committed; it is UnknownOffset without an append. It is only
+	// logged.
+	EndOffset int64
 	startedAt time.Time
 	// placedTasks are the tasks that the records name with their new worker.
 	placedTasks []*task
@@ -30,7 +34,7 @@
 // caller must store the commits one at a time, in the order in which NextCommit
 // returned them.
 func (s *Scheduler) NextCommit(now time.Time) *Commit {
-	c := &Commit{startedAt: now, lastEndNumberByWorker: map[*worker]int64{}, jobStates: map[*job]work.State{}}
+	c := &Commit{EndOffset: UnknownOffset, startedAt: now, lastEndNumberByWorker: map[*worker]int64{}, jobStates: map[*job]work.State{}}
 	// Deletions come first, since a job may have been submitted again meanwhile.
 	for _, id := range s.expiredJobs {
 		c.Records = append(c.Records, store.Record{Key: id})
@@ -73,6 +77,7 @@
 	if len(c.Records) > 0 {
 		s.lastConfirmedAppendStart = c.startedAt
 	}
+	s.logEndsStored(c)
 	for j, state := range c.jobStates {
 		if state.Ended() && !j.finalRecordStored {
 			s.log.Info("job_end_stored", "job", j.spec.ID, "state", string(state), "after_ms", now.Sub(j.endedAt).Milliseconds())
@@ -111,7 +116,7 @@
 	t.inCommit = false
 	if w.removed || w.tokenUnconfirmed() || t.step.advice.isTicketExpired(w, now) || now.Sub(commitStart) > maxStartDelay {
 		s.log.Info("start_withdrawn", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "age_ms", now.Sub(commitStart).Milliseconds())
-		s.requeueTask(t)
+		s.requeueTask(t, "withdrawn")
 		s.stopOtherGangMembers(t, now)
 		return
 	}
@@ -122,6 +127,7 @@
 		s.addObservation("first_start", j, now.Sub(j.submittedAt))
 	}
 	s.log.Info("start_ordered", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken, "waited_ms", now.Sub(t.step.openedAt).Milliseconds())
+	s.logIfRepeated(t, now)
 	order := Order[backend.Start]{Worker: w.registration.Life, Order: backend.Start{
 		Task: t.id, Run: t.runNumber, Payload: t.step.job.spec.Payload, Deadline: t.leaseDeadline, Token: t.startToken,
 		Checkpoint: t.checkpoint, Ticket: t.step.advice.ticketText(w),
--- a/internal/cell/scheduler/held.go
+++ b/internal/cell/scheduler/held.go
@@ -16,6 +16,8 @@
 // extensions; everything else is for logs.
 type holdTimes struct {
 	sentAt, answeredAt time.Time
+	// firstAnsweredAt is when the worker first answered a hold of this leader.
+	firstAnsweredAt time.Time
 	// failure is the kind of error of the last hold that failed.
 	failure backend.Kind
 	// via is the keeper of the last hold that was sent.
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -20,6 +20,7 @@
 	guarded := s.servicesWithoutAdvice[w.registration.Service]
 	if acknowledgementDue && w.unansweredHolds == 0 && (!guarded || !w.hasUnreportedStart()) {
 		hold.Acknowledged, w.acknowledging = w.lastStoredEndNumber, guarded
+		w.acknowledgedEndNumber = w.lastStoredEndNumber
 	}
 	if w.unansweredHolds == 0 {
 		// Only the first hold after an answer extends the lease. Otherwise the lease
@@ -73,7 +74,7 @@
 		}
 		t.startDelayed = false
 		if t.phase != phaseStartOrdered {
-			s.requeueTask(t)
+			s.requeueTask(t, "withdrawn")
 			s.logIfRunsEnded(t, w, "withdrawn", now)
 			continue
 		}
@@ -178,6 +179,10 @@
 		s.otherProcessAnswered(w, backend.Life{ID: life.ID, Born: r.Life.Born}, now)
 		return
 	}
+	if w.held.firstAnsweredAt.IsZero() {
+		w.held.firstAnsweredAt = now
+		w.noteFirstReport(r)
+	}
 	s.noteAnswer(w, sent, now)
 	w.lastAnswerAt, w.unansweredHolds = now, 0
 	w.forgottenEndNumber = max(w.forgottenEndNumber, sent.acknowledged)
@@ -296,7 +301,7 @@
 			continue
 		}
 		s.log.Info("run_absent", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken, "hold_token", sent.token)
-		s.requeueTask(t)
+		s.requeueTask(t, "absent")
 		s.logIfRunsEnded(t, w, "absent", now)
 		s.stopOtherGangMembers(t, now)
 	}
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -22,6 +22,8 @@
 	anyTaskPlaced, anyStartOrdered bool
 	// anyRunReported is true once a worker has reported a run of any task, or its end.
 	anyRunReported bool
+	// restored says what was read about the job at the take-over. It is only logged.
+	restored restoredProgress
 	// submittedAt is when an entry VM accepted the job.
 	submittedAt time.Time
 	// endedAt is when state became final.
@@ -156,6 +158,9 @@
 	// placeNotBefore is the earliest time at which the task may be placed again.
 	placeNotBefore time.Time
 	stopSentAt     time.Time
+	// earlier describes the last run before the next start. It is nil if the task was not
+	// restored and no run of it has ended early since its last start. It is only logged.
+	earlier *earlierRun
 }
 
 // onWorker reports whether the task uses capacity of a worker.
@@ -327,10 +332,13 @@
 }
 
 // requeueTask takes a task off its worker and lets it wait for another one. If its
-// job has ended, the task becomes done instead.
-func (s *Scheduler) requeueTask(t *task) {
-	s.releaseTaskCapacity(t)
+// job has ended, the task becomes done instead. how says why the run counts as ended.
+func (s *Scheduler) requeueTask(t *task, how string) {
 	j := t.step.job
+	if !j.state.Ended() {
+		t.noteEarlierRun(how)
+	}
+	s.releaseTaskCapacity(t)
 	t.phase, t.percentDone, t.pacePercent, t.runConfirmed = phaseWaiting, 0, fullPacePercent, false
 	if j.state.Ended() {
 		t.phase = phaseDone
@@ -366,7 +374,7 @@
 		j.waitingTasks--
 	}
 	s.releaseTaskCapacity(t)
-	t.phase = phaseDone
+	t.phase, t.earlier = phaseDone, nil
 	t.step.tasksLeft--
 	s.markJobDirty(j)
 	if t.step.tasksLeft > 0 || j.state.Ended() {
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		s.log.Info("run_lapsed", append([]any{"task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken}, w.extensionFields(now)...)...)
-		s.requeueTask(t)
+		s.requeueTask(t, "lapsed")
 		s.logIfRunsEnded(t, w, "lapsed", now)
 		s.stopOtherGangMembers(t, now)
 	}
@@ -158,7 +158,7 @@
 		if t.step.spec.Speculative && t.phase == phaseRunning {
 			s.log.Info("run_copied", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "silent_ms", now.Sub(w.lastAnswerAt).Milliseconds())
 			w.addOrphanedRun(t, s.eventSequence)
-			s.requeueTask(t)
+			s.requeueTask(t, "copied")
 		}
 	}
 }
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -15,9 +15,14 @@
 		return
 	}
 	j := s.addJob(spec, now)
+	j.restored.offset = UnknownOffset
 	if p == nil {
+		if s.restoredWithoutProgress++; s.restoredWithoutProgress <= maxLinesWithoutProgress {
+			s.logRestored(j)
+		}
 		return
 	}
+	j.restored.offset = p.Offset
 	j.anyTaskPlaced, j.anyStartOrdered = p.Started, p.Started
 	j.state, j.storedState = p.State, p.State
 	j.doneOccurrences, j.nextOccurrenceNumber = p.DoneOccurrences, p.DoneOccurrences
@@ -47,6 +52,10 @@
 	s.logRestored(j)
 }
 
+// maxLinesWithoutProgress limits the lines about jobs without stored progress: no task of
+// such a job was placed, and there may be very many.
+const maxLinesWithoutProgress = 1000
+
 // logRestored logs what the stored progress of an active job says, so that the log tells
 // which ends of its runs this leader does not know.
 func (s *Scheduler) logRestored(j *job) {
@@ -57,7 +66,8 @@
 			tasks += len(st.tasks)
 		}
 	}
-	s.log.Info("job_restored", "job", j.spec.ID, "state", string(j.state), "tasks", tasks, "done", done, "on_workers", j.tasksOnWorkers)
+	j.restored.done = done
+	s.log.Info("job_restored", "job", j.spec.ID, "state", string(j.state), "tasks", tasks, "done", done, "on_workers", j.tasksOnWorkers, "offset", j.restored.offset)
 }
 
 // RestoreEnded adds an ended job of which only the progress record is still stored;
@@ -109,10 +119,11 @@
 		t.step.tasksLeft--
 		return
 	}
+	life := backend.Life{ID: p.Worker, Born: p.Born}
+	t.earlier = &earlierRun{how: "restored", number: p.Run, restored: true, restoredLife: life, firstReport: "not_heard"}
 	if p.Worker == "" {
 		return
 	}
-	life := backend.Life{ID: p.Worker, Born: p.Born}
 	w := s.workers[life]
 	if latest := s.latestWorkerByID[life.ID]; latest != nil && latest.registration.Life.Born > life.Born {
 		w = latest // The start order may have reached this process instead.
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -82,7 +82,7 @@
 		t.placeNotBefore = now.Add(pauseAfterInvalidOrder)
 	default:
 	}
-	s.requeueTask(t)
+	s.requeueTask(t, "refused")
 	s.logIfRunsEnded(t, w, "refused", now)
 	s.stopOtherGangMembers(t, now)
 }
@@ -116,7 +116,7 @@
 	case backend.Failed:
 		s.applyFailedRun(t, w, e.Run, now)
 	default:
-		s.requeueTask(t)
+		s.requeueTask(t, endedWith(e.Outcome))
 		s.stopOtherGangMembers(t, now)
 	}
 }
@@ -163,7 +163,7 @@
 // it is requeued. The first member of a gang to complete completes all the others.
 func (s *Scheduler) applyCompletedRun(t *task, now time.Time) {
 	if t.step.spec.Lasting {
-		s.requeueTask(t)
+		s.requeueTask(t, endedWith(backend.Done))
 		return
 	}
 	if !t.step.spec.Gang {
@@ -179,7 +179,7 @@
 // whole job fails.
 func (s *Scheduler) applyFailedRun(t *task, w *worker, run int64, now time.Time) {
 	t.lastFailedWorker = w.registration.Life.ID
-	s.requeueTask(t)
+	s.requeueTask(t, endedWith(backend.Failed))
 	if !s.countFailedRun(t, run, now) {
 		s.stopOtherGangMembers(t, now)
 	}
@@ -237,7 +237,7 @@
 	for _, member := range t.step.tasks {
 		switch member.phase {
 		case phasePlaced:
-			s.requeueTask(member)
+			s.requeueTask(member, "withdrawn")
 		case phaseStartOrdered, phaseRunning:
 			s.stopTask(member, now)
 		case phaseWaiting, phaseStopping, phaseDone:
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -171,6 +171,8 @@
 	endedJobsLastDroppedAt time.Time
 	loadLastLoggedAt       time.Time
 	workerLines            workerLines
+	// restoredWithoutProgress counts the restored jobs of which no progress was stored.
+	restoredWithoutProgress int
 	// openedWorkers lists the workers for which a session was opened and that no line
 	// names yet.
 	openedWorkers []*worker
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -44,6 +44,9 @@
 	// forgottenEndNumber is the number of the last end that the worker has answered to
 	// have forgotten, because it was acknowledged.
 	forgottenEndNumber int64
+	// acknowledgedEndNumber is the number of the last end that a hold of this leader has
+	// acknowledged, whether or not it was answered. It is only logged.
+	acknowledgedEndNumber int64
 	// acknowledging is true while a hold with a guarded acknowledgement is unanswered; see
 	// hasUnreportedStart. delayedStarts holds the starts that wait for the answer.
 	acknowledging bool
--- a/internal/cell/work/progress.go
+++ b/internal/cell/work/progress.go
@@ -22,6 +22,8 @@
 	// placed on a worker. Once the job has ended, it holds only the steps with tasks
 	// that may still be running.
 	Steps []StepProgress `json:"steps,omitempty"`
+	// Offset is the position of the record that this was read from. It is not stored.
+	Offset int64 `json:"-"`
 }
 
 // StepProgress is the progress of a step of one occurrence.
--- a/internal/node/entryvm/commits.go
+++ b/internal/node/entryvm/commits.go
@@ -54,10 +54,14 @@
 			records = l.claimRenewalRecords()
 		}
 		if len(records) > 0 {
-			if err := l.appendProgress(records); err != nil {
+			end, err := l.appendProgress(records)
+			if err != nil {
 				l.node.log.Info("claim_lost", "epoch", l.epoch, "error", err.Error())
 				return
 			}
+			if commit != nil {
+				commit.EndOffset = end
+			}
 			renewal.Reset(claimRenewInterval)
 		}
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
@@ -80,16 +84,17 @@
 }
 
 // appendProgress stores progress records in one append, or in several one after the other
-// if they exceed the size of an append. It returns an error only if the claim is lost or
-// the leader is stopped. Some of the records may then be stored.
-func (l *leader) appendProgress(records []store.Record) error {
+// if they exceed the size of an append. It returns the end offset of the topic after the
+// last append. It returns an error only if the claim is lost or the leader is stopped. Some
+// of the records may then be stored.
+func (l *leader) appendProgress(records []store.Record) (end int64, err error) {
 	records = compressLargeRecords(records, l.node.settings.MaxRecordBytes)
 	for _, group := range store.SplitRecords(records, l.node.settings.MaxAppendBytes) {
-		if err := l.appendProgressGroup(group); err != nil {
-			return err
+		if end, err = l.appendProgressGroup(group); err != nil {
+			return end, err
 		}
 	}
-	return nil
+	return end, nil
 }
 
 // compressLargeRecords returns the records with compressed values in place of those that
@@ -121,26 +126,26 @@
 // appendProgressGroup appends progress records as the producer of this epoch. It repeats
 // an append that the store refuses or does not answer. The repeated append has the same
 // sequence number, so that the store recognizes one that it has already carried out and
-// repeats its answer. It returns the same errors as appendProgress.
-func (l *leader) appendProgressGroup(records []store.Record) error {
+// repeats its answer. It returns the same as appendProgress.
+func (l *leader) appendProgressGroup(records []store.Record) (int64, error) {
 	a := store.Append{Topic: store.Progress, Records: records, Producer: &store.Producer{Name: producerName, Epoch: l.epoch, Sequence: l.nextProducerSequence}}
 	l.nextProducerSequence++
 	for {
 		callCtx, cancel := context.WithTimeout(l.ctx, maxAppendTimeout+maxRelayAttempts*relayTimeout)
-		_, err := l.node.store.Append(callCtx, a)
+		end, err := l.node.store.Append(callCtx, a)
 		cancel()
 		if err == nil {
-			return nil
+			return end, nil
 		}
 		if l.ctx.Err() != nil {
-			return l.ctx.Err()
+			return 0, l.ctx.Err()
 		}
 		switch storeErrorKind(err) {
 		case store.KindRefused, store.KindUnknown:
 			l.node.log.Info("progress_not_stored", "epoch", l.epoch, "records", len(records), "error", err.Error())
 			sleep(l.ctx, appendRetryPause)
 		default:
-			return err
+			return 0, err
 		}
 	}
 }
--- a/internal/node/entryvm/takeover.go
+++ b/internal/node/entryvm/takeover.go
@@ -26,6 +26,9 @@
 // storedState is the state of the cell as read from the store.
 type storedState struct {
 	progressRecords []store.Record
+	// fenceOffset is the end offset of the progress topic after the append that fences the
+	// previous leader, and progressOffset the one up to which the progress was read.
+	fenceOffset, progressOffset int64
 	// jobRecords holds the records of each job partition. nextJobOffsets holds, for
 	// each job partition, the offset from which to continue reading.
 	jobRecords          [][]store.Record
@@ -54,6 +57,7 @@
 			l.node.log.Error(err, "progress_unreadable", "job", r.Key)
 			continue
 		}
+		p.Offset = r.Offset
 		progress[r.Key] = p
 	}
 	l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
@@ -74,7 +78,7 @@
 		l.restored = true
 	})
 	l.node.measures.Observe(measure.Key{Name: "take_over"}, now().Sub(begun))
-	l.node.log.Info("take_over_done", "epoch", l.epoch, "partitions", len(saved.jobRecords), "progress", len(saved.progressRecords), "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
+	l.node.log.Info("take_over_done", "epoch", l.epoch, "partitions", len(saved.jobRecords), "progress", len(saved.progressRecords), "fence_offset", saved.fenceOffset, "progress_offset", saved.progressOffset, "workers", len(l.registrations), "took_ms", now().Sub(begun).Milliseconds())
 	return saved.nextJobOffsets, nil
 }
 
@@ -91,12 +95,14 @@
 		return err
 	})
 	g.Go(func() error {
-		if err := l.appendProgress(l.claimRenewalRecords()); err != nil {
+		end, err := l.appendProgress(l.claimRenewalRecords())
+		if err != nil {
 			return err
 		}
+		saved.fenceOffset = end
 		afterFence.Go(func() error {
 			s, err := l.readSnapshot(store.Progress, 0)
-			saved.progressRecords = s.Records
+			saved.progressRecords, saved.progressOffset = s.Records, s.End
 			return err
 		})
 		for part := range parts {
