--- a/internal/cell/scheduler/repeated_test.go
+++ b/internal/cell/scheduler/repeated_test.go
@@ -145,3 +145,27 @@
 	is.True(hasFields(lines[0], "workers=1100", "unnamed=1000"))
 	is.True(len(lines[0]) < 4096)
 }
+
+// Each start of a task that had a run before is followed by the line about that run.
+func TestEachRepeatedStartIsExplained(t *testing.T) {
+	is := is.New(t)
+	repeated := 0
+	for seed := range uint64(5) {
+		sm := newSimulation(seed, faultProbabilities{lostAnswerProbability: 0.05, lateCallProbability: 0.03})
+		log := sm.recordLog()
+		sm.addWorkers(12, workerCapacity)
+		sm.electLeader()
+		sm.addJobs(20)
+		sm.restartWorkers(4)
+		sm.restartLeaders(3)
+		sm.runFor(time.Minute)
+		for i, l := range log.lines {
+			if hasFields(l, "msg=start_ordered") && !hasFields(l, "run=1") {
+				is.True(hasFields(log.lines[i+1], "msg=run_repeated"))
+				repeated++
+			}
+		}
+		is.Equal(len(sm.violations), 0)
+	}
+	is.True(repeated > 20)
+}
