Delete one submission of an ended job at a time

Callers would see: a completed job runs again after the leader has changed.

Cause: a partition refuses the deletion of a submission of an ended job, and the job is submitted again in another partition. Both deletions are then under way, and the end of either counted as the end of both: the final state expired while a submission was still stored. The next leader takes it for a new job.

Change: the next deletion for a job is ordered only once the last one is stored, and the final state expires only while none is under way.

Evidence: TestFinalStateOutlivesEachCopyOfItsSubmission fails on the code before (the record is deleted while the first deletion is under way) and passes now, as do the other tests of expiry and TestAnswersAboutJobsAreTrue.

--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -180,6 +180,39 @@
 	is.Equal(len(c.Records[0].Value), 0)
 }
 
+// The submission of an ended job is in a partition that refuses its deletion, and the job is
+// submitted again in another partition, which accepts it. The final state must stay until both
+// submissions are deleted, or the next leader would run the job again.
+func TestFinalStateOutlivesEachCopyOfItsSubmission(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	const retention = 20 * time.Second
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: retention}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	job := &work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize}}}
+	s.Submit(job, now)
+	s.Cancel("job", now)
+	s.Committed(s.NextCommit(now), now)
+	tick := func(elapsed time.Duration) (deletions []string) {
+		now = now.Add(elapsed)
+		s.JobsRead(now)
+		s.Tick(now)
+		return s.TakeEffects().SubmissionsToDelete
+	}
+	first := tick(5 * time.Second)
+	is.Equal(first, []string{"job"})
+	s.Submit(job, now)
+	s.SubmissionsDeleted(tick(5 * time.Second))
+	tick(2 * retention)
+	is.True(s.NextCommit(now) == nil) // The first deletion is still under way.
+	s.SubmissionsDeleted(first)
+	s.SubmissionsDeleted(tick(5 * time.Second))
+	tick(5 * time.Second)
+	c := s.NextCommit(now)
+	is.True(c != nil)
+	is.Equal(len(c.Records[0].Value), 0)
+}
+
 // The record of an ended job expires, and the job is submitted again before the next
 // commit. The commit must not delete the record that names its new run.
 func TestExpiryDoesNotDeleteThePlacementOfAJobSubmittedAgain(t *testing.T) {
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -34,11 +34,9 @@
 	// doneOccurrences is the number of the first: all earlier ones have completed.
 	occurrences     []*occurrence
 	doneOccurrences int
-	// submissionDropped is true once the caller was told to delete the submission
-	// from the store.
-	submissionDropped bool
-	// submissionDeleted is true once that deletion is stored.
-	submissionDeleted bool
+	// submissionStored is true while a submission may be stored that the caller was not told
+	// to delete. deletingSubmission is true from then until the deletion is stored.
+	submissionStored, deletingSubmission bool
 	// nextOccurrenceNumber is the number of the first occurrence that has not been
 	// opened yet.
 	nextOccurrenceNumber int
@@ -172,7 +170,7 @@
 // progress record.
 func (s *Scheduler) Submit(spec *work.Job, now time.Time) {
 	if j := s.jobs[spec.ID]; j != nil {
-		j.submissionDropped, j.submissionDeleted = false, false
+		j.submissionStored = true
 		return
 	}
 	j := s.addJob(spec, now)
@@ -191,7 +189,7 @@
 
 func (s *Scheduler) addJob(spec *work.Job, now time.Time) *job {
 	age := min(max(now.Sub(s.toSchedulerClock(spec.Accepted)), 0), maxJobAge)
-	j := &job{spec: spec, state: work.Queued, storedState: work.Queued, submittedAt: now.Add(-age), criticalPaths: spec.CriticalPaths()}
+	j := &job{spec: spec, state: work.Queued, storedState: work.Queued, submittedAt: now.Add(-age), submissionStored: true, criticalPaths: spec.CriticalPaths()}
 	if d := spec.Definition; d != nil && d.Advice == nil {
 		s.servicesWithoutAdvice[d.Service] = true
 	}
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -76,7 +76,7 @@
 	if s.jobs[id] != nil || !p.State.Ended() {
 		return
 	}
-	s.jobs[id] = &job{spec: &work.Job{ID: id}, state: p.State, storedState: p.State, finalRecordStored: true, endedAt: now, submissionDropped: true, submissionDeleted: true}
+	s.jobs[id] = &job{spec: &work.Job{ID: id}, state: p.State, storedState: p.State, finalRecordStored: true, endedAt: now}
 }
 
 func (s *Scheduler) restoreStep(j *job, p *work.StepProgress, now time.Time) {
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -305,12 +305,12 @@
 		if !j.finalRecordStored || j.tasksOnWorkers > 0 {
 			continue
 		}
-		if !j.submissionDropped && now.Sub(j.endedAt) >= submissionDropDelay {
-			j.submissionDropped = true
+		if j.submissionStored && !j.deletingSubmission && now.Sub(j.endedAt) >= submissionDropDelay {
+			j.submissionStored, j.deletingSubmission = false, true
 			s.effects.SubmissionsToDelete = append(s.effects.SubmissionsToDelete, id)
 		}
 		// A copy of the submission may be stored in a partition that could not be read so far.
-		if j.submissionDeleted && s.jobsReadAt.Sub(j.endedAt) > s.timing.EndedJobRetention {
+		if !j.submissionStored && !j.deletingSubmission && s.jobsReadAt.Sub(j.endedAt) > s.timing.EndedJobRetention {
 			delete(s.jobs, id)
 			s.expiredJobs = append(s.expiredJobs, id)
 		}
@@ -326,8 +326,8 @@
 // without one would run the job again.
 func (s *Scheduler) SubmissionsDeleted(ids []string) {
 	for _, id := range ids {
-		if j := s.jobs[id]; j != nil && j.submissionDropped {
-			j.submissionDeleted = true
+		if j := s.jobs[id]; j != nil {
+			j.deletingSubmission = false
 		}
 	}
 }
