Count the deletions of submissions that are under way

The change before ordered them one after the other. That held back the deletion of a second submission while the first one is refused, and TestSubmissionOfAnEndedJobIsDroppedAgain, which asks for it at once, failed on it. Deletions are counted instead, and the final state expires only while none is under way.

--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -35,8 +35,10 @@
 	occurrences     []*occurrence
 	doneOccurrences int
 	// submissionStored is true while a submission may be stored that the caller was not told
-	// to delete. deletingSubmission is true from then until the deletion is stored.
-	submissionStored, deletingSubmission bool
+	// to delete. submissionDeletions counts the deletions that the caller was told to make and
+	// that are not stored yet.
+	submissionStored    bool
+	submissionDeletions int
 	// nextOccurrenceNumber is the number of the first occurrence that has not been
 	// opened yet.
 	nextOccurrenceNumber int
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -305,12 +305,13 @@
 		if !j.finalRecordStored || j.tasksOnWorkers > 0 {
 			continue
 		}
-		if j.submissionStored && !j.deletingSubmission && now.Sub(j.endedAt) >= submissionDropDelay {
-			j.submissionStored, j.deletingSubmission = false, true
+		if j.submissionStored && now.Sub(j.endedAt) >= submissionDropDelay {
+			j.submissionStored = false
+			j.submissionDeletions++
 			s.effects.SubmissionsToDelete = append(s.effects.SubmissionsToDelete, id)
 		}
 		// A copy of the submission may be stored in a partition that could not be read so far.
-		if !j.submissionStored && !j.deletingSubmission && s.jobsReadAt.Sub(j.endedAt) > s.timing.EndedJobRetention {
+		if !j.submissionStored && j.submissionDeletions == 0 && s.jobsReadAt.Sub(j.endedAt) > s.timing.EndedJobRetention {
 			delete(s.jobs, id)
 			s.expiredJobs = append(s.expiredJobs, id)
 		}
@@ -322,12 +323,12 @@
 func (s *Scheduler) JobsRead(at time.Time) { s.jobsReadAt = at }
 
 // SubmissionsDeleted must be called once the deletion of the submissions of ended jobs is
-// stored. Their final states are kept until then: a later leader that found a submission
-// without one would run the job again.
+// stored, once for each list of Effects.SubmissionsToDelete. Their final states are kept until
+// then: a later leader that found a submission without one would run the job again.
 func (s *Scheduler) SubmissionsDeleted(ids []string) {
 	for _, id := range ids {
 		if j := s.jobs[id]; j != nil {
-			j.deletingSubmission = false
+			j.submissionDeletions--
 		}
 	}
 }
