Don't take a forgotten attempt for one that never ran

Cause: the outcome of such a request is stored after the answer, and not at all if the answer is large. When its entry VM is gone, the owners are asked. They forget an attempt two minutes after its end; then "no owner knows it" was taken for "it never ran", the key was released and the request ran again.

Change: only for a request younger than a minute is it a proof that no owner knows it. For an older one the answer is may_have_run, which is true.

--- a/internal/node/daemon/keyed_requests.go
+++ b/internal/node/daemon/keyed_requests.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/node/request"
 	"github.com/almondpost/almondpost/internal/peer/entry"
@@ -125,6 +128,19 @@
 // entry VM is gone.
 const orphanedKeyTimeout = 25 * time.Second
 
+// maxAbsenceProofAge is the largest age of a request whose attempt has certainly never run if no
+// owner knows it. Owners forget an attempt owner.DefaultTiming.EndedAttemptRetention after
+// its end; the rest of that time allows for clocks that differ.
+const maxAbsenceProofAge = time.Minute
+
+// isAbsenceProof reports whether the request with an ID that NewID built has certainly never
+// run if no owner knows an attempt of it.
+func isAbsenceProof(id string, now time.Time) bool {
+	parts := strings.Split(id, ".")
+	u, err := ulid.Parse(parts[len(parts)-1])
+	return err == nil && now.Sub(ulid.Time(u.Time())).Abs() < maxAbsenceProofAge
+}
+
 // recoverOrphanedKey handles a key whose holder is a request of an entry VM that
 // is gone. It first fences the holder, so that the owners in its failure domain
 // start no more attempts of it. If an attempt of the holder is found, it follows
@@ -149,6 +165,9 @@
 		go r.recordKeyOutcome(former, outcome)
 		return outcome
 	}
+	if !isAbsenceProof(result.Holder, time.Now()) {
+		return unknownOutcome
+	}
 	if err := r.node.claims.Release(searchContext, w.Spec.Plan, w.Spec.Key, result.Holder); err != nil {
 		return unknownOutcome
 	}
