Tell who learned of the earlier end of a task that runs twice

A broken promise that a task runs once did not tell which promise to whom was broken: a caller was shown its job as completed, the worker was told that the end is known, or both. The two have different causes.

The line now names them with the times, and the totals of a soak count the tasks by them. The tests of the ledger share their course of events with the new one; no case of theirs has changed.

--- a/internal/emulate/soak/ledger.go
+++ b/internal/emulate/soak/ledger.go
@@ -46,8 +46,22 @@
 	text string
 	// starts are the starts that broke the promise together.
 	starts []*startRecord
+	// told is who learned of the end of the run before the last start. It is empty for
+	// promises other than "no task runs twice".
+	told told
 }
 
+// told is who learned that a run has completed: a caller that was shown its job as completed,
+// its worker by an acknowledgement, both or nobody.
+type told string
+
+const (
+	toldNobody told = "nobody"
+	toldCaller told = "shown"
+	toldWorker told = "acknowledged"
+	toldBoth   told = "both"
+)
+
 // runKey identifies a run on a worker.
 type runKey struct {
 	life backend.Life
@@ -103,11 +117,53 @@
 	l.violations = append(l.violations, violation{text: text})
 }
 
-// violateTwice records that starts of a task have broken the promise that it runs once.
-// The caller must hold the mutex.
+// violateTwice records that starts of a task, the last one too many, have broken the promise
+// that it runs once. The caller must hold the mutex.
 func (l *ledger) violateTwice(starts []*startRecord, format string, args ...any) {
-	l.violate("no task runs twice", format, args...)
-	l.violations[len(l.violations)-1].starts = starts
+	who, text := l.earlierEnd(starts[:len(starts)-1])
+	l.violate("no task runs twice", format+"; %s", append(args, text)...)
+	v := &l.violations[len(l.violations)-1]
+	v.starts, v.told = starts, who
+}
+
+// earlierEnd returns who was told of the end of one of the runs and describes it with the
+// times. The caller must hold the mutex.
+func (l *ledger) earlierEnd(runs []*startRecord) (who told, text string) {
+	after := func(t time.Time) string { return fmt.Sprintf("after %.2f s", t.Sub(l.begun).Seconds()) }
+	var shownAt, acknowledgedAt time.Time
+	for _, r := range runs {
+		if r.outcome != backend.Done {
+			continue
+		}
+		shownAt = l.jobs[r.order.Task.Job].completedAt
+		if acknowledgedAt.IsZero() {
+			acknowledgedAt = r.acknowledgedAt
+		}
+	}
+	switch {
+	case !shownAt.IsZero() && !acknowledgedAt.IsZero():
+		return toldBoth, fmt.Sprintf("the earlier end was told to both: shown %s, acknowledged %s", after(shownAt), after(acknowledgedAt))
+	case !shownAt.IsZero():
+		return toldCaller, "the earlier end was shown " + after(shownAt)
+	case !acknowledgedAt.IsZero():
+		return toldWorker, "the earlier end was acknowledged " + after(acknowledgedAt)
+	}
+	return toldNobody, "no earlier end was shown or acknowledged"
+}
+
+// tasksRunTwice returns the tasks that broke the promise that they run once, by who was told of
+// the earlier end, and all under the empty key. The caller must hold the mutex.
+func (l *ledger) tasksRunTwice() map[told][]work.TaskID {
+	tasks := map[told][]work.TaskID{}
+	for _, v := range l.violations {
+		if v.told == "" || slices.Contains(tasks[""], v.starts[0].order.Task) {
+			continue
+		}
+		for _, key := range []told{"", v.told} {
+			tasks[key] = append(tasks[key], v.starts[0].order.Task)
+		}
+	}
+	return tasks
 }
 
 // report records a broken promise that was noticed outside of the ledger.
--- a/internal/emulate/soak/ledger_test.go
+++ b/internal/emulate/soak/ledger_test.go
@@ -20,7 +20,28 @@
 	a, b   *fleet.Worker
 }
 
-const testLease = 5 * time.Second
+const (
+	testLease = 5 * time.Second
+	// testJob is a job of two steps of one task, and slowJob one whose task lasts.
+	testJob     = "job"
+	slowJob     = "slow"
+	testRunTime = time.Second
+)
+
+// newCourse returns a ledger with both jobs and a course that starts when the ledger begins.
+func newCourse() (*ledger, *course) {
+	l, now, size := newLedger(), time.Unix(1_700_000_000, 0), resource.Vector{Milliprocessors: 100}
+	l.begun = now
+	l.submitting(&work.Job{ID: testJob, Steps: []work.Step{{Count: 1, Size: size}, {Count: 1, Size: size, After: []int{0}}}})
+	l.submitting(&work.Job{ID: slowJob, Steps: []work.Step{{Count: 1, Size: size}}})
+	newWorker := func(name string) *fleet.Worker {
+		r := backend.Registration{Life: backend.Life{ID: name}, Capacity: resource.Vector{Milliprocessors: 1000}}
+		return fleet.New(r, 1, now, func(id work.TaskID) fleet.TaskProfile {
+			return fleet.TaskProfile{Size: size, RunTime: testRunTime, Lasting: id.Job == slowJob}
+		}, l)
+	}
+	return l, &course{l, now, newWorker("a"), newWorker("b")}
+}
 
 // start makes a worker start the next run of a task.
 func (c *course) start(w *fleet.Worker, task work.TaskID) {
@@ -62,9 +83,9 @@
 }
 
 func TestLedgerNoticesBrokenPromises(t *testing.T) {
-	const id = "job"
-	const runTime = time.Second
-	first, second, slow := taskID(id, 0, 0), taskID(id, 1, 0), taskID("slow", 0, 0)
+	const id = testJob
+	const runTime = testRunTime
+	first, second, slow := taskID(id, 0, 0), taskID(id, 1, 0), taskID(slowJob, 0, 0)
 	scenarios := []ledgerScenario{
 		{"a whole life", func(l *ledger, c *course) {
 			l.accepted(id, c.now)
@@ -181,18 +202,8 @@
 	for _, s := range append(scenarios, cancellationScenarios(id, first, slow)...) {
 		t.Run(s.testName, func(t *testing.T) {
 			is := is.New(t)
-			l := newLedger()
-			size := resource.Vector{Milliprocessors: 100}
-			l.submitting(&work.Job{ID: id, Steps: []work.Step{{Count: 1, Size: size}, {Count: 1, Size: size, After: []int{0}}}})
-			l.submitting(&work.Job{ID: slow.Job, Steps: []work.Step{{Count: 1, Size: size}}})
-			now := time.Unix(1_700_000_000, 0)
-			newWorker := func(name string) *fleet.Worker {
-				r := backend.Registration{Life: backend.Life{ID: name}, Capacity: resource.Vector{Milliprocessors: 1000}}
-				return fleet.New(r, 1, now, func(id work.TaskID) fleet.TaskProfile {
-					return fleet.TaskProfile{Size: size, RunTime: runTime, Lasting: id == slow}
-				}, l)
-			}
-			s.act(l, &course{l, now, newWorker("a"), newWorker("b")})
+			l, c := newCourse()
+			s.act(l, c)
 			if s.expected == "" {
 				is.Equal(len(l.violations), 0)
 				return
@@ -202,3 +213,66 @@
 		})
 	}
 }
+
+func TestLedgerTellsWhoLearnedOfTheEarlierEnd(t *testing.T) {
+	first, second := taskID(testJob, 0, 0), taskID(testJob, 1, 0)
+	complete := func(c *course, acknowledged bool) {
+		c.start(c.a, first)
+		c.pass(testRunTime)
+		if acknowledged {
+			c.acknowledge(c.a)
+		}
+		c.start(c.b, second)
+		c.pass(testRunTime)
+	}
+	startLate := func(l *ledger, c *course) {
+		c.pass(2 * lateStartLimit)
+		l.startArrived(c.b.Registration.Life, backend.Start{Task: first, Run: 3}, arrival{at: c.now})
+		c.start(c.b, first)
+	}
+	scenarios := []struct {
+		testName string
+		act      func(l *ledger, c *course)
+		expected told
+		text     string
+	}{
+		{"shown to a caller", func(l *ledger, c *course) {
+			complete(c, false)
+			l.shown("vm", testJob, work.Completed, c.now)
+			startLate(l, c)
+		}, toldCaller, "; the earlier end was shown after 2.00 s"},
+		{"acknowledged to the worker", func(_ *ledger, c *course) {
+			complete(c, true)
+			c.start(c.b, first)
+		}, toldWorker, "; the earlier end was acknowledged after 1.00 s"},
+		{"acknowledged to the worker after the second start", func(_ *ledger, c *course) {
+			c.start(c.a, first)
+			c.pass(testRunTime)
+			c.start(c.b, first)
+			c.pass(testRunTime)
+			c.acknowledge(c.a)
+		}, toldWorker, "; the earlier end was acknowledged after 2.00 s"},
+		{"both", func(l *ledger, c *course) {
+			complete(c, true)
+			l.shown("vm", testJob, work.Completed, c.now)
+			startLate(l, c)
+		}, toldBoth, "; the earlier end was told to both: shown after 2.00 s, acknowledged after 1.00 s"},
+		{"a run that has not ended", func(_ *ledger, c *course) {
+			c.start(c.a, first)
+			c.start(c.b, first)
+		}, toldNobody, "; no earlier end was shown or acknowledged"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			is := is.New(t)
+			l, c := newCourse()
+			s.act(l, c)
+			is.True(len(l.violations) > 0)
+			for _, v := range l.violations {
+				is.True(strings.HasPrefix(v.text, "no task runs twice"))
+				is.Equal(v.told, s.expected)
+				is.True(strings.HasSuffix(v.text, s.text)) // the text names who was told and when
+			}
+		})
+	}
+}
--- a/internal/emulate/soak/soak.go
+++ b/internal/emulate/soak/soak.go
@@ -219,8 +219,10 @@
 			byKeepers++
 		}
 	}
-	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d cancelled=%d refused=%d starts=%d starts_by_keepers=%d broken=%d\n",
-		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, cancelled, rejected, len(l.starts), byKeepers, len(l.violations))
+	twice := l.tasksRunTwice()
+	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d cancelled=%d refused=%d starts=%d starts_by_keepers=%d broken=%d run_twice=%d shown=%d acknowledged=%d both=%d\n",
+		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, cancelled, rejected, len(l.starts), byKeepers, len(l.violations),
+		len(twice[""]), len(twice[toldCaller]), len(twice[toldWorker]), len(twice[toldBoth]))
 	for i, v := range l.violations {
 		if i == maxViolationsShown {
 			break
