--- a/internal/emulate/soak/callers.go
+++ b/internal/emulate/soak/callers.go
@@ -97,10 +97,14 @@
 	}
 }
 
-// newJob draws a job of one or two steps, or one whose tasks outlive leases.
+// newJob draws a job of one or two steps, one whose tasks outlive leases or, while a schedule is
+// played, one whose end is at no particular time.
 func (c *caller) newJob() *work.Job {
 	j := &work.Job{ID: fmt.Sprintf("%016x", c.random.Uint64()), Payload: "payload"}
-	if c.random.Float64() < longProbability {
+	if c.cell.spreadEnds && c.random.Float64() < spreadProbability {
+		return c.newSpreadJob(j.ID)
+	}
+	if !c.cell.spreadEnds && c.random.Float64() < longProbability {
 		s := work.Step{Count: 1 + c.random.IntN(3), Size: resource.Vector{Milliprocessors: 200, MemoryMebibytes: 64}, Estimate: longRunTime}
 		s.Lasting = c.random.IntN(2) == 0
 		j.Steps = []work.Step{s}
--- a/internal/emulate/soak/cell.go
+++ b/internal/emulate/soak/cell.go
@@ -67,6 +67,11 @@
 	// inCut is held during faults that let the entries of a whole failure domain lapse, so
 	// that they do not overlap.
 	inCut sync.Mutex
+	// heldUp is the longest time for which watch was late: a busy machine holds up the calls to
+	// the store and the workers as well.
+	heldUp time.Duration
+	// spreadEnds is true if callers submit jobs as newSpreadJob draws them.
+	spreadEnds bool
 	// inOutage is held during faults that kill all entry VMs.
 	inOutage sync.Mutex
 }
--- a/internal/emulate/soak/cuts.go
+++ b/internal/emulate/soak/cuts.go
@@ -164,13 +164,20 @@
 func (c *cell) throughCuts(w *worker, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(response http.ResponseWriter, r *http.Request) {
 		connection, _ := r.Context().Value(connectionKey{}).(*connection)
+		if s := w.silence.Load(); s != nil && s.frozen {
+			<-s.over
+			r = r.WithContext(context.WithoutCancel(r.Context()))
+		} else if s != nil {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if c.nearCuts.Load() > 0 && c.isCut(w.awaitCaller(connection), w) {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
 		lost := func() bool {
 			vm := connection.caller()
-			return c.isCut(vm, w) || vm != nil && vm.lostAnswers[w.domain].Load() > 0
+			return w.silence.Load() != nil || c.isCut(vm, w) || vm != nil && vm.lostAnswers[w.domain].Load() > 0
 		}
 		h.ServeHTTP(&lossyWriter{response, r.Context(), lost}, r)
 	})
--- a/internal/emulate/soak/disturbance.go
+++ b/internal/emulate/soak/disturbance.go
@@ -70,9 +70,10 @@
 // watch notices ends of runs, changes of the leader and runs that go on for too long or that
 // nobody holds, until ctx is done.
 func (c *cell) watch(ctx context.Context) {
-	for ctx.Err() == nil {
+	for last := time.Now(); ctx.Err() == nil; {
 		time.Sleep(watchInterval)
 		now := time.Now()
+		c.heldUp, last = max(c.heldUp, now.Sub(last)-watchInterval), now
 		since := now
 		if vm := c.leader(); vm != nil {
 			since = vm.disturbed.calmSince(now)
--- a/internal/emulate/soak/faults.go
+++ b/internal/emulate/soak/faults.go
@@ -34,7 +34,7 @@
 	apply func(c *cell, f fault) error
 }
 
-// faultKinds are the kinds of faults. Faults of the same process do not overlap; all
+// faultKinds are the kinds of faults that are drawn. Faults of the same process do not overlap; all
 // others do.
 var faultKinds = []faultKind{
 	{"freeze", func(c *cell, f fault) error {
@@ -293,14 +293,14 @@
 	return plan
 }
 
-// isFaultKind reports whether there is a kind of faults of the given name.
+// isFaultKind reports whether a kind of faults of the given name is drawn.
 func isFaultKind(name string) bool {
 	return slices.ContainsFunc(faultKinds, func(k faultKind) bool { return k.name == name })
 }
 
-// runFaults applies the faults of a plan and returns when the last one is over. The file
-// faults.log lists their times in the form of the logs of the VMs.
-func (c *cell) runFaults(plan []fault) error {
+// runFaults applies the faults of a plan and returns when the last one is over and the duration
+// has passed. The file faults.log lists their times in the form of the logs of the VMs.
+func (c *cell) runFaults(plan []fault, duration time.Duration) error {
 	file, err := os.Create(filepath.Join(c.folder, "faults.log"))
 	if err != nil {
 		return err
@@ -315,7 +315,7 @@
 			log := log.With("kind", f.kind, "target", f.target, "vm", c.vm(f).name, "domain", f.target%domainCount, "amount", f.amount)
 			log.Info("fault_begins", "lasts", f.lasts)
 			defer log.Info("fault_ended")
-			for _, k := range faultKinds {
+			for _, k := range slices.Concat(faultKinds, scheduleKinds) {
 				if k.name != f.kind {
 					continue
 				}
@@ -326,5 +326,6 @@
 		})
 	}
 	wait.Wait()
+	time.Sleep(time.Until(begun.Add(duration)))
 	return nil
 }
--- a/internal/emulate/soak/ledger.go
+++ b/internal/emulate/soak/ledger.go
@@ -39,18 +39,23 @@
 	leader disturbance
 	links  map[backend.Life]*disturbance
 	begun  time.Time
+	// shownAt is when a caller was last told that a job has completed, or zero.
+	shownAt time.Time
 }
 
 // violation is one broken promise.
 type violation struct {
-	text string
+	promise, text string
 	// starts are the starts that broke the promise together.
 	starts []*startRecord
 	// told is who learned of the end of the run before the last start. It is empty for
-	// promises other than "no task runs twice".
+	// promises other than runsOnce.
 	told told
 }
 
+// runsOnce is the promise of which violateTwice records that it was broken.
+const runsOnce = "no task runs twice"
+
 // told is who learned that a run has completed: a caller that was shown its job as completed,
 // its worker by an acknowledgement, both or nobody.
 type told string
@@ -114,14 +119,14 @@
 // violate records a broken promise. The caller must hold the mutex.
 func (l *ledger) violate(promise, format string, args ...any) {
 	text := fmt.Sprintf("%s: after %.2f s %s", promise, time.Since(l.begun).Seconds(), fmt.Sprintf(format, args...))
-	l.violations = append(l.violations, violation{text: text})
+	l.violations = append(l.violations, violation{promise: promise, text: text})
 }
 
 // violateTwice records that starts of a task, the last one too many, have broken the promise
 // that it runs once. The caller must hold the mutex.
 func (l *ledger) violateTwice(starts []*startRecord, format string, args ...any) {
 	who, text := l.earlierEnd(starts[:len(starts)-1])
-	l.violate("no task runs twice", format+"; %s", append(args, text)...)
+	l.violate(runsOnce, format+"; %s", append(args, text)...)
 	v := &l.violations[len(l.violations)-1]
 	v.starts, v.told = starts, who
 }
@@ -230,7 +235,7 @@
 		}
 	case work.Completed:
 		if !j.completed {
-			j.completed, j.completedAt = true, at
+			j.completed, j.completedAt, l.shownAt = true, at, at
 		}
 		for _, t := range l.unfinishedTasks(j.spec) {
 			l.violate("states are true", "%s shows job %s as completed while task %s has not ended", vm, id, t)
@@ -242,6 +247,19 @@
 	}
 }
 
+// awaitCompletion waits until a caller is told that a job has completed, but not longer than
+// limit.
+func (l *ledger) awaitCompletion(limit time.Duration) {
+	isShown := func(since time.Time) bool {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		return l.shownAt.After(since)
+	}
+	for begun := time.Now(); !isShown(begun) && time.Since(begun) < limit; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // unfinishedTasks returns the tasks of a job of which no run has completed. The caller
 // must hold the mutex.
 func (l *ledger) unfinishedTasks(j *work.Job) []work.TaskID {
--- a/internal/emulate/soak/outage.go
+++ b/internal/emulate/soak/outage.go
@@ -33,14 +33,14 @@
 	}
 	defer c.inOutage.Unlock()
 	losses := [3]func() error{
-		func() error { return c.loseWorkers(f) },
+		func() error { c.loseWorkers(c.lostWorkers(f)); return nil },
 		func() error {
 			if vm := c.leader(); vm != nil {
 				return vm.alone(func(vm *entryVM) error { return vm.kill(rand.N(maxKillPause)) })
 			}
 			return nil
 		},
-		c.killAll,
+		func() error { return c.killAll(func() time.Duration { return rand.N(maxKillPause) }) },
 	}
 	orders := [lossOrders - 1][3]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}}
 	c.refuseCalls(true)
@@ -64,24 +64,32 @@
 	return errors.Join(errs[:]...)
 }
 
-// killAll kills all entry VMs at once and starts them again.
-func (c *cell) killAll() error {
+// killAll kills all entry VMs at once and starts each again after a pause.
+func (c *cell) killAll(pause func() time.Duration) error {
 	var wait sync.WaitGroup
 	errs := make([]error, len(c.vms))
 	for i, vm := range c.vms {
 		wait.Go(func() {
-			errs[i] = vm.alone(func(vm *entryVM) error { return vm.kill(rand.N(maxKillPause)) })
+			errs[i] = vm.alone(func(vm *entryVM) error { return vm.kill(pause()) })
 		})
 	}
 	wait.Wait()
 	return errors.Join(errs...)
 }
 
+// lostWorkers returns the numbers of the workers that are lost in an outage.
+func (c *cell) lostWorkers(f fault) []int {
+	numbers := make([]int, 1+f.target%maxLostWorkers)
+	for k := range numbers {
+		numbers[k] = (f.target + k) % len(c.workers)
+	}
+	return numbers
+}
+
 // loseWorkers ends workers for good. Another worker starts at the address of each, under
 // another ID, long after its entry has lapsed.
-func (c *cell) loseWorkers(f fault) error {
-	for k := range 1 + f.target%maxLostWorkers {
-		i := (f.target + k) % len(c.workers)
+func (c *cell) loseWorkers(numbers []int) {
+	for _, i := range numbers {
 		w := c.workers[i]
 		w.mutex.Lock()
 		life := w.current.Load().life
@@ -96,7 +104,6 @@
 			}
 		}()
 	}
-	return nil
 }
 
 // dropEntry makes the store no longer list a worker that was lost, unless another life of it
--- a/internal/emulate/soak/soak.go
+++ b/internal/emulate/soak/soak.go
@@ -37,6 +37,8 @@
 	folder       string
 	// program is the program that the entry VMs run; empty means this build.
 	program string
+	// schedule is the name of the schedule that is played instead of drawn faults, or empty.
+	schedule string
 	// without names the kinds of faults that are left out.
 	without []string
 }
@@ -56,6 +58,8 @@
 	f.IntVar(&o.workers, "workers", 24, "number of workers")
 	f.StringVar(&o.folder, "folder", "", "folder for the logs (default: a temporary one, which is kept if a promise is broken)")
 	f.StringVar(&o.program, "program", "", "program that the entry VMs run, such as an almondpost-entry of another revision (default: this build)")
+	f.StringVar(&o.schedule, "schedule", "", "plays fixed faults instead of random ones, with "+
+		fmt.Sprintf("%d entry VMs and %d workers for %s: %s", scheduleVMs, scheduleWorkers, scheduleDuration, scheduleNames()))
 	without := f.String("without", "", "kinds of faults to leave out, separated by commas, such as calls_late,kill_leader")
 	if err := f.Parse(args); err != nil {
 		return 2
@@ -63,16 +67,25 @@
 	if *without != "" {
 		o.without = strings.Split(*without, ",")
 	}
-	if reason := o.invalid(f.NArg()); reason != "" {
+	reason := o.invalid(f.NArg())
+	if o.schedule != "" {
+		o.duration, o.vms, o.workers = scheduleDuration, scheduleVMs, scheduleWorkers
+		f.Visit(func(set *flag.Flag) {
+			if slices.Contains([]string{"duration", "vms", "workers", "without"}, set.Name) {
+				reason = fmt.Sprintf("flag -%s: the schedule determines it", set.Name)
+			}
+		})
+	}
+	if reason != "" {
 		_, _ = fmt.Fprintln(stderr, "soak:", reason)
 		return 2
 	}
-	violations, err := run(o, stdout)
+	l, err := run(o, stdout)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "soak:", err)
 		return 1
 	}
-	if violations > 0 {
+	if len(l.violations) > 0 {
 		return 1
 	}
 	return 0
@@ -87,6 +100,8 @@
 		return fmt.Sprintf("flag -duration, value %s: must be at least %s", o.duration, quietStart)
 	case o.vms < 2 || o.vms > 100:
 		return fmt.Sprintf("flag -vms, value %d: must be from 2 to 100", o.vms)
+	case o.schedule != "" && findSchedule(o.schedule) < 0:
+		return fmt.Sprintf("flag -schedule, value %s: there is no such schedule; there are %s", o.schedule, scheduleNames())
 	case o.workers < 1 || o.workers > 1000:
 		return fmt.Sprintf("flag -workers, value %d: must be from 1 to 1000", o.workers)
 	}
@@ -107,24 +122,24 @@
 	return []string{program, entryArgument}, err
 }
 
-// run runs one soak, prints its result and returns the number of broken promises.
-func run(o options, stdout io.Writer) (violations int, err error) {
+// run runs one soak, prints its result and returns its ledger.
+func run(o options, stdout io.Writer) (l *ledger, err error) {
 	folder, temporary := o.folder, o.folder == ""
 	if temporary {
 		if folder, err = os.MkdirTemp("", "almondpost-soak-"); err != nil {
-			return 0, err
+			return nil, err
 		}
 	} else if err := os.MkdirAll(folder, 0o700); err != nil {
-		return 0, err
+		return nil, err
 	}
-	l := newLedger()
+	l = newLedger()
 	command, err := o.command()
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	c, err := newCell(folder, o.vms, o.workers, command, l)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
@@ -133,6 +148,11 @@
 	var watch sync.WaitGroup
 	watch.Go(func() { c.watch(watchCtx) })
 	callerCount := max(minCallerCount, o.workers)
+	plan := newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration, o.without)
+	if i := findSchedule(o.schedule); i >= 0 {
+		callerCount, plan = callersPerWorker*o.workers, schedules[i].plan
+		c.spreadEnds = true
+	}
 	for i := range callerCount {
 		callers.Go(func() { newCaller(c, o.seed, i).submitJobs(ctx) })
 	}
@@ -140,7 +160,7 @@
 	for i, vm := range c.vms {
 		callers.Go(func() { newCaller(c, o.seed, callerCount+1+i).watchConfiguration(ctx, vm) })
 	}
-	err = c.runFaults(newPlan(rand.New(rand.NewPCG(o.seed, 0)), o.duration, o.without))
+	err = c.runFaults(plan, o.duration)
 	cancel()
 	callers.Wait()
 	c.awaitCancelledJobs(newCaller(c, o.seed, 0))
@@ -155,7 +175,7 @@
 	if len(l.violations) == 0 && temporary {
 		err = errors.Join(err, os.RemoveAll(folder))
 	}
-	return len(l.violations), err
+	return l, err
 }
 
 // awaitCancelledJobs cancels the jobs without an end, which callers no longer follow, and
@@ -220,9 +240,9 @@
 		}
 	}
 	twice := l.tasksRunTwice()
-	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d cancelled=%d refused=%d starts=%d starts_by_keepers=%d broken=%d run_twice=%d shown=%d acknowledged=%d both=%d\n",
+	_, _ = fmt.Fprintf(w, "seed=%d duration=%s vms=%d workers=%d jobs=%d accepted=%d completed=%d cancelled=%d refused=%d starts=%d starts_by_keepers=%d broken=%d run_twice=%d shown=%d acknowledged=%d both=%d held_up=%s\n",
 		o.seed, o.duration, o.vms, o.workers, len(l.jobs), accepted, completed, cancelled, rejected, len(l.starts), byKeepers, len(l.violations),
-		len(twice[""]), len(twice[toldCaller]), len(twice[toldWorker]), len(twice[toldBoth]))
+		len(twice[""]), len(twice[toldCaller]), len(twice[toldWorker]), len(twice[toldBoth]), c.heldUp.Round(time.Millisecond))
 	for i, v := range l.violations {
 		if i == maxViolationsShown {
 			break
--- a/internal/emulate/soak/workers.go
+++ b/internal/emulate/soak/workers.go
@@ -33,6 +33,8 @@
 	current atomic.Pointer[workerLife]
 	// delay is how long calls are held up before the worker executes them.
 	delay atomic.Int64
+	// silence is the fault in which the worker answers nothing, or nil.
+	silence atomic.Pointer[silence]
 	// disturbed covers faults of the calls to the worker.
 	disturbed disturbance
 	mutex     sync.Mutex
