--- a/internal/emulate/soak/ledger.go
+++ b/internal/emulate/soak/ledger.go
@@ -39,15 +39,34 @@
 	leader disturbance
 	links  map[backend.Life]*disturbance
 	begun  time.Time
+	// shownAt is when a caller was last told that a job has completed, or zero.
+	shownAt time.Time
 }
 
 // violation is one broken promise.
 type violation struct {
-	text string
+	promise, text string
 	// starts are the starts that broke the promise together.
 	starts []*startRecord
+	// told is who learned of the end of the run before the last start. It is empty for
+	// promises other than runsOnce.
+	told told
 }
 
+// runsOnce is the promise of which violateTwice records that it was broken.
+const runsOnce = "no task runs twice"
+
+// told is who learned that a run has completed: a caller that was shown its job as completed,
+// its worker by an acknowledgement, both or nobody.
+type told string
+
+const (
+	toldNobody told = "nobody"
+	toldCaller told = "shown"
+	toldWorker told = "acknowledged"
+	toldBoth   told = "both"
+)
+
 // runKey identifies a run on a worker.
 type runKey struct {
 	life backend.Life
@@ -100,14 +119,56 @@
 // violate records a broken promise. The caller must hold the mutex.
 func (l *ledger) violate(promise, format string, args ...any) {
 	text := fmt.Sprintf("%s: after %.2f s %s", promise, time.Since(l.begun).Seconds(), fmt.Sprintf(format, args...))
-	l.violations = append(l.violations, violation{text: text})
+	l.violations = append(l.violations, violation{promise: promise, text: text})
 }
 
-// violateTwice records that starts of a task have broken the promise that it runs once.
-// The caller must hold the mutex.
+// violateTwice records that starts of a task, the last one too many, have broken the promise
+// that it runs once. The caller must hold the mutex.
 func (l *ledger) violateTwice(starts []*startRecord, format string, args ...any) {
-	l.violate("no task runs twice", format, args...)
-	l.violations[len(l.violations)-1].starts = starts
+	who, text := l.earlierEnd(starts[:len(starts)-1])
+	l.violate(runsOnce, format+"; %s", append(args, text)...)
+	v := &l.violations[len(l.violations)-1]
+	v.starts, v.told = starts, who
+}
+
+// earlierEnd returns who was told of the end of one of the runs and describes it with the
+// times. The caller must hold the mutex.
+func (l *ledger) earlierEnd(runs []*startRecord) (who told, text string) {
+	after := func(t time.Time) string { return fmt.Sprintf("after %.2f s", t.Sub(l.begun).Seconds()) }
+	var shownAt, acknowledgedAt time.Time
+	for _, r := range runs {
+		if r.outcome != backend.Done {
+			continue
+		}
+		shownAt = l.jobs[r.order.Task.Job].completedAt
+		if acknowledgedAt.IsZero() {
+			acknowledgedAt = r.acknowledgedAt
+		}
+	}
+	switch {
+	case !shownAt.IsZero() && !acknowledgedAt.IsZero():
+		return toldBoth, fmt.Sprintf("the earlier end was told to both: shown %s, acknowledged %s", after(shownAt), after(acknowledgedAt))
+	case !shownAt.IsZero():
+		return toldCaller, "the earlier end was shown " + after(shownAt)
+	case !acknowledgedAt.IsZero():
+		return toldWorker, "the earlier end was acknowledged " + after(acknowledgedAt)
+	}
+	return toldNobody, "no earlier end was shown or acknowledged"
+}
+
+// tasksRunTwice returns the tasks that broke the promise that they run once, by who was told of
+// the earlier end, and all under the empty key. The caller must hold the mutex.
+func (l *ledger) tasksRunTwice() map[told][]work.TaskID {
+	tasks := map[told][]work.TaskID{}
+	for _, v := range l.violations {
+		if v.told == "" || slices.Contains(tasks[""], v.starts[0].order.Task) {
+			continue
+		}
+		for _, key := range []told{"", v.told} {
+			tasks[key] = append(tasks[key], v.starts[0].order.Task)
+		}
+	}
+	return tasks
 }
 
 // report records a broken promise that was noticed outside of the ledger.
@@ -174,7 +235,7 @@
 		}
 	case work.Completed:
 		if !j.completed {
-			j.completed, j.completedAt = true, at
+			j.completed, j.completedAt, l.shownAt = true, at, at
 		}
 		for _, t := range l.unfinishedTasks(j.spec) {
 			l.violate("states are true", "%s shows job %s as completed while task %s has not ended", vm, id, t)
@@ -186,6 +247,19 @@
 	}
 }
 
+// awaitCompletion waits until a caller is told that a job has completed, but not longer than
+// limit.
+func (l *ledger) awaitCompletion(limit time.Duration) {
+	isShown := func(since time.Time) bool {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		return l.shownAt.After(since)
+	}
+	for begun := time.Now(); !isShown(begun) && time.Since(begun) < limit; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // unfinishedTasks returns the tasks of a job of which no run has completed. The caller
 // must hold the mutex.
 func (l *ledger) unfinishedTasks(j *work.Job) []work.TaskID {
