Use the retention of listed attempts for keys too

The proof that a request never ran had a limit of its own, one minute. The takeover of jobs has one for the same reason, attemptListRetention, which allows for clocks that differ.

--- a/internal/node/daemon/keyed_requests.go
+++ b/internal/node/daemon/keyed_requests.go
@@ -128,17 +128,12 @@
 // entry VM is gone.
 const orphanedKeyTimeout = 25 * time.Second
 
-// maxAbsenceProofAge is the largest age of a request whose attempt has certainly never run if no
-// owner knows it. Owners forget an attempt owner.DefaultTiming.EndedAttemptRetention after
-// its end; the rest of that time allows for clocks that differ.
-const maxAbsenceProofAge = time.Minute
-
 // isAbsenceProof reports whether the request with an ID that NewID built has certainly never
-// run if no owner knows an attempt of it.
+// run if no attempt of it is found: an attempt that has ended is not listed forever.
 func isAbsenceProof(id string, now time.Time) bool {
 	parts := strings.Split(id, ".")
 	u, err := ulid.Parse(parts[len(parts)-1])
-	return err == nil && now.Sub(ulid.Time(u.Time())).Abs() < maxAbsenceProofAge
+	return err == nil && now.Sub(ulid.Time(u.Time())).Abs() < attemptListRetention
 }
 
 // recoverOrphanedKey handles a key whose holder is a request of an entry VM that
