--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -22,6 +22,8 @@
 	anyTaskPlaced, anyStartOrdered bool
 	// anyRunReported is true once a worker has reported a run of any task, or its end.
 	anyRunReported bool
+	// restored says what was read about the job at the take-over. It is only logged.
+	restored restoredProgress
 	// submittedAt is when an entry VM accepted the job.
 	submittedAt time.Time
 	// endedAt is when state became final.
@@ -32,11 +34,11 @@
 	// doneOccurrences is the number of the first: all earlier ones have completed.
 	occurrences     []*occurrence
 	doneOccurrences int
-	// submissionDropped is true once the caller was told to delete the submission
-	// from the store.
-	submissionDropped bool
-	// submissionDeleted is true once that deletion is stored.
-	submissionDeleted bool
+	// submissionStored is true while a submission may be stored that the caller was not told
+	// to delete. submissionDeletions counts the deletions that the caller was told to make and
+	// that are not stored yet.
+	submissionStored    bool
+	submissionDeletions int
 	// nextOccurrenceNumber is the number of the first occurrence that has not been
 	// opened yet.
 	nextOccurrenceNumber int
@@ -156,6 +158,9 @@
 	// placeNotBefore is the earliest time at which the task may be placed again.
 	placeNotBefore time.Time
 	stopSentAt     time.Time
+	// earlier describes the last run before the next start. It is nil if the task was not
+	// restored and no run of it has ended early since its last start. It is only logged.
+	earlier *earlierRun
 }
 
 // onWorker reports whether the task uses capacity of a worker.
@@ -167,7 +172,7 @@
 // progress record.
 func (s *Scheduler) Submit(spec *work.Job, now time.Time) {
 	if j := s.jobs[spec.ID]; j != nil {
-		j.submissionDropped, j.submissionDeleted = false, false
+		j.submissionStored = true
 		return
 	}
 	j := s.addJob(spec, now)
@@ -186,7 +191,7 @@
 
 func (s *Scheduler) addJob(spec *work.Job, now time.Time) *job {
 	age := min(max(now.Sub(s.toSchedulerClock(spec.Accepted)), 0), maxJobAge)
-	j := &job{spec: spec, state: work.Queued, storedState: work.Queued, submittedAt: now.Add(-age), criticalPaths: spec.CriticalPaths()}
+	j := &job{spec: spec, state: work.Queued, storedState: work.Queued, submittedAt: now.Add(-age), submissionStored: true, criticalPaths: spec.CriticalPaths()}
 	if d := spec.Definition; d != nil && d.Advice == nil {
 		s.servicesWithoutAdvice[d.Service] = true
 	}
@@ -327,10 +332,13 @@
 }
 
 // requeueTask takes a task off its worker and lets it wait for another one. If its
-// job has ended, the task becomes done instead.
-func (s *Scheduler) requeueTask(t *task) {
-	s.releaseTaskCapacity(t)
+// job has ended, the task becomes done instead. how says why the run counts as ended.
+func (s *Scheduler) requeueTask(t *task, how string) {
 	j := t.step.job
+	if !j.state.Ended() {
+		t.noteEarlierRun(how)
+	}
+	s.releaseTaskCapacity(t)
 	t.phase, t.percentDone, t.pacePercent, t.runConfirmed = phaseWaiting, 0, fullPacePercent, false
 	if j.state.Ended() {
 		t.phase = phaseDone
@@ -366,7 +374,7 @@
 		j.waitingTasks--
 	}
 	s.releaseTaskCapacity(t)
-	t.phase = phaseDone
+	t.phase, t.earlier = phaseDone, nil
 	t.step.tasksLeft--
 	s.markJobDirty(j)
 	if t.step.tasksLeft > 0 || j.state.Ended() {
