--- a/internal/node/entryvm/taken_back_test.go
+++ b/internal/node/entryvm/taken_back_test.go
@@ -57,12 +57,7 @@
 				is := is.New(t)
 				c := newLeaderTrial(func(work.TaskID) time.Duration { return 3 * time.Second })
 				link := memory.NewLink(c.store)
-				c.epoch++
-				n := c.startNode("vm-0", link)
-				n.settings.Timing.EndedJobRetention = shortRetention
-				first := newLeader(n.ctx, n, c.epoch)
-				n.swapLeader(nil, first)
-				go first.run()
+				first := c.leadWithRetention(link, shortRetention)
 				time.Sleep(time.Second)
 				link.RefusePartition(1, true)
 				record := c.storeJob("job", 1)
