--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -169,12 +169,12 @@
 	deleted := s.TakeEffects().SubmissionsToDelete
 	is.Equal(deleted, []string{"job"})
 	now = now.Add(retention)
-	s.JobsRead(now)
+	s.SetJobsReadUntil(now)
 	s.Tick(now)
 	is.True(s.NextCommit(now) == nil) // The final state is not deleted.
 	s.SubmissionsDeleted(deleted)
 	now = now.Add(3 * time.Second)
-	s.JobsRead(now)
+	s.SetJobsReadUntil(now)
 	s.Tick(now)
 	c := s.NextCommit(now)
 	is.True(c != nil)
@@ -197,7 +197,7 @@
 	s.Committed(s.NextCommit(now), now)
 	tick := func(elapsed time.Duration) (deletions []string) {
 		now = now.Add(elapsed)
-		s.JobsRead(now)
+		s.SetJobsReadUntil(now)
 		s.Tick(now)
 		return s.TakeEffects().SubmissionsToDelete
 	}
@@ -231,7 +231,7 @@
 	s.SubmissionsDeleted([]string{"job"})
 	now = now.Add(20 * time.Second)
 	addHeldWorkers(s, 1, now, "desk")
-	s.JobsRead(now)
+	s.SetJobsReadUntil(now)
 	s.Tick(now) // The record expires.
 	s.Submit(job, now)
 	s.Schedule(now)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -320,7 +320,7 @@
 
 // JobsRead must be called when all submissions that were stored before the given time are
 // known. The states of ended jobs expire only by this time.
-func (s *Scheduler) JobsRead(at time.Time) { s.jobsReadAt = at }
+func (s *Scheduler) SetJobsReadUntil(at time.Time) { s.jobsReadAt = at }
 
 // SubmissionsDeleted must be called once the deletion of the submissions of ended jobs is
 // stored, once for each list of Effects.SubmissionsToDelete. Their final states are kept until
--- a/internal/cell/scheduler/status_property_test.go
+++ b/internal/cell/scheduler/status_property_test.go
@@ -420,7 +420,7 @@
 	}
 	for _, l := range m.leaders {
 		if len(l.told) == len(m.jobs) {
-			l.scheduler.JobsRead(m.now)
+			l.scheduler.SetJobsReadUntil(m.now)
 		}
 		l.scheduler.Tick(m.now)
 		m.takeEffects(l)
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -286,7 +286,7 @@
 	for sleep(l.ctx, tickInterval) {
 		l.assignKeepers()
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
-			s.JobsRead(l.oldestJobsRead())
+			s.SetJobsReadUntil(l.oldestJobsRead())
 			s.Tick(at)
 			l.setHeldGauges(s)
 			s.SetAdviceVMs(l.reachableVMs(at))
--- a/internal/node/keeper/bench_test.go
+++ b/internal/node/keeper/bench_test.go
@@ -73,7 +73,7 @@
 			s.HoldAnswered(w.life, sent, &backend.Report{Life: w.life, Clock: time.Second, Ended: []backend.EndedRun{{Number: w.endedRuns, Task: o.Order.Task, Run: o.Order.Run, Outcome: backend.Done}}}, now)
 		}
 		s.Committed(s.NextCommit(now), now)
-		s.JobsRead(now)
+		s.SetJobsReadUntil(now)
 		s.Tick(now)
 		s.TakeEffects()
 	}
