--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -166,8 +166,8 @@
 	// lastConfirmedAppendStart is the start time of the last append in this epoch
 	// that the store accepted.
 	lastConfirmedAppendStart time.Time
-	// jobsReadAt is a time by which all submissions that were stored before it are known.
-	jobsReadAt time.Time
+	// All submissions that were stored before jobsReadUntil are known.
+	jobsReadUntil time.Time
 	// eventSequence is increased with each hold that is sent and each start that is
 	// confirmed. It shows which of two such events came first.
 	eventSequence          int64
@@ -311,16 +311,16 @@
 			s.effects.SubmissionsToDelete = append(s.effects.SubmissionsToDelete, id)
 		}
 		// A copy of the submission may be stored in a partition that could not be read so far.
-		if !j.submissionStored && j.submissionDeletions == 0 && s.jobsReadAt.Sub(j.endedAt) > s.timing.EndedJobRetention {
+		if !j.submissionStored && j.submissionDeletions == 0 && s.jobsReadUntil.Sub(j.endedAt) > s.timing.EndedJobRetention {
 			delete(s.jobs, id)
 			s.expiredJobs = append(s.expiredJobs, id)
 		}
 	}
 }
 
-// JobsRead must be called when all submissions that were stored before the given time are
-// known. The states of ended jobs expire only by this time.
-func (s *Scheduler) SetJobsReadUntil(at time.Time) { s.jobsReadAt = at }
+// SetJobsReadUntil tells that all submissions that were stored before the given time are known.
+// The states of ended jobs expire by this time, not by the clock.
+func (s *Scheduler) SetJobsReadUntil(at time.Time) { s.jobsReadUntil = at }
 
 // SubmissionsDeleted must be called once the deletion of the submissions of ended jobs is
 // stored, once for each list of Effects.SubmissionsToDelete. Their final states are kept until
--- a/internal/node/daemon/keyed_requests.go
+++ b/internal/node/daemon/keyed_requests.go
@@ -128,9 +128,9 @@
 // entry VM is gone.
 const orphanedKeyTimeout = 25 * time.Second
 
-// isAbsenceProof reports whether the request with an ID that NewID built has certainly never
+// neverRanUnlessFound reports whether the request with an ID that NewID built has certainly never
 // run if no attempt of it is found: an attempt that has ended is not listed forever.
-func isAbsenceProof(id string, now time.Time) bool {
+func neverRanUnlessFound(id string, now time.Time) bool {
 	parts := strings.Split(id, ".")
 	u, err := ulid.Parse(parts[len(parts)-1])
 	return err == nil && now.Sub(ulid.Time(u.Time())).Abs() < attemptListRetention
@@ -160,7 +160,7 @@
 		go r.recordKeyOutcome(former, outcome)
 		return outcome
 	}
-	if !isAbsenceProof(result.Holder, time.Now()) {
+	if !neverRanUnlessFound(result.Holder, time.Now()) {
 		return unknownOutcome
 	}
 	if err := r.node.claims.Release(searchContext, w.Spec.Plan, w.Spec.Key, result.Holder); err != nil {
--- a/internal/node/daemon/keyed_requests_test.go
+++ b/internal/node/daemon/keyed_requests_test.go
@@ -28,7 +28,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			is.New(t).Equal(isAbsenceProof(s.id, now), s.expected)
+			is.New(t).Equal(neverRanUnlessFound(s.id, now), s.expected)
 		})
 	}
 }
