Give each submission of the property a job of its own

go test -race found it in the test: Submit sets the definition of the queue in the job while the trial copies the same job to submit it again.

--- a/internal/node/entryvm/replacement_test.go
+++ b/internal/node/entryvm/replacement_test.go
@@ -142,7 +142,8 @@
 	id := c.jobs[max(0, len(c.jobs)-1-c.draw(8)):]
 	c.jobs = append(c.jobs, j.ID)
 	c.ledger.mutex.Unlock()
-	go call(func(ctx context.Context) { _ = n.Submit(ctx, j) })
+	first := *j // Submit sets the definition of the queue.
+	go call(func(ctx context.Context) { _ = n.Submit(ctx, &first) })
 	if len(id) == 0 {
 		return
 	}
