Add teams to the configuration table and to jobs

Cause: quotas, shares and keys of teams need a common type. Change: package team with a checked directory; Table.Teams, Queue.Public and Job.Team. Nothing sets or reads them yet. Result: builds; behaviour is unchanged.

--- a/internal/cell/queue/table.go
+++ b/internal/cell/queue/table.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/almondpost/almondpost/internal/cell/team"
 )
 
 // Queue accepts jobs and determines how their tasks are scheduled.
@@ -33,6 +35,8 @@
 	// Advice is nil if tasks may run on any worker of the service. Otherwise the
 	// scheduler must ask an adviser service which workers a step may use.
 	Advice *AdviceCost
+	// Public is set when callers need no key of a team.
+	Public bool
 }
 
 // Validate returns what is wrong with the numbers of a queue, or an empty string.
@@ -95,6 +99,9 @@
 	Version  int64
 	Queues   []Queue
 	Services map[string]Service
+	// Teams holds the teams of the configuration. It is nil or empty if there are none:
+	// callers then need no keys, and quotas and shares don't apply.
+	Teams *team.Directory
 	// MaxBody is the largest size of a request body in bytes; 0 means no limit.
 	MaxBody int64
 	// Text is the configuration as the operator published it. Entry VMs pass this
--- a/internal/cell/work/job.go
+++ b/internal/cell/work/job.go
@@ -50,6 +50,9 @@
 	// host and prefix. It counts once the queue is no longer configured. It is nil in the
 	// records of earlier builds.
 	Definition *queue.Queue `json:"definition,omitempty"`
+	// Team is the name of the team that submitted the job and that it is charged to. It is
+	// empty where the configuration has no teams.
+	Team string `json:"team,omitempty"`
 	// Payload is passed unchanged to every task.
 	Payload string `json:"payload,omitempty"`
 	// Steps run as soon as the steps listed in their After fields have completed.
