--- a/internal/cell/team/team.go
+++ b/internal/cell/team/team.go
@@ -3,6 +3,8 @@
 package team
 
 import (
+	"math"
+
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
@@ -25,7 +27,7 @@
 	// of a Directory have a key in common.
 	Keys []string
 	// Weight is the team's share when all workers are full, and the rate in jobs a second
-	// that it is guaranteed. It is not negative.
+	// that it is guaranteed. It is finite and not negative.
 	Weight float64
 	// Cap limits what the team may have running on all workers together. An amount of 0
 	// means no limit.
@@ -38,30 +40,35 @@
 	byKey  map[string]*Team
 }
 
-// New returns the directory of the given teams. It returns an error with KindInvalid that
-// names the team if a name is empty or taken, a key is empty or belongs to two teams, or a
-// weight or cap is negative.
+// New returns the directory of the given teams, which the caller must not change afterwards.
+// It returns an error with KindInvalid that names the team and the field if a name is empty
+// or taken, a key is empty or belongs to two teams, or a weight or cap is out of range. The
+// error contains no key.
 func New(teams []Team) (*Directory, error) {
+	invalid := func(format string, args ...any) (*Directory, error) {
+		return nil, fault.Newf("new_directory", KindInvalid, format, args...)
+	}
 	d := &Directory{byName: make(map[string]*Team, len(teams)), byKey: map[string]*Team{}}
 	for i := range teams {
 		t := &teams[i]
 		switch {
 		case t.Name == "":
-			return nil, fault.Newf("new_directory", KindInvalid, "team %d has no name", i)
+			return invalid("name: team %d has none", i)
 		case d.byName[t.Name] != nil:
-			return nil, fault.Newf("new_directory", KindInvalid, "team %q is listed twice", t.Name)
-		case !(t.Weight >= 0):
-			return nil, fault.Newf("new_directory", KindInvalid, "team %q has weight %g", t.Name, t.Weight)
-		case t.Cap.IsNegative():
-			return nil, fault.Newf("new_directory", KindInvalid, "team %q has a negative cap", t.Name)
+			return invalid("name: team %q is listed twice", t.Name)
+		case !(t.Weight >= 0) || math.IsInf(t.Weight, 0): // The first condition also excludes NaN.
+			return invalid("weight of team %q is %g", t.Name, t.Weight)
+		}
+		if problem := t.Cap.Validate(); problem != "" {
+			return invalid("cap of team %q: %s", t.Name, problem)
 		}
 		d.byName[t.Name] = t
 		for k, key := range t.Keys {
 			switch holder := d.byKey[key]; {
 			case key == "":
-				return nil, fault.Newf("new_directory", KindInvalid, "key %d of team %q is empty", k, t.Name)
+				return invalid("key %d of team %q is empty", k, t.Name)
 			case holder != nil && holder != t:
-				return nil, fault.Newf("new_directory", KindInvalid, "teams %q and %q have a key in common", holder.Name, t.Name)
+				return invalid("key %d of team %q also belongs to team %q", k, t.Name, holder.Name)
 			}
 			d.byKey[key] = t
 		}
