--- a/internal/cell/queue/table.go
+++ b/internal/cell/queue/table.go
@@ -35,8 +35,9 @@
 	// Advice is nil if tasks may run on any worker of the service. Otherwise the
 	// scheduler must ask an adviser service which workers a step may use.
 	Advice *AdviceCost
-	// Public is set when callers need no key of a team.
-	Public bool
+	// Public is set when callers need no key of a team. It does not matter for stored jobs,
+	// whose definition leaves it out.
+	Public bool `json:",omitempty"`
 }
 
 // Validate returns what is wrong with the numbers of a queue, or an empty string.
@@ -104,6 +105,12 @@
 	Teams *team.Directory
 	// MaxBody is the largest size of a request body in bytes; 0 means no limit.
 	MaxBody int64
+	// MaxHeader is the largest size of the head of a request in bytes; 0 means no limit.
+	MaxHeader int64
+	// HeaderTimeout is the time within which the head of a request must arrive, and
+	// IdleTimeout how long a connection stays open between requests; 0 means no limit.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 	// Text is the configuration as the operator published it. Entry VMs pass this
 	// text on to each other.
 	Text []byte
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -38,8 +38,9 @@
 	return n.storeJobRecord(ctx, r)
 }
 
-// queueDefinition returns a queue as it is configured, without its host and prefix. It
-// returns nil if there is none or a leader would not accept it.
+// queueDefinition returns a queue as it is configured, without what only matters for
+// requests: its host and prefix, and whether it is public. It returns nil if there is none
+// or a leader would not accept it.
 func (n *Node) queueDefinition(name string) *queue.Queue {
 	table := n.Table()
 	if table == nil {
@@ -50,7 +51,7 @@
 		return nil
 	}
 	definition := *q
-	definition.Host, definition.Prefix = "", ""
+	definition.Host, definition.Prefix, definition.Public = "", "", false
 	return &definition
 }
 
