Compare the configuration with other VMs while the store fails a VM

Cause: a VM whose reads hung, or that was cut off, kept an old configuration until the leader sent the newer one, and answered callers by it meanwhile. With the store failing all VMs but one and the leader cut off, callers of the leader were answered by the old version until 4.9 s after the publication, and until after 3 s on all other VMs if their reads got no answers. Change: every VM reads the configuration with a wait of 0.5 s. The reply of Heard has the version of the VM. memory.Link can silence and reset calls.

--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -238,6 +238,8 @@
 	mutex sync.Mutex
 	// refuseAll makes every call fail with KindRefused, without an effect.
 	refuseAll bool
+	// resetAll makes every call fail with KindUnknown at once, without an effect.
+	resetAll bool
 	// refusedPartitions are the partitions, in every topic, whose calls fail with
 	// KindRefused.
 	refusedPartitions map[int]bool
@@ -261,9 +263,11 @@
 	// pageRecords limits the records of a page.
 	pageRecords int
 	// silence is closed and replaced when the reads that wait for records are never to be
-	// answered. silentTopics are the topics of which no read is answered.
+	// answered. silentTopics are the topics of which no read is answered. silenceAll makes
+	// all calls get no answer and have no effect.
 	silence      chan struct{}
 	silentTopics map[store.Topic]bool
+	silenceAll   bool
 }
 
 // NewLink returns a connection to a store. No faults are injected until a method
@@ -289,6 +293,24 @@
 	l.silence = make(chan struct{})
 }
 
+// SilenceCalls sets whether all calls of this VM get no answer and have no effect. Reads
+// that wait for records when it is switched on get no answer either.
+func (l *Link) SilenceCalls(on bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.silenceAll = on
+	close(l.silence)
+	l.silence = make(chan struct{})
+}
+
+// ResetCalls sets whether all calls of this VM end without an answer at once, as if the
+// store closed the connections, and have no effect.
+func (l *Link) ResetCalls(on bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.resetAll = on
+}
+
 // LateAppends makes the next n appends get no answer. Each is passed to schedule, which
 // must call execute, in any order and at any time, to make the store carry it out.
 func (l *Link) LateAppends(n int, schedule func(execute func())) {
@@ -359,14 +381,22 @@
 }
 
 // applyFaults waits for the call delay. It returns KindRefused when calls to the
-// partition are refused.
-func (l *Link) applyFaults(operation string, part int) error {
+// partition are refused, and KindUnknown when calls are reset, or when ctx ends while they
+// get no answer.
+func (l *Link) applyFaults(ctx context.Context, operation string, part int) error {
 	l.mutex.Lock()
-	delay := l.callDelay
+	delay, silent := l.callDelay, l.silenceAll
 	l.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return fault.New(operation, store.KindUnknown, ctx.Err())
+	}
 	time.Sleep(delay)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.resetAll {
+		return fault.Newf(operation, store.KindUnknown, "the connection was reset")
+	}
 	if l.refuseAll || l.refusedPartitions[part] {
 		return fault.Newf(operation, store.KindRefused, "the store refuses the call")
 	}
@@ -381,7 +411,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err = l.applyFaults("append", a.Part); err != nil {
+		if err = l.applyFaults(ctx, "append", a.Part); err != nil {
 			return
 		}
 		l.mutex.Lock()
@@ -447,7 +477,7 @@
 		return unanswered()
 	}
 	for {
-		if err := l.applyFaults("read", r.Part); err != nil {
+		if err := l.applyFaults(ctx, "read", r.Part); err != nil {
 			return store.Batch{}, err
 		}
 		batch, changed, err := l.Store.read(r)
@@ -472,8 +502,8 @@
 }
 
 // NewestPage implements store.PageReader.
-func (l *Link) NewestPage(_ context.Context, t store.Topic, part int, after string) (store.Page, error) {
-	if err := l.applyFaults("newest", part); err != nil {
+func (l *Link) NewestPage(ctx context.Context, t store.Topic, part int, after string) (store.Page, error) {
+	if err := l.applyFaults(ctx, "newest", part); err != nil {
 		return store.Page{}, err
 	}
 	l.mutex.Lock()
--- a/internal/node/entryvm/configuration.go
+++ b/internal/node/entryvm/configuration.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/peer/store"
@@ -11,6 +13,12 @@
 // configurationKey is the key of the configuration record.
 const configurationKey = "config"
 
+// configurationPollWait is how long the store may wait for a new configuration before it
+// answers a read. Each answer shows that the current configuration is the newest, so the
+// wait is much shorter than that of other topics. The answer itself may take as long as a
+// snapshot, since it can be a large configuration; checkPeriodically does not wait for it.
+const configurationPollWait = 500 * time.Millisecond
+
 // configurationWatcher keeps the newest configuration that was published in the store.
 // It never replaces a version by an older one.
 type configurationWatcher struct {
@@ -18,9 +26,25 @@
 	mutex sync.Mutex
 	// table is the newest known configuration, or nil before the first one.
 	table *queue.Table
+	// storeCheckedAt is when the last completed read of the configuration from the store
+	// began: no configuration that was stored before it is missing. peersCheckedAt is when
+	// the last comparison of versions with a VM of another failure domain began. Both are
+	// zero before the first time.
+	storeCheckedAt, peersCheckedAt time.Time
+	// nextOffset is the offset in the topic after the last record that was read, or -1
+	// before the first one.
+	nextOffset int64
+	// failedStoreChecks is the number of failed calls of checkStore since the last completed
+	// read.
+	failedStoreChecks int
+	// checkingStore, checkingPeers and fetching are true while a goroutine reads from the
+	// store, asks other VMs for their versions, or fetches a configuration from one.
+	checkingStore, checkingPeers, fetching atomic.Bool
 }
 
-func newConfigurationWatcher(n *Node) *configurationWatcher { return &configurationWatcher{node: n} }
+func newConfigurationWatcher(n *Node) *configurationWatcher {
+	return &configurationWatcher{node: n, nextOffset: -1}
+}
 
 // currentTable returns the newest known configuration, or nil before the first one.
 func (c *configurationWatcher) currentTable() *queue.Table {
@@ -39,15 +63,32 @@
 
 // run applies each configuration that is stored, until ctx is done.
 func (c *configurationWatcher) run(ctx context.Context) {
-	followTopic(ctx, c.node, store.Configuration, func(records []store.Record) {
-		for i := range records {
-			if records[i].Key == configurationKey && len(records[i].Value) > 0 {
-				c.applyIfNewer(records[i].Value, "store")
-			}
-		}
+	go c.checkPeriodically(ctx)
+	followTopic(ctx, c.node, topicFollower{
+		topic: store.Configuration, wait: func() time.Duration { return configurationPollWait }, margin: snapshotTimeout,
+		apply: c.applyRecords, completed: c.recordStoreRead,
 	})
 }
 
+// applyRecords applies the configuration records among the records.
+func (c *configurationWatcher) applyRecords(records []store.Record) {
+	for i := range records {
+		if records[i].Key == configurationKey && len(records[i].Value) > 0 {
+			c.applyIfNewer(records[i].Value, "store")
+		}
+	}
+}
+
+// recordStoreRead records a completed read, whose records were applied, and when it began.
+func (c *configurationWatcher) recordStoreRead(batch store.Batch, begun time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.nextOffset, c.failedStoreChecks = batch.Next, 0
+	if batch.ReachesEnd() && begun.After(c.storeCheckedAt) {
+		c.storeCheckedAt = begun
+	}
+}
+
 // applyCompressed makes a configuration that another VM passes on the current one if its
 // version is higher.
 func (c *configurationWatcher) applyCompressed(a ConfigurationArgs) error {
--- a/internal/node/entryvm/election.go
+++ b/internal/node/entryvm/election.go
@@ -110,7 +110,7 @@
 // run follows the claims in the store and claims leadership when another VM asks for
 // it or no leader is heard.
 func (e *election) run(ctx context.Context) {
-	go followTopic(ctx, e.node, store.Claims, e.applyClaims)
+	go followTopic(ctx, e.node, topicFollower{topic: store.Claims, wait: e.node.longPollWait, margin: storeCallTimeout, apply: e.applyClaims})
 	for sleep(ctx, electionPollInterval) {
 		select {
 		case epoch := <-e.takeOverRequests:
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -115,17 +115,8 @@
 }
 
 // fetchConfiguration fetches the configuration of another VM and applies it if it is newer.
-// A VM of an earlier build does not return it.
 func (l *leader) fetchConfiguration(m member) {
-	ctx, cancel := context.WithTimeout(l.ctx, configurationSendTimeout)
-	defer cancel()
-	r, err := link.Call[Nothing, ConfigurationArgs](ctx, l.node.peerClient, m.Address, "Configuration", Nothing{})
-	if err == nil {
-		err = l.node.configuration.applyCompressed(r)
-	}
-	if err != nil {
-		l.node.log.Info("configuration_not_fetched", "vm", m.Name, "error", err.Error())
-	}
+	l.node.configuration.fetch(l.ctx, m.Name, m.Address)
 	l.mutex.Lock()
 	l.newerVersion = newerVersionTracker{}
 	l.mutex.Unlock()
--- a/internal/node/entryvm/keeper_faults_test.go
+++ b/internal/node/entryvm/keeper_faults_test.go
@@ -87,6 +87,12 @@
 	return s.Link.Read(ctx, r)
 }
 
+func (s *frozenStore) Newest(ctx context.Context, t store.Topic, part int) (store.Snapshot, error) {
+	s.process.network.waitUntilThawed(s.process.address)
+	defer s.process.network.waitUntilThawed(s.process.address)
+	return s.Link.Newest(ctx, t, part)
+}
+
 func newVirtualCell(t *testing.T, seed uint64) *virtualCell {
 	return newVirtualCellWithLog(t, seed, (*virtualCell).keptLog)
 }
--- a/internal/node/entryvm/long_polls.go
+++ b/internal/node/entryvm/long_polls.go
@@ -11,9 +11,9 @@
 	// read of a topic that rarely changes.
 	longPollWait = 20 * time.Second
 	// leaderLongPollWait is used instead of longPollWait on the leader. A read hangs when
-	// its connection to the store stops delivering messages. VMs whose reads hang get a new
-	// configuration from the leader, so a read of the leader that hangs must time out soon
-	// and be repeated.
+	// its connection to the store stops delivering messages. The leader must learn soon of
+	// other claims and of new VMs, so a read of it that hangs must time out soon and be
+	// repeated. The configuration has a wait of its own, configurationPollWait.
 	leaderLongPollWait = 1500 * time.Millisecond
 	// minInterruptInterval is the shortest time between two interruptions of the long polls
 	// because of calls that the store did not answer.
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -78,7 +78,7 @@
 // ctx is done.
 func (m *memberList) run(ctx context.Context) {
 	go m.registerThisVM(ctx)
-	followTopic(ctx, m.node, store.VMs, m.applyRecords)
+	followTopic(ctx, m.node, topicFollower{topic: store.VMs, wait: m.node.longPollWait, margin: storeCallTimeout, apply: m.applyRecords})
 }
 
 // registerThisVM stores the record of this VM, so that the other VMs can call it. It retries
@@ -166,14 +166,30 @@
 	return slices.ContainsFunc(m.otherMembers(), func(vm member) bool { return vm.Fitness > muchFitterRatio*m.node.settings.Fitness })
 }
 
-// followTopic passes the records of a topic to apply until ctx is done: first a
+// topicFollower tells followTopic what to read and what to do with it.
+type topicFollower struct {
+	topic store.Topic
+	// wait returns how long the store may wait for a new record before it answers a read
+	// that is sent now.
+	wait func() time.Duration
+	// margin is the time beyond that in which the answer must have arrived.
+	margin time.Duration
+	// apply receives the records that were read.
+	apply func([]store.Record)
+	// completed, unless it is nil, is called after each completed read and the call of
+	// apply for it. begun is when the read began.
+	completed func(batch store.Batch, begun time.Time)
+}
+
+// followTopic passes the records of a topic to f.apply until ctx is done: first a
 // snapshot with the newest record of each key, then the appended records. If the
 // store has already dropped the records that are to be read next, followTopic starts
 // again with a snapshot.
-func followTopic(ctx context.Context, n *Node, topic store.Topic, apply func([]store.Record)) {
+func followTopic(ctx context.Context, n *Node, f topicFollower) {
 	from := int64(-1)
 	for ctx.Err() == nil {
-		batch, interrupted, err := n.pollTopic(ctx, topic, from)
+		begun := now()
+		batch, interrupted, err := n.pollTopic(ctx, f, from)
 		if interrupted {
 			continue
 		}
@@ -183,32 +199,35 @@
 				continue
 			}
 			if ctx.Err() == nil {
-				n.log.Info("follow_failed", "topic", string(topic), "error", err.Error())
+				n.log.Info("follow_failed", "topic", string(f.topic), "error", err.Error())
 			}
 			sleep(ctx, storeRetryPause+rand.N(storeRetryPause))
 			continue
 		}
 		if len(batch.Records) > 0 || from < 0 {
-			apply(batch.Records)
+			f.apply(batch.Records)
 		}
 		from = batch.Next
+		if f.completed != nil {
+			f.completed(batch, begun)
+		}
 	}
 }
 
 // pollTopic reads a snapshot of a topic if from is -1, and otherwise waits for records from
 // the offset from on. interrupted is true if the wait has failed because of an interruption
 // of the long polls.
-func (n *Node) pollTopic(ctx context.Context, topic store.Topic, from int64) (batch store.Batch, interrupted bool, err error) {
+func (n *Node) pollTopic(ctx context.Context, f topicFollower, from int64) (batch store.Batch, interrupted bool, err error) {
 	// The round comes before the wait: a wait that is outdated when it is used belongs to
 	// a round that has ended.
 	round := n.longPolls.currentRound()
-	read, begun, leading := store.Read{Topic: topic, From: from, Wait: n.longPollWait()}, now(), n.activeLeader() != nil
+	read, begun, leading := store.Read{Topic: f.topic, From: from, Wait: f.wait()}, now(), n.activeLeader() != nil
 	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if from >= 0 {
 		defer context.AfterFunc(round, cancel)()
 	}
-	batch, err = readFrom(pollCtx, n.store, read)
+	batch, err = readWithin(pollCtx, n.store, read, f.margin)
 	n.logLongPoll(read, begun, leading, len(batch.Records))
 	return batch, err != nil && pollCtx.Err() != nil && ctx.Err() == nil, err
 }
@@ -227,13 +246,19 @@
 
 // readFrom reads the records from the offset r.From on, or a snapshot if r.From is -1.
 func readFrom(ctx context.Context, s store.Store, r store.Read) (store.Batch, error) {
+	return readWithin(ctx, s, r, storeCallTimeout)
+}
+
+// readWithin is readFrom with a limit for the time that a read takes beyond r.Wait. It does
+// not apply to snapshots.
+func readWithin(ctx context.Context, s store.Store, r store.Read, margin time.Duration) (store.Batch, error) {
 	if r.From < 0 {
 		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		snapshot, err := s.Newest(callCtx, r.Topic, r.Part)
 		return store.Batch{Records: snapshot.Records, Next: snapshot.End, End: snapshot.End}, err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, r.Wait+storeCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, r.Wait+margin)
 	defer cancel()
 	return s.Read(callCtx, r)
 }
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -40,13 +40,17 @@
 	ReachesStore bool
 }
 
-// LastHeartbeatReply is the answer to the question when a VM last received a heartbeat.
+// LastHeartbeatReply is the answer to the question when a VM last received a heartbeat, and
+// which configuration it has.
 type LastHeartbeatReply struct {
 	// Epoch is the highest epoch that the VM knows.
 	Epoch int64
 	// Ago is the time since the last heartbeat. Heartbeats from superseded leaders do
 	// not count.
 	Ago time.Duration
+	// Version is the version of the VM's configuration. It is 0 if it has none or is of an
+	// earlier build.
+	Version int64
 }
 
 // StateArgs identifies the job whose state is asked for.
@@ -151,9 +155,10 @@
 	return nil
 }
 
-// Heard reports when this VM last received a heartbeat.
+// Heard reports when this VM last received a heartbeat, and the version of its configuration.
 func (h *rpcHandler) Heard(_ Nothing, r *LastHeartbeatReply) error {
 	*r = h.node.election.heartbeatStatus()
+	r.Version = h.node.configuration.currentVersion()
 	return nil
 }
 
