--- a/internal/node/entryvm/configuration_faults_test.go
+++ b/internal/node/entryvm/configuration_faults_test.go
@@ -129,6 +129,13 @@
 		fail(c.links[leader], true)
 		return leader // It may know no other VM. It must not answer by an older version.
 	}},
+	{"another VM restarts", func(c *virtualCell, fail func(*memory.Link, bool)) int {
+		vm := (c.leader() + 3) % virtualVMs
+		c.killVM(vm)
+		c.startVM(vm)
+		fail(c.links[vm], true)
+		return -1 // The leader knows it from before.
+	}},
 }
 
 // playStoreFault makes the store fail all VMs but one, which does not lead, and publishes a
