Limit what callers can make an entry VM hold

Cause: 300 callers beyond the published limits made a process with 96 MB of memory use 372 to 580 MB: heads up to 1 MB each, bodies read and decoded with no limit on all of them together, a 3-byte step decoded to some 200 bytes. Entry VMs encode a job apart from storing it, so that a waiting job is charged by its record.

--- a/internal/emulate/overload/overload_test.go
+++ b/internal/emulate/overload/overload_test.go
@@ -1,10 +1,12 @@
 package overload_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -88,6 +90,50 @@
 // longHead is the start of a header field that is far too long.
 var longHead = "Padding: " + strings.Repeat("x", longHeadBytes)
 
+// smallestVM has the limits of the smallest VMs in use.
+var smallestVM = limits{memoryMB: 144, descriptors: 3075}
+
+// The limits must not touch callers that send the largest head, body and spec that are allowed,
+// several of them at once.
+func TestRequestsWithinTheLimits(t *testing.T) {
+	const headBytes, specBytes, callers = 16384, 4000, 8
+	p := startProcess(t, smallestVM)
+	job := `{"spec":"` + strings.Repeat("x", specBytes) + `","steps":[{"count":1,"cpu":500}]`
+	body := []byte(job + strings.Repeat(" ", bodyBytes-len(job)-1) + "}")
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			head := requestHead(i, fmt.Sprintf("Content-Length: %d\r\nPadding: ", len(body)))
+			encoded := body
+			if i%2 == 1 {
+				head = requestHead(i, "Transfer-Encoding: chunked\r\nPadding: ")
+				encoded = chunked(body, 1000)
+			}
+			const end = "\r\n\r\n"
+			head = append(head, strings.Repeat("x", headBytes-len(head)-len(end))+end...)
+			n, err := net.DialTimeout("tcp", p.front.String(), testTimeout)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = n.Close() }()
+			_ = n.SetDeadline(time.Now().Add(testTimeout))
+			sendPieces(n, append(head, encoded...), 16*pieceBytes)
+			response, err := http.ReadResponse(bufio.NewReader(n), nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				t.Error(response.Status)
+			}
+		})
+	}
+	group.Wait()
+	p.check(t)
+}
+
 // Heads over the limit were kept in memory up to 1 MB each.
 func TestHeadsOverTheLimit(t *testing.T) {
 	p := startProcess(t, fewDescriptors)
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -30,11 +30,27 @@
 // job is not stored and never will be, KindTooLarge if the store does not take a job of this
 // size, and KindUnknown if it may be stored.
 func (n *Node) Submit(ctx context.Context, j *work.Job) error {
+	r, err := n.EncodeJob(j)
+	if err != nil {
+		return err
+	}
+	return n.SubmitRecord(ctx, r)
+}
+
+// EncodeJob returns the record of a job for SubmitRecord. It sets the definition of the queue in
+// the job. The error has KindTooLarge if the store does not take a job of this size.
+func (n *Node) EncodeJob(j *work.Job) (store.Record, error) {
 	j.Definition = n.queueDefinition(j.Queue)
 	r := store.Record{Key: j.ID, Value: work.Encode(j)}
 	if size := r.EncodedSize(); size > n.settings.MaxRecordBytes {
-		return fault.Newf("store_job", KindTooLarge, "the job takes %d bytes in the store, which are more than %d", size, n.settings.MaxRecordBytes)
+		return store.Record{}, fault.Newf("store_job", KindTooLarge, "the job takes %d bytes in the store, which are more than %d", size, n.settings.MaxRecordBytes)
 	}
+	return r, nil
+}
+
+// SubmitRecord stores a record of EncodeJob. It returns the same errors as Submit, except
+// KindTooLarge.
+func (n *Node) SubmitRecord(ctx context.Context, r store.Record) error {
 	return n.storeJobRecord(ctx, r)
 }
 
