Read what was stored during a long take-over before anything starts

Cause: a new leader reads all job partitions and the registrations at once, and starts when the last has answered. While some partitions were away for 8 s, a cancellation was stored in one that had been read before. The tail reads began only 1.2 s after that. Change: state older than 1.2 s is brought up to date, registrations too, before it is used. TestRecordsStoredDuringALongTakeOverCountBeforeAnyStart failed before in both scenarios (the job started; a start on draining workers) and passes now.

--- a/internal/node/entryvm/takeover.go
+++ b/internal/node/entryvm/takeover.go
@@ -34,8 +34,21 @@
 	jobRecords          [][]store.Record
 	nextJobOffsets      []int64
 	registrationRecords []store.Record
+	// readAt is when the last reads of the jobs and registrations began. What was stored
+	// before that is known.
+	readAt time.Time
 }
 
+const (
+	// maxRestoredAge is the age of the jobs and registrations above which a new leader reads
+	// what was stored meanwhile before it starts anything. Some partitions may be read
+	// seconds later than others.
+	maxRestoredAge = jobsReadInterval
+	// maxChangeReads limits these reads, for VMs that need longer than maxRestoredAge for
+	// each.
+	maxChangeReads = 3
+)
+
 // restore fences the previous leader and restores the scheduler from the store. It
 // returns, for each job partition, the offset from which to continue reading.
 func (l *leader) restore() ([]int64, error) {
@@ -73,7 +86,7 @@
 			s.RestoreEnded(id, p, at)
 		}
 		for part := range l.jobsReadStartTimes {
-			l.jobsReadStartTimes[part] = begun
+			l.jobsReadStartTimes[part] = saved.readAt
 		}
 		l.restored = true
 	})
@@ -87,7 +100,7 @@
 // submitted jobs until it is fenced.
 func (l *leader) readStoredState() (storedState, error) {
 	parts := l.node.settings.Partitions
-	saved := storedState{jobRecords: make([][]store.Record, parts), nextJobOffsets: make([]int64, parts)}
+	saved := storedState{jobRecords: make([][]store.Record, parts), nextJobOffsets: make([]int64, parts), readAt: now()}
 	var g, afterFence errgroup.Group
 	g.Go(func() error {
 		s, err := l.readSnapshot(store.Workers, 0)
@@ -114,7 +127,57 @@
 		}
 		return afterFence.Wait()
 	})
-	return saved, g.Wait()
+	if err := g.Wait(); err != nil {
+		return saved, err
+	}
+	for range maxChangeReads {
+		if now().Sub(saved.readAt) <= maxRestoredAge {
+			break
+		}
+		if err := l.readChanges(&saved); err != nil {
+			return saved, err
+		}
+	}
+	return saved, nil
+}
+
+// readChanges adds the jobs and cancellations that were stored since they were read to the
+// state, and reads the registrations again.
+func (l *leader) readChanges(saved *storedState) error {
+	begun := now()
+	var g errgroup.Group
+	g.Go(func() error {
+		s, err := l.readSnapshot(store.Workers, 0)
+		saved.registrationRecords = s.Records
+		return err
+	})
+	for part := range saved.jobRecords {
+		g.Go(func() error {
+			for l.ctx.Err() == nil {
+				batch, err := readFrom(l.ctx, l.node.store, store.Read{Topic: store.Jobs, Part: part, From: saved.nextJobOffsets[part]})
+				if storeErrorKind(err) == store.KindDropped {
+					saved.nextJobOffsets[part] = -1
+					continue
+				}
+				if err != nil {
+					sleep(l.ctx, storeRetryPause)
+					continue
+				}
+				saved.jobRecords[part] = append(saved.jobRecords[part], batch.Records...)
+				saved.nextJobOffsets[part] = batch.Next
+				if batch.ReachesEnd() {
+					return nil
+				}
+			}
+			return l.ctx.Err()
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	l.node.log.Info("changes_read", "epoch", l.epoch, "age_ms", begun.Sub(saved.readAt).Milliseconds(), "took_ms", now().Sub(begun).Milliseconds())
+	saved.readAt = begun
+	return nil
 }
 
 // readSnapshot reads the newest record of each key in a partition. It retries until
