--- a/internal/peer/store/pages.go
+++ b/internal/peer/store/pages.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"github.com/almondpost/almondpost/internal/node/fault"
@@ -40,7 +41,7 @@
 	end := int64(0)
 	after := ""
 	for first := true; ; first = false {
-		page, err := p.NewestPage(ctx, t, part, after)
+		page, err := readPage(ctx, p, t, part, after)
 		if err != nil {
 			return Snapshot{}, err
 		}
@@ -67,6 +68,24 @@
 	return Snapshot{Records: records, End: end}, nil
 }
 
+// pageTimeout is how long the first attempt to read a page may take. A page of 1 MB takes
+// less over the slowest network link, also beside those of other partitions.
+const pageTimeout = 2500 * time.Millisecond
+
+// readPage reads one page. A read without an answer is repeated with twice the time until ctx
+// is done: a connection can stop delivering messages without an error while new ones work.
+func readPage(ctx context.Context, p PageReader, t Topic, part int, after string) (Page, error) {
+	for timeout := pageTimeout; ; timeout *= 2 {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		page, err := p.NewestPage(callCtx, t, part, after)
+		timedOut := callCtx.Err() != nil && ctx.Err() == nil
+		cancel()
+		if err == nil || !timedOut {
+			return page, err
+		}
+	}
+}
+
 // endsWithUnusableKey reports whether a page ends with the key after which it was asked
 // for, because the key isn't UTF-8: it contains a replacement character, after which the
 // store can't continue. Such a key is not one of the system's, whose keys come before it.
--- a/internal/peer/store/pages_test.go
+++ b/internal/peer/store/pages_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -91,3 +93,45 @@
 		})
 	}
 }
+
+// hangingPages is a store.PageReader whose first reads of a page get no answer.
+type hangingPages struct {
+	pageSequence
+	unanswered int
+}
+
+// NewestPage implements store.PageReader.
+func (p *hangingPages) NewestPage(ctx context.Context, t store.Topic, part int, after string) (store.Page, error) {
+	if p.unanswered > 0 {
+		p.unanswered--
+		<-ctx.Done()
+		return store.Page{}, ctx.Err()
+	}
+	return p.pageSequence.NewestPage(ctx, t, part, after)
+}
+
+// A new leader read a snapshot while the store answered nothing. It waited 8 s for the answer
+// to one page, 6 s of which the store was back.
+func TestReadOfAPageThatHangsIsRepeated(t *testing.T) {
+	scenarios := []struct {
+		testName   string
+		unanswered int
+		found      bool
+	}{
+		{"the first read gets no answer", 1, true},
+		{"no read gets an answer in time", 10, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				p := &hangingPages{pageSequence{pages: []store.Page{{Records: []store.Record{{Key: "a", Value: []byte("1")}}, End: 1}}}, s.unanswered}
+				snapshot, err := store.ReadSnapshot(ctx, p, store.Jobs, 0)
+				is.Equal(err == nil, s.found)
+				is.Equal(len(snapshot.Records) == 1, s.found)
+			})
+		})
+	}
+}
