--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -245,6 +245,9 @@
 			if t == s.Task && !speculative {
 				sm.reportViolation("task %s starts on %s while it runs on %s", s.Task, life.ID, other.Registration.Life.ID)
 			}
+			if t.StepID == s.Task.StepID && sm.taskProfiles[t].GangSize > 0 && other.RunNumber(t) != s.Run {
+				sm.reportViolation("run %d of gang member %s starts on %s while run %d of member %s is on %s", s.Run, s.Task, life.ID, other.RunNumber(t), t, other.Registration.Life.ID)
+			}
 		}
 	}
 	if (sm.completedTasks[s.Task] || hasRecordedEnd(sm.storedProgress[s.Task.Job], s.Task)) && !speculative {
