Count starts with tickets that the next process of a worker may execute

Callers may see: two runs of one task, or of a gang, at the same time. Cause: a worker restarts under its ID while its answers are lost. The adviser is asked by ID and issues the ticket for the next process, which then executes a start that was meant for the earlier one. The same class: a late hold extended that lease or made the process forget an end that no report had shown. Change: an unanswered start with a ticket counts until the ticket is certainly refused, plus the lease; while a report is missing, no end is acknowledged; after a hold that was not answered, starts carry a higher token. Evidence: TestLeaseOfAStartThatTheNextProcessExecutes (both scenarios) and TestNextProcessKeepsAnEndThatNoReportHasShown failed before. The worker in the test now answers a hold before it restarts and one more is in flight, as a session sends them; the checks are unchanged, and they fail without this change too.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -87,6 +87,9 @@
 type ticket struct {
 	text      string
 	expiresAt time.Time
+	// refusedAfter is the time after which a worker certainly refuses the ticket. It is
+	// later than expiresAt, since the time of issue is only estimated.
+	refusedAfter time.Time
 }
 
 // isValid reports whether the ticket can be used now.
@@ -115,6 +118,12 @@
 	return ok && !now.Before(t.expiresAt)
 }
 
+// latestTicketUse returns the time after which a worker certainly refuses a ticket that was
+// issued at a given time or before.
+func latestTicketUse(issued time.Time, validity time.Duration) time.Time {
+	return issued.Add(time.Duration(float64(validity)*maxClockDrift) + leaseMargin)
+}
+
 // AdviceRequest is a request for advice about Step. The caller of the scheduler must
 // have an entry VM, the one with the name VM, send it to the adviser.
 type AdviceRequest struct {
@@ -308,7 +317,7 @@
 	for _, w := range o.workers {
 		a.answered[w] = true
 		if text, approved := answer.Tickets[w.registration.Life.ID]; approved {
-			a.tickets[w] = ticket{text: text, expiresAt: issuedAt.Add(answer.Validity)}
+			a.tickets[w] = ticket{text: text, expiresAt: issuedAt.Add(answer.Validity), refusedAfter: latestTicketUse(now, answer.Validity)}
 		}
 	}
 	s.dispatcher.recordApprovalRate(o.step.job.spec.Queue, float64(len(answer.Tickets))/float64(len(o.workers)))
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -121,6 +121,13 @@
 		return
 	}
 	t.phase, t.startToken, t.startedAt, t.orderedAt = phaseStartOrdered, w.token, now, now
+	t.executableUntil, t.ticketed = now.Add(s.timing.MaxOrderDelay), false
+	if ticket := t.step.advice.tickets[w]; ticket.text != "" {
+		t.ticketed = true
+		if ticket.refusedAfter.Before(t.executableUntil) {
+			t.executableUntil = ticket.refusedAfter
+		}
+	}
 	w.extendLease(commitStart, s.timing)
 	if j := t.step.job; !j.anyStartOrdered {
 		j.anyStartOrdered = true
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -18,7 +18,7 @@
 	hold = backend.Hold{Token: w.token}
 	acknowledgementDue := w.lastStoredEndNumber > w.forgottenEndNumber
 	guarded := s.servicesWithoutAdvice[w.registration.Service]
-	if acknowledgementDue && w.unansweredHolds == 0 && (!guarded || !w.hasUnreportedStart()) {
+	if acknowledgementDue && w.unansweredHolds == 0 && !w.hasUnreportedStart() {
 		hold.Acknowledged, w.acknowledging = w.lastStoredEndNumber, guarded
 		w.acknowledgedEndNumber = w.lastStoredEndNumber
 	}
@@ -39,6 +39,7 @@
 		w.extendLease(now, s.timing)
 		w.held.extensionSentAt = now
 	}
+	w.holdTakesEffect = hold.Deadline > 0 || hold.Acknowledged > 0
 	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, acknowledged: hold.Acknowledged, sentAt: now, extends: hold.Deadline > 0}, true
 }
 
@@ -50,8 +51,11 @@
 // forget that the run has ended. So an acknowledgement is sent only while there is no such
 // start, only directly after a report, and no start is sent until it is answered. If it is
 // not answered, later starts carry a higher fencing token: a process that has executed one
-// of them refuses the acknowledgement. Where all starts carry tickets, the next process can't
-// execute them, and acknowledgements need not be guarded.
+// of them refuses the acknowledgement.
+//
+// Where all starts carry tickets, the next process executes only those with a ticket that was
+// issued after its start. There an acknowledgement may go with a long poll, and starts are sent
+// meanwhile: otherwise a busy worker would be held twice as often.
 func (w *worker) hasUnreportedStart() bool {
 	for _, t := range w.tasks {
 		if t.phase != phasePlaced && !t.runReported {
@@ -117,7 +121,7 @@
 		s.log.Info("hold_fenced", "worker", life.ID, "token", w.token)
 		w.token += fencedTokenIncrement
 	default:
-		if w.acknowledging {
+		if w.acknowledging || w.holdTakesEffect {
 			w.token++
 		}
 	}
@@ -296,7 +300,9 @@
 		if truncated {
 			continue // The report was cut off, so a later one may list the end of the run.
 		}
-		if s.mayExecuteLater(t, sent.sentAt) {
+		// The ticket of an order was issued before the hold was sent, so no process after the
+		// one that has answered executes the order.
+		if !t.ticketed && s.mayExecuteLater(t, sent.sentAt) {
 			s.stopOtherGangMembers(t, now)
 			continue
 		}
@@ -309,15 +315,9 @@
 
 // mayExecuteLater reports whether the start order of a task may still be executed at a
 // given time, although the present process of the worker refuses it because of its
-// fencing token: a later process under the same ID has seen no token. A ticket of the
-// adviser holds for one process only, so an order with a ticket can't be executed by
-// another one.
+// fencing token: a later process under the same ID has seen no token.
 func (s *Scheduler) mayExecuteLater(t *task, at time.Time) bool {
-	if t.startSettled || t.step.spec.Speculative || t.step.job.state.Ended() || !at.Before(t.orderedAt.Add(s.timing.MaxOrderDelay)) {
-		return false
-	}
-	q := s.queueOf(t.step.job)
-	return q == nil || q.Advice == nil
+	return !t.startSettled && !t.step.spec.Speculative && !t.step.job.state.Ended() && at.Before(t.executableUntil)
 }
 
 // raiseToken raises the fencing token of a worker. Once the worker has answered a
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -122,6 +122,11 @@
 	// orderedAt is when the start was ordered, or when this leader took over if an
 	// earlier one ordered it.
 	orderedAt time.Time
+	// executableUntil is the time after which no process of the worker executes the start
+	// order any more. ticketed is true if the order carried a ticket of the adviser: only
+	// the process that ran when the ticket was issued executes it.
+	executableUntil time.Time
+	ticketed        bool
 	// startSettled is true once a process of the worker is known to have executed or
 	// refused the start order, so that none executes it later. runReported is true once
 	// the present process is known to have the run, from its report or from its answer to
--- a/internal/cell/scheduler/lease_next_process_test.go
+++ b/internal/cell/scheduler/lease_next_process_test.go
@@ -24,7 +24,7 @@
 	first, other backend.Registration
 	next         *fleet.Worker
 	start        backend.Start
-	// lateHold is the last hold before the start. It was not answered.
+	// lateHold is a hold before the start. It was not answered, but the next one was.
 	lateHold backend.Hold
 }
 
@@ -54,6 +54,8 @@
 	s.Committed(s.NextCommit(now), now)
 	r.lateHold, _, _ = s.NextHold(r.first.Life, now)
 	s.HoldFailed(r.first.Life, backend.KindUnknown, now)
+	r.answerHold(r.first, &backend.Report{Clock: time.Minute, Ended: []backend.EndedRun{{Number: 7, Task: work.TaskID{StepID: work.StepID{Job: "earlier"}}, Run: 1, Outcome: backend.Stopped}}})
+	_, _, _ = s.NextHold(r.first.Life, now) // Its answer is lost.
 	// The worker restarts after it has answered, and before the adviser is asked.
 	registration := r.first
 	registration.Life.Born += 1000
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -135,6 +135,27 @@
 	s.recordWorker(w)
 	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
 	t.paceUnconfirmed = true
+	t.executableUntil, t.ticketed = now.Add(s.timing.MaxOrderDelay), false
+	if validity, ok := s.ticketValidity(t.step.job); ok {
+		t.ticketed = true
+		if until := latestTicketUse(now, validity); until.Before(t.executableUntil) {
+			t.executableUntil = until
+		}
+	}
 	t.step.job.tasksOnWorkers++
 	w.addTask(t)
 }
+
+// ticketValidity returns how long the tickets are valid with which an earlier leader has
+// started tasks of a job. ok is false if the starts may have carried none.
+func (s *Scheduler) ticketValidity(j *job) (validity time.Duration, ok bool) {
+	q, accepted := s.queueOf(j), j.spec.Definition
+	if q == nil || q.Advice == nil || (accepted != nil && accepted.Advice == nil) {
+		return 0, false
+	}
+	validity = q.Advice.Validity
+	if accepted != nil {
+		validity = max(validity, accepted.Advice.Validity)
+	}
+	return validity, true
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -50,8 +50,12 @@
 	// acknowledging is true while a hold with a guarded acknowledgement is unanswered; see
 	// hasUnreportedStart. delayedStarts holds the starts that wait for the answer.
 	acknowledging bool
-	delayedStarts []Order[backend.Start]
-	lostStops     lostStops
+	// holdTakesEffect is true if the last hold extends the lease or acknowledges ends. If it
+	// is not answered, the next process under the ID may execute it late. Later starts carry
+	// a higher fencing token, so that a process that has executed one refuses the hold.
+	holdTakesEffect bool
+	delayedStarts   []Order[backend.Start]
+	lostStops       lostStops
 	// clockReading is the reading of the worker's clock at clockReadAt.
 	clockReading time.Duration
 	clockReadAt  time.Time
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -121,7 +121,7 @@
 	})
 	if len(report.Ended) > 0 {
 		s.awaitReportedEndsStored()
-		if hold.Wait == 0 && hold.Acknowledged == 0 {
+		if hold.Acknowledged == 0 {
 			sleep(s.ctx, deferredAcknowledgementPause)
 		}
 	}
