Check that runs of tasks and gangs do not overlap under faults

The simulation had no gangs that wait and break, no expiry of tickets, no lateness below 2 s, and no worker that executes calls while its answers are lost.

The simulation also checks gangs, and two runs of one task on one worker.

--- a/internal/cell/scheduler/cancellation_property_test.go
+++ b/internal/cell/scheduler/cancellation_property_test.go
@@ -45,6 +45,13 @@
 type callFaults struct {
 	// answersLostUntil maps a zone to the time until which its keeper loses all answers.
 	answersLostUntil map[string]time.Time
+	// workerAnswersLostUntil maps the ID of a worker to the time until which it executes
+	// calls, but its answers are lost. pausedUntil maps it to the time until which it
+	// executes no calls; those that have arrived are then executed late.
+	workerAnswersLostUntil, pausedUntil map[string]time.Time
+	// cutFromLatestLeaderUntil maps a zone to the time until which only the predecessors of
+	// the latest leader reach its workers.
+	cutFromLatestLeaderUntil map[string]time.Time
 	// unknownLossUntil maps the ID of a worker to the time at which the leader notices
 	// that the last lost call to it was lost.
 	unknownLossUntil map[string]time.Time
@@ -54,7 +61,7 @@
 }
 
 func newCallFaults() callFaults {
-	return callFaults{answersLostUntil: map[string]time.Time{}, unknownLossUntil: map[string]time.Time{}, reusedAddresses: map[string]bool{}}
+	return callFaults{answersLostUntil: map[string]time.Time{}, workerAnswersLostUntil: map[string]time.Time{}, pausedUntil: map[string]time.Time{}, cutFromLatestLeaderUntil: map[string]time.Time{}, unknownLossUntil: map[string]time.Time{}, reusedAddresses: map[string]bool{}}
 }
 
 // noteLostCall records that a call to a worker is lost. The leader notices that after
@@ -96,7 +103,7 @@
 			onLost()
 		case len(r.Ended) == 0 && sm.now.Before(until):
 			sm.schedule(holdPollInterval, poll)
-		case sm.unreachableWorkers[life] || sm.keeperGenerations[zone] != keeperGeneration || sm.now.Before(sm.callFaults.answersLostUntil[zone]):
+		case sm.unreachableWorkers[life] || l.epoch == sm.epoch && sm.now.Before(sm.callFaults.cutFromLatestLeaderUntil[zone]) || sm.keeperGenerations[zone] != keeperGeneration || sm.now.Before(sm.callFaults.answersLostUntil[zone]) || sm.now.Before(sm.callFaults.workerAnswersLostUntil[life.ID]):
 			sm.schedule(lostCallTimeout, onLost)
 		default:
 			answer(r)
@@ -128,7 +135,7 @@
 // HELD: takeOverLimit after it began to lead, the leader has a session with each reachable
 // worker on which a task runs that is placed there by the stored progress.
 type cancellationCheck struct {
-	simulation *simulation
+	faultInjector
 	// goesOnFor maps each run of an ended job to the reachable time for which it has gone
 	// on.
 	goesOnFor map[runOnWorker]time.Duration
@@ -136,6 +143,11 @@
 	ledFor map[*simulatedLeader]time.Duration
 	// reported contains the runs that have broken a promise.
 	reported map[string]bool
+}
+
+// faultInjector keeps the list of workers by their heartbeats and begins faults that last.
+type faultInjector struct {
+	simulation *simulation
 	// zoneCutUntil maps a zone to the time until which its workers are unreachable and can't
 	// send heartbeats. callsLostUntil maps a zone to the time until which its workers are
 	// unreachable.
@@ -147,11 +159,14 @@
 	nextHeartbeat map[backend.Life]time.Time
 }
 
-func newCancellationCheck(sm *simulation) *cancellationCheck {
-	c := &cancellationCheck{
-		simulation: sm, goesOnFor: map[runOnWorker]time.Duration{}, ledFor: map[*simulatedLeader]time.Duration{}, reported: map[string]bool{},
-		zoneCutUntil: map[string]time.Time{}, callsLostUntil: map[string]time.Time{}, silentUntil: map[string]time.Time{}, lastHeartbeat: map[string]time.Time{}, nextHeartbeat: map[backend.Life]time.Time{},
+func newFaultInjector(sm *simulation) faultInjector {
+	return faultInjector{
+		simulation: sm, zoneCutUntil: map[string]time.Time{}, callsLostUntil: map[string]time.Time{}, silentUntil: map[string]time.Time{}, lastHeartbeat: map[string]time.Time{}, nextHeartbeat: map[backend.Life]time.Time{},
 	}
+}
+
+func newCancellationCheck(sm *simulation) *cancellationCheck {
+	c := &cancellationCheck{faultInjector: newFaultInjector(sm), goesOnFor: map[runOnWorker]time.Duration{}, ledFor: map[*simulatedLeader]time.Duration{}, reported: map[string]bool{}}
 	c.check()
 	return c
 }
@@ -192,16 +207,22 @@
 			delete(c.goesOnFor, r)
 		}
 	}
+	c.removeLapsedEntries()
+	sm.schedule(checkInterval, c.check)
+}
+
+// removeLapsedEntries removes the workers that have not sent heartbeats from the list.
+func (c *faultInjector) removeLapsedEntries() {
+	sm := c.simulation
 	for _, id := range slices.Sorted(maps.Keys(sm.listed)) {
 		if sm.now.Sub(c.lastHeartbeat[id]) > missedHeartbeats*heartbeatInterval {
 			delete(sm.listed, id)
 		}
 	}
-	sm.schedule(checkInterval, c.check)
 }
 
 // updateEntry updates whether a worker is reachable and lets it send a heartbeat if that is due.
-func (c *cancellationCheck) updateEntry(v *fleet.Worker) {
+func (c *faultInjector) updateEntry(v *fleet.Worker) {
 	sm, life := c.simulation, v.Registration.Life
 	cut := sm.now.Before(c.zoneCutUntil[v.Registration.Zone])
 	sm.unreachableWorkers[life] = cut || sm.now.Before(c.callsLostUntil[v.Registration.Zone])
@@ -314,7 +335,7 @@
 }
 
 // inject begins a fault now.
-func (c *cancellationCheck) inject(f cancellationFault) {
+func (c *faultInjector) inject(f cancellationFault) {
 	sm := c.simulation
 	id, zone := fmt.Sprintf("worker-%d", f.worker), fmt.Sprintf("zone-%d", f.worker%3)
 	l := sm.leaders[len(sm.leaders)-1]
@@ -350,18 +371,18 @@
 	case "worker drains":
 		if v := sm.currentProcess(id); v != nil {
 			v.Registration.Draining, v.Registration.Remaining = true, f.length
-			sm.schedule(f.length+time.Second, func() { delete(sm.workers, v.Registration.Life) })
+			sm.schedule(f.length+time.Second, func() { sm.exit(v) })
 		}
 	case "worker restarts":
 		if v := sm.currentProcess(id); v != nil {
-			delete(sm.workers, v.Registration.Life)
+			sm.exit(v)
 			r := v.Registration
 			r.Life.Born += 1000
 			sm.startProcess(r)
 		}
 	case "address reused":
 		if v := sm.currentProcess(id); v != nil {
-			delete(sm.workers, v.Registration.Life)
+			sm.exit(v)
 			sm.callFaults.reusedAddresses[id] = true
 			r := v.Registration
 			r.Life = backend.Life{ID: id + "-next", Born: r.Life.Born + 1000}
@@ -371,7 +392,7 @@
 }
 
 // supersede elects another leader if the present one is impaired for long enough.
-func (c *cancellationCheck) supersede(l *simulatedLeader, impairedFor time.Duration) {
+func (c *faultInjector) supersede(l *simulatedLeader, impairedFor time.Duration) {
 	if impairedFor < electionDelay {
 		return
 	}
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -107,6 +107,24 @@
 	// queue's AdviceCost says. Otherwise it takes a random time.
 	useDeclaredAdviceTimes bool
 	callFaults             callFaults
+	// timing is the timing of the leaders that are elected from now on.
+	timing scheduler.Timing
+	// shortestLateness is the shortest time after which a late call is executed.
+	shortestLateness time.Duration
+	// lateCallsPassCuts makes workers execute late calls that arrived before a cut.
+	lateCallsPassCuts bool
+	// tickets are the tickets that the adviser has issued, ticketValidity how long a new one
+	// is valid.
+	tickets        fleet.Tickets
+	ticketValidity time.Duration
+	// prepareProcess is called with each worker process before its first call.
+	prepareProcess func(v *fleet.Worker)
+	// beforeTicket is called before the adviser decides about a worker.
+	beforeTicket func(id string)
+	// failProbabilities maps each task of which only some runs fail to the probability.
+	failProbabilities map[work.TaskID]float64
+	// wallClockStep is by how much the wall clocks of two leaders differ at most.
+	wallClockStep time.Duration
 	// fixedDelays makes each random duration the shortest possible one.
 	fixedDelays bool
 	// lastDoneAt maps the ID of each job to the time at which a worker last completed a
@@ -137,6 +155,8 @@
 		workers: map[backend.Life]*fleet.Worker{}, listed: map[string]*fleet.Worker{}, keeperGenerations: map[string]int{}, unreachableWorkers: map[backend.Life]bool{}, storedProgress: map[string]*work.Progress{}, storedWorkers: map[string]store.Record{}, storedRuns: map[work.TaskID]int64{}, endStoredAt: map[string]time.Time{}, startSentAt: map[startKey]time.Time{},
 		cancelledJobs: map[string]bool{}, taskProfiles: map[work.TaskID]fleet.TaskProfile{}, completedTasks: map[work.TaskID]bool{}, lastExpiredLeaseEnd: map[backend.Life]int64{}, lastDoneAt: map[string]time.Time{}, log: logr.Discard(),
 		adviceVMs: []string{"vm-1", "vm-2"}, callFaults: newCallFaults(),
+		timing:           scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 10 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxLateness, EndedJobRetention: time.Hour},
+		shortestLateness: 2 * time.Second, ticketValidity: 2 * time.Second, prepareProcess: func(*fleet.Worker) {}, beforeTicket: func(string) {}, failProbabilities: map[work.TaskID]float64{},
 	}
 }
 
@@ -198,11 +218,25 @@
 }
 
 func (sm *simulation) startProcess(r backend.Registration) *fleet.Worker {
-	v := fleet.New(r, 0.98+0.02*sm.randomSource.Float64(), sm.now, func(t work.TaskID) fleet.TaskProfile { return sm.taskProfiles[t] }, sm)
+	v := fleet.New(r, 0.98+0.02*sm.randomSource.Float64(), sm.now, sm.profileOf, sm)
+	v.Tickets = &sm.tickets
+	sm.prepareProcess(v)
 	sm.workers[r.Life] = v
 	return v
 }
 
+// failedRunTime is how long a run takes that fails by failProbabilities.
+const failedRunTime = 300 * time.Millisecond
+
+// profileOf returns how the next run of a task behaves.
+func (sm *simulation) profileOf(id work.TaskID) fleet.TaskProfile {
+	d := sm.taskProfiles[id]
+	if p := sm.failProbabilities[id]; p > 0 && sm.occursWithProbability(p) {
+		d.Fails, d.RunTime = true, failedRunTime
+	}
+	return d
+}
+
 // restartWorker replaces a worker process by a new one that has no runs and keeps the
 // ID.
 func (sm *simulation) restartWorker(life backend.Life) {
@@ -210,7 +244,7 @@
 	if old == nil {
 		return
 	}
-	delete(sm.workers, life)
+	sm.exit(old)
 	r := old.Registration
 	r.Life.Born += 1000
 	v := sm.startProcess(r)
@@ -221,6 +255,12 @@
 	})
 }
 
+// exit ends a worker process.
+func (sm *simulation) exit(v *fleet.Worker) {
+	v.Exit(sm.now)
+	delete(sm.workers, v.Registration.Life)
+}
+
 // currentProcess returns the process that runs under the ID of a worker, or nil.
 func (sm *simulation) currentProcess(id string) *fleet.Worker {
 	for life, v := range sm.workers {
@@ -235,15 +275,23 @@
 func (sm *simulation) Started(on *fleet.Worker, s backend.Start, at time.Time) {
 	sm.startCount++
 	life := on.Registration.Life
+	sm.log.Info("run_started_on_worker", "task", s.Task.String(), "run", s.Run, "worker", life.ID, "born", life.Born, "token", s.Token)
 	speculative := sm.taskProfiles[s.Task].Speculative
-	for _, other := range sm.workers {
-		if other == on {
-			continue
+	for range 2 { // The end of a member of a gang on one worker may end the others.
+		for _, otherLife := range sm.sortedLives() {
+			if otherLife != life {
+				sm.workers[otherLife].Advance(at)
+			}
 		}
-		other.Advance(at)
-		for _, t := range other.Running() {
-			if t == s.Task && !speculative {
-				sm.reportViolation("task %s starts on %s while it runs on %s", s.Task, life.ID, other.Registration.Life.ID)
+	}
+	for _, otherLife := range sm.sortedLives() {
+		for _, r := range sm.workers[otherLife].Runs() {
+			switch {
+			case speculative || otherLife == life && r.Task == s.Task && r.Run == s.Run:
+			case r.Task == s.Task:
+				sm.reportViolation("task %s starts with run %d on %s while it runs on %s with run %d", s.Task, s.Run, life.ID, otherLife.ID, r.Run)
+			case sm.taskProfiles[s.Task].GangSize > 0 && r.Task.StepID == s.Task.StepID && r.Run != s.Run:
+				sm.reportViolation("task %s of a gang starts with run %d on %s while task %s runs on %s with run %d", s.Task, s.Run, life.ID, r.Task, otherLife.ID, r.Run)
 			}
 		}
 	}
@@ -288,6 +336,7 @@
 // Ended implements fleet.Observer. It records when tasks complete, and ends that an expired
 // lease has caused.
 func (sm *simulation) Ended(on *fleet.Worker, e backend.EndedRun, at time.Time) {
+	sm.log.Info("run_ended_on_worker", "task", e.Task.String(), "run", e.Run, "worker", on.Registration.Life.ID, "born", on.Registration.Life.Born, "number", e.Number, "outcome", string(e.Outcome))
 	if e.Outcome == backend.Done {
 		sm.lastDoneAt[e.Task.Job] = at
 	}
@@ -300,12 +349,16 @@
 // unless the lease of the worker expired after the run had ended and before this was
 // acknowledged. The worker forgets the end, so its effect must be stored.
 func (sm *simulation) Acknowledged(on *fleet.Worker, e backend.EndedRun, _ time.Time) {
+	sm.log.Info("run_end_forgotten_by_worker", "task", e.Task.String(), "run", e.Run, "worker", on.Registration.Life.ID, "born", on.Registration.Life.Born, "number", e.Number)
 	_, jobEnded := sm.endStoredAt[e.Task.Job]
 	if e.Outcome == backend.Done && !sm.taskProfiles[e.Task].Lasting && !jobEnded && !hasRecordedEnd(sm.storedProgress[e.Task.Job], e.Task) {
 		sm.reportViolation("worker %s forgets that task %s has completed, which is not stored", on.Registration.Life.ID, e.Task)
 	}
 	if e.Outcome == backend.Done && sm.lastExpiredLeaseEnd[on.Registration.Life] < e.Number && !sm.taskProfiles[e.Task].Lasting {
 		sm.completedTasks[e.Task] = true
+		for i := range sm.taskProfiles[e.Task].GangSize { // One such end stands for all members.
+			sm.completedTasks[work.TaskID{StepID: e.Task.StepID, Index: i}] = true
+		}
 	}
 }
 
@@ -314,10 +367,12 @@
 func (sm *simulation) submit(j *work.Job, profile fleet.TaskProfile) {
 	j.Accepted = sm.now
 	sm.jobs = append(sm.jobs, j)
+	q := sm.table.Queue(j.Queue)
 	for i := range j.Steps {
 		for k := range j.Steps[i].Count {
 			d := profile
 			d.Size, d.Lasting, d.Speculative = j.Steps[i].ReservedCapacity(), j.Steps[i].Lasting, j.Steps[i].Speculative
+			d.Advised = q != nil && q.Advice != nil
 			if j.Steps[i].Gang {
 				d.GangSize = j.Steps[i].Count
 			}
@@ -346,8 +401,11 @@
 // rejects one of its appends.
 func (sm *simulation) electLeader() *simulatedLeader {
 	sm.epoch++
-	timing := scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 10 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxLateness, EndedJobRetention: time.Hour}
-	l := &simulatedLeader{simulation: sm, epoch: sm.epoch, scheduler: scheduler.New(timing, sm.epoch, sm.now, sm.now, sm.log), sessions: map[backend.Life]bool{}, holdsToInterrupt: map[backend.Life]bool{}}
+	wall := sm.now
+	if sm.wallClockStep > 0 {
+		wall = wall.Add(sm.randomDuration(-sm.wallClockStep, sm.wallClockStep))
+	}
+	l := &simulatedLeader{simulation: sm, epoch: sm.epoch, scheduler: scheduler.New(sm.timing, sm.epoch, sm.now, wall, sm.log), sessions: map[backend.Life]bool{}, holdsToInterrupt: map[backend.Life]bool{}}
 	sm.leaders = append(sm.leaders, l)
 	l.scheduler.SetTable(sm.table)
 	l.scheduler.SetAdviceVMs(sm.adviceVMs)
@@ -401,6 +459,9 @@
 	// frozen is true while the leader does nothing. Calls that it has already sent
 	// are still delivered.
 	frozen bool
+	// freezeWithNextStarts is for how long the leader freezes right before it sends the next
+	// starts, freezeWithNextAppend the same for the time right after it has sent an append.
+	freezeWithNextStarts, freezeWithNextAppend time.Duration
 	// lastAppendAt is when the last commit or renewal of the claim was sent to the store.
 	lastAppendAt time.Time
 	// cutOffFromStore is true while the leader can neither read from the store nor append
@@ -437,7 +498,21 @@
 		l.holdsToInterrupt[life] = true
 	}
 	for _, o := range e.Starts {
-		l.sendStart(o)
+		sm.startSentAt[startKey{o.Order.Task, o.Order.Run}] = sm.now
+	}
+	sendStarts := func() {
+		for _, o := range e.Starts {
+			l.sendStart(o)
+		}
+	}
+	if d := l.freezeWithNextStarts; d > 0 && len(e.Starts) > 0 {
+		l.frozen, l.freezeWithNextStarts = true, 0
+		sm.schedule(d, func() {
+			l.frozen = false
+			sendStarts()
+		})
+	} else {
+		sendStarts()
 	}
 	for _, o := range e.Stops {
 		l.sendStop(o)
@@ -452,25 +527,42 @@
 // worker is unreachable, onLost runs instead. Calls name the worker by its ID only, so
 // the process that runs under this ID when the call arrives executes it. If the address
 // of the worker now belongs to a worker with another ID, v is nil.
-func (sm *simulation) callWorker(life backend.Life, call func(v *fleet.Worker) (answer func()), onLost func()) {
+func (l *simulatedLeader) callWorker(life backend.Life, call func(v *fleet.Worker) (answer func()), onLost func()) {
+	sm := l.simulation
+	sentAt := sm.now
 	var keeperGeneration int
 	if v := sm.currentProcess(life.ID); v != nil {
 		keeperGeneration = sm.keeperGenerations[v.Registration.Zone]
 	}
-	execute := func(answered bool) {
+	// isCut reports whether calls of the leader don't reach a process now.
+	isCut := func(v *fleet.Worker) bool {
+		return sm.unreachableWorkers[v.Registration.Life] || l.epoch == sm.epoch && sm.now.Before(sm.callFaults.cutFromLatestLeaderUntil[v.Registration.Zone])
+	}
+	arrived := false // A call that has arrived is executed late behind a cut, too.
+	var execute func(answered bool)
+	execute = func(answered bool) {
+		if until := sm.callFaults.pausedUntil[life.ID]; sm.now.Before(until) {
+			if answered {
+				sm.schedule(lostCallTimeout, onLost)
+			}
+			if until.Sub(sentAt) < maxLateness {
+				sm.schedule(until.Sub(sm.now), func() { execute(false) })
+			}
+			return
+		}
 		v := sm.currentProcess(life.ID)
 		if v == nil && answered && sm.callFaults.reusedAddresses[life.ID] {
 			call(nil)()
 			return
 		}
-		if v == nil || sm.unreachableWorkers[v.Registration.Life] {
+		if v == nil || !arrived && isCut(v) {
 			if answered {
 				sm.schedule(lostCallTimeout, onLost)
 			}
 			return
 		}
 		answer := call(v)
-		if answered && sm.now.Before(sm.callFaults.answersLostUntil[v.Registration.Zone]) {
+		if answered && (sm.now.Before(sm.callFaults.answersLostUntil[v.Registration.Zone]) || sm.now.Before(sm.callFaults.workerAnswersLostUntil[life.ID])) {
 			sm.schedule(lostCallTimeout, onLost)
 		} else if answered {
 			sm.schedule(sm.randomDuration(minEventDelay, 8*minEventDelay), func() {
@@ -484,7 +576,9 @@
 	switch {
 	case sm.occursWithProbability(sm.faultProbabilities.lateCallProbability):
 		sm.noteLostCall(life.ID)
-		sm.schedule(sm.randomDuration(2*time.Second, maxLateness), func() { execute(false) })
+		v := sm.currentProcess(life.ID)
+		arrived = sm.lateCallsPassCuts && v != nil && !isCut(v)
+		sm.schedule(sm.randomDuration(sm.shortestLateness, maxLateness), func() { execute(false) })
 		sm.schedule(lostCallTimeout, onLost)
 	case sm.occursWithProbability(sm.faultProbabilities.lostAnswerProbability):
 		sm.noteLostCall(life.ID)
@@ -503,17 +597,13 @@
 
 func (l *simulatedLeader) sendStart(o scheduler.Order[backend.Start]) {
 	sm := l.simulation
-	sm.startSentAt[startKey{o.Order.Task, o.Order.Run}] = sm.now
-	sm.callWorker(o.Worker, func(v *fleet.Worker) func() {
+	l.callWorker(o.Worker, func(v *fleet.Worker) func() {
 		if v == nil {
 			return func() {
 				l.updateScheduler(func(at time.Time) { l.scheduler.StartAnswered(o.Worker, &o.Order, backend.KindLifeMismatch, 0, at) })
 			}
 		}
-		kind := backend.KindInvalidTicket
-		if o.Order.Ticket == "" || o.Order.Ticket == ticketFor(v.Registration.Life) {
-			kind = v.Start(o.Order, sm.now)
-		}
+		kind := v.Start(o.Order, sm.now)
 		clock := v.Clock(sm.now)
 		return func() {
 			l.updateScheduler(func(at time.Time) { l.scheduler.StartAnswered(o.Worker, &o.Order, kind, clock, at) })
@@ -530,7 +620,7 @@
 			l.updateScheduler(func(at time.Time) { l.scheduler.StopAnswered(o.Worker, &o.Order, kind, at) })
 		}
 	}
-	sm.callWorker(o.Worker, func(v *fleet.Worker) func() {
+	l.callWorker(o.Worker, func(v *fleet.Worker) func() {
 		if v == nil {
 			return answer(backend.KindLifeMismatch)
 		}
@@ -556,7 +646,7 @@
 			l.updateScheduler(func(at time.Time) { l.scheduler.HoldFailed(life, kind, at) })
 			holdAgain()
 		}
-		sm.callWorker(life, func(v *fleet.Worker) func() {
+		l.callWorker(life, func(v *fleet.Worker) func() {
 			report, kind := backend.Report{}, backend.KindLifeMismatch
 			if v != nil {
 				report, kind = v.Hold(hold, sm.now)
@@ -583,10 +673,11 @@
 		took = q.Advice.RequestDuration(len(a.Workers))
 	}
 	sm.schedule(took, func() {
-		answer := backend.Advice{Tickets: map[string]string{}, Validity: 2 * time.Second}
+		answer := backend.Advice{Tickets: map[string]string{}, Validity: sm.ticketValidity}
 		for _, id := range a.Workers {
+			sm.beforeTicket(id)
 			if v := sm.currentProcess(id); v != nil && isApproved(a.Step, id) {
-				answer.Tickets[id] = ticketFor(v.Registration.Life)
+				answer.Tickets[id] = sm.tickets.Issue(a.Step, v.Registration.Life, sm.now.Add(sm.ticketValidity))
 			}
 		}
 		l.updateScheduler(func(at time.Time) {
@@ -606,9 +697,6 @@
 	return worker == "worker-5" || (len(step.Job)+int(worker[len(worker)-1]))%2 == 0
 }
 
-// ticketFor returns the ticket for a worker. It is valid for one process of the worker.
-func ticketFor(life backend.Life) string { return fmt.Sprintf("%s/%d", life.ID, life.Born) }
-
 func (l *simulatedLeader) tick() {
 	l.updateScheduler(func(at time.Time) {
 		if !l.cutOffFromStore {
@@ -645,6 +733,10 @@
 		return
 	}
 	l.lastAppendAt = sm.now
+	if d := l.freezeWithNextAppend; d > 0 {
+		l.frozen, l.freezeWithNextAppend = true, 0
+		sm.schedule(d, func() { l.frozen = false })
+	}
 	sm.schedule(sm.randomDuration(4*minEventDelay, 15*minEventDelay), func() { l.storeCommit(c, next) })
 }
 
