--- a/internal/node/entryvm/configuration.go
+++ b/internal/node/entryvm/configuration.go
@@ -14,7 +14,7 @@
 const configurationKey = "config"
 
 // configurationPollWait is how long the store may wait for a new configuration before it
-// answers a read. Each answer shows that the current configuration is the newest, so the
+// answers a read, where callers have keys. Each answer shows that the current configuration is the newest, so the
 // wait is much shorter than that of other topics. The answer itself may take as long as a
 // snapshot, since it can be a large configuration; checkPeriodically does not wait for it.
 const configurationPollWait = 500 * time.Millisecond
@@ -63,13 +63,23 @@
 
 // run applies each configuration that is stored, until ctx is done.
 func (c *configurationWatcher) run(ctx context.Context) {
-	go c.checkPeriodically(ctx)
+	if c.node.settings.TeamKeys {
+		go c.checkPeriodically(ctx)
+	}
 	followTopic(ctx, c.node, topicFollower{
-		topic: store.Configuration, wait: func() time.Duration { return configurationPollWait }, margin: snapshotTimeout,
-		apply: c.applyRecords, completed: c.recordStoreRead,
+		topic: store.Configuration, wait: c.pollWait, apply: c.applyRecords, completed: c.recordStoreRead,
 	})
 }
 
+// pollWait returns how long the store may wait for a new configuration, and by how much its
+// answer may exceed that.
+func (c *configurationWatcher) pollWait(timeouts int) (wait, margin time.Duration) {
+	if !c.node.settings.TeamKeys {
+		return c.node.longPollWait(timeouts)
+	}
+	return configurationPollWait, snapshotTimeout
+}
+
 // applyRecords applies the configuration records among the records.
 func (c *configurationWatcher) applyRecords(records []store.Record) {
 	for i := range records {
--- a/internal/node/entryvm/configuration_check.go
+++ b/internal/node/entryvm/configuration_check.go
@@ -43,8 +43,11 @@
 // ConfigurationConfirmed reports whether this VM knows that its configuration is the newest
 // or was replaced only lately. If it returns false, callers must not be answered by the
 // configuration: a key in it may have been withdrawn, and a key that it lacks may have been
-// added. It is always true for a VM that knows of no other.
+// added. It is always true without Settings.TeamKeys, and for a VM that knows of no other.
 func (n *Node) ConfigurationConfirmed() bool {
+	if !n.settings.TeamKeys {
+		return true
+	}
 	if n.isolation.isolated.Load() {
 		return false
 	}
--- a/internal/node/entryvm/keeper_faults_test.go
+++ b/internal/node/entryvm/keeper_faults_test.go
@@ -158,7 +158,8 @@
 	measures := measure.New()
 	n, err := entryvm.New(entryvm.Settings{
 		Name: name, Domain: fmt.Sprintf("domain-%d", i%virtualDomains), Fitness: 1, ListenAddress: address,
-		Timing: scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxOrderDelay, EndedJobRetention: time.Hour},
+		Timing:   scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxOrderDelay, EndedJobRetention: time.Hour},
+		TeamKeys: true,
 	}, entryvm.Dependencies{
 		Network: process, Store: &frozenStore{link, process}, Dial: c.fleet.dialFrom(process), DecodeTable: decodeTable, DecodeRegistration: memory.DecodeRegistration,
 	}, measures, c.newLog(name))
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -78,7 +78,7 @@
 // ctx is done.
 func (m *memberList) run(ctx context.Context) {
 	go m.registerThisVM(ctx)
-	followTopic(ctx, m.node, topicFollower{topic: store.VMs, wait: m.node.longPollWait, margin: storeCallTimeout, apply: m.applyRecords})
+	followTopic(ctx, m.node, topicFollower{topic: store.VMs, wait: m.node.longPollWait, apply: m.applyRecords})
 }
 
 // registerThisVM stores the record of this VM, so that the other VMs can call it. It retries
@@ -170,10 +170,9 @@
 type topicFollower struct {
 	topic store.Topic
 	// wait returns how long the store may wait for a new record before it answers a read
-	// that is sent now.
-	wait func() time.Duration
-	// margin is the time beyond that in which the answer must have arrived.
-	margin time.Duration
+	// that is sent now, and by how much its answer may exceed that. timeouts is the number of
+	// failed reads in a row before this one.
+	wait func(timeouts int) (wait, margin time.Duration)
 	// apply receives the records that were read.
 	apply func([]store.Record)
 	// completed, unless it is nil, is called after each completed read and the call of
@@ -186,13 +185,14 @@
 // store has already dropped the records that are to be read next, followTopic starts
 // again with a snapshot.
 func followTopic(ctx context.Context, n *Node, f topicFollower) {
-	from := int64(-1)
+	from, timeouts := int64(-1), 0
 	for ctx.Err() == nil {
 		begun := now()
-		batch, interrupted, err := n.pollTopic(ctx, f, from)
+		batch, interrupted, err := n.pollTopic(ctx, f, from, timeouts)
 		if interrupted {
 			continue
 		}
+		timeouts++
 		if err != nil {
 			if storeErrorKind(err) == store.KindDropped {
 				from = -1
@@ -207,7 +207,7 @@
 		if len(batch.Records) > 0 || from < 0 {
 			f.apply(batch.Records)
 		}
-		from = batch.Next
+		from, timeouts = batch.Next, 0
 		if f.completed != nil {
 			f.completed(batch, begun)
 		}
@@ -216,18 +216,19 @@
 
 // pollTopic reads a snapshot of a topic if from is -1, and otherwise waits for records from
 // the offset from on. interrupted is true if the wait has failed because of an interruption
-// of the long polls.
-func (n *Node) pollTopic(ctx context.Context, f topicFollower, from int64) (batch store.Batch, interrupted bool, err error) {
+// of the long polls. timeouts is the number of failed polls in a row before this one.
+func (n *Node) pollTopic(ctx context.Context, f topicFollower, from int64, timeouts int) (batch store.Batch, interrupted bool, err error) {
 	// The round comes before the wait: a wait that is outdated when it is used belongs to
 	// a round that has ended.
 	round := n.longPolls.currentRound()
-	read, begun, leading := store.Read{Topic: f.topic, From: from, Wait: f.wait()}, now(), n.activeLeader() != nil
+	wait, margin := f.wait(timeouts)
+	read, begun, leading := store.Read{Topic: f.topic, From: from, Wait: wait}, now(), n.activeLeader() != nil
 	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if from >= 0 {
 		defer context.AfterFunc(round, cancel)()
 	}
-	batch, err = readWithin(pollCtx, n.store, read, f.margin)
+	batch, err = readWithin(pollCtx, n.store, read, margin)
 	n.logLongPoll(read, begun, leading, len(batch.Records))
 	return batch, err != nil && pollCtx.Err() != nil && ctx.Err() == nil, err
 }
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -86,6 +86,10 @@
 	MaxAppendBytes int
 	// Timing holds the durations that the scheduler uses, such as those of leases.
 	Timing scheduler.Timing
+	// TeamKeys is true if callers identify themselves by keys that operators may withdraw. A
+	// VM then compares its configuration with the store and with other VMs much more often,
+	// and refuses callers while it may be outdated.
+	TeamKeys bool
 }
 
 // withDefaults returns the settings with the defaults for limits that are 0.
