Charge runs to teams and keep starts within their caps

Cause: the configuration can limit what a team has running on all workers together, but the scheduler started work regardless of it.

Change: quota.Ledger holds the use and the cap of each team. The functions worker.addUsage and worker.removeUsage are now the only ones that change the used capacity of a worker, and charge and release the team of the run. Caps are checked when a task or a whole gang is placed, and again when its start is ordered or sent after a delay. A step that waits only for its cap claims no capacity, reserves nothing, asks no adviser and does not count for the limits of a pass; its tasks are counted as "quota" in waiting_tasks. team_load shows use and cap. Runs that no task owns are stored with jobs that have a team, so that a successor charges them. Nothing changes without teams.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -109,12 +110,12 @@
 }
 
 // orderStart orders the worker of a task to start it, once the placement is stored.
-// If the worker cannot be used any more, its ticket has expired or the commit is too
-// old, the task is requeued instead.
+// If the worker cannot be used any more, its ticket has expired, the commit is too old or
+// the cap of the team was lowered below its use, the task is requeued instead.
 func (s *Scheduler) orderStart(t *task, commitStart, now time.Time) {
 	w := t.worker
 	t.inCommit = false
-	if w.removed || w.tokenUnconfirmed() || t.step.advice.isTicketExpired(w, now) || now.Sub(commitStart) > maxStartDelay {
+	if w.removed || w.tokenUnconfirmed() || t.step.advice.isTicketExpired(w, now) || now.Sub(commitStart) > maxStartDelay || s.isAboveQuota(t.step.job) {
 		s.log.Info("start_withdrawn", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "age_ms", now.Sub(commitStart).Milliseconds())
 		s.requeueTask(t, "withdrawn")
 		s.stopOtherGangMembers(t, now)
@@ -167,6 +168,13 @@
 	if j.state.Ended() {
 		p.Ended = j.endedAt.UnixMilli()
 	}
+	for r := range j.orphanedRuns {
+		id, life := r.run.task, r.worker.registration.Life
+		p.Orphaned = append(p.Orphaned, work.OrphanedRun{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Run: r.run.runNumber, Worker: life.ID, Born: life.Born})
+	}
+	slices.SortFunc(p.Orphaned, func(a, b work.OrphanedRun) int {
+		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run), cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Born, b.Born))
+	})
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			if sp, ok := st.progress(); ok {
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -162,19 +162,30 @@
 
 // markOutrankedSteps notes for each open step that needs tickets whether the steps
 // before it in the scheduling order need all free capacity of the workers that may run it.
-// It leaves out large steps, which need entire workers and reserve them.
+// It leaves out large steps, which need entire workers and reserve them. A step whose tasks
+// exceed the cap of their team together with those of the steps before it needs no tickets.
 func (s *Scheduler) markOutrankedSteps(sortedJobs []*job) {
 	if len(s.dispatcher.pendingSteps) == 0 {
 		return
 	}
+	claims := quotaClaims{}
 	for _, j := range sortedJobs {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				q := s.dispatcher.pendingSteps[st]
-				if q == nil || !st.open || s.isLargeStep(st, q) {
+				if q == nil || !st.open {
 					continue
 				}
-				st.advice.outranked = s.poolOfService(q.Service).claimCapacity(st, q)
+				tasks := claims.claim(s, st)
+				if tasks == 0 && st.countWaitingTasks() > 0 {
+					st.advice.outranked = false
+					s.dispatcher.removePendingStep(st)
+					continue
+				}
+				if s.isLargeStep(st, q) {
+					continue
+				}
+				st.advice.outranked = s.poolOfService(q.Service).claimCapacity(st, q, tasks)
 			}
 		}
 	}
@@ -251,7 +262,7 @@
 func (s *Scheduler) countMissingPlaces(st *step, places int) float64 {
 	if !st.spec.Gang {
 		if places == 0 && len(st.advice.workersAwaitingAnswer) == 0 {
-			return float64(st.countWaitingTasks())
+			return float64(s.startableTasks(st))
 		}
 		return 0
 	}
@@ -384,7 +395,7 @@
 	minPlaces := 1
 	if p.largeStepWaiting && !s.isLargeStep(st, q) {
 		candidates = p.workersMostUsedFirst()
-		minPlaces = 1 + st.countWaitingTasks()/expectedApprovalsPerRequest
+		minPlaces = 1 + s.startableTasks(st)/expectedApprovalsPerRequest
 	}
 	most := maxWorkersForMissingPlaces(st, q)
 	var list []*worker
--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -18,7 +18,8 @@
 
 // canRun reports whether the registered workers could run a waiting task of a step, or all
 // tasks of a gang, if they ran nothing but the tasks of this step. If the queue needs
-// advice, that is false once the adviser was asked about all workers and approves none.
+// advice, that is false once the adviser was asked about all workers and approves none. It is
+// also false if they exceed the cap of their team by themselves.
 //
 // A step that can't run takes no part in scheduling passes until workers that can run it
 // come. Otherwise it would claim capacity, ask the adviser and count for limits, and many
@@ -31,7 +32,7 @@
 	} else if v.mostPerWorker > 0 {
 		v.placed = st.countTasksOnWorkersOf(q)
 	}
-	return p.hasPlacesFor(v) && (q.Advice == nil || !s.isRejected(st, q, p))
+	return s.couldFitQuota(st) && p.hasPlacesFor(v) && (q.Advice == nil || !s.isRejected(st, q, p))
 }
 
 // hasPlacesFor reports whether the workers of the pool could run the tasks of a shape if
@@ -76,17 +77,31 @@
 	return true
 }
 
-// hasRunnableStep reports whether a job has an open step with waiting tasks that can run,
-// and returns the class of workers that may run it.
-func (s *Scheduler) hasRunnableStep(j *job, q *queue.Queue) (classKey, bool) {
+// runnableStep returns the first open step of a job with waiting tasks that can run, or nil
+// if there is none. heldByQuota is true if there is none because of the cap of the team.
+func (s *Scheduler) runnableStep(j *job, q *queue.Queue) (runnable *step, heldByQuota bool) {
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			if st.open && st.tasksLeft > 0 && st.countWaitingTasks() > 0 && s.canRun(st, q) {
-				return classKey{q.Service, st.spec.Label, st.spec.Size.Accelerators > 0}, true
+			if !st.open || st.tasksLeft == 0 || st.countWaitingTasks() == 0 || !s.canRun(st, q) {
+				continue
 			}
+			if s.isHeldByQuota(st) {
+				heldByQuota = true
+				continue
+			}
+			return st, false
 		}
 	}
-	return classKey{service: q.Service}, false
+	return nil, heldByQuota
+}
+
+// classOfStep returns the class of workers that may run a step. Without a step, it is that of
+// all workers of the queue.
+func classOfStep(st *step, q *queue.Queue) classKey {
+	if st == nil {
+		return classKey{service: q.Service}
+	}
+	return classKey{q.Service, st.spec.Label, st.spec.Size.Accelerators > 0}
 }
 
 // classKey identifies the workers for which jobs compete: those of a service that have a
@@ -135,13 +150,12 @@
 	return c
 }
 
-// claimCapacity subtracts the capacity that the waiting tasks of a step need from the
+// claimCapacity subtracts the capacity that a number of tasks of a step need from the
 // unclaimed capacity of the workers that may run them. It reports whether there was none
 // left for a single task.
-func (p *pool) claimCapacity(st *step, q *queue.Queue) (outranked bool) {
+func (p *pool) claimCapacity(st *step, q *queue.Queue, tasks int) (outranked bool) {
 	own, all, size := p.classOf(st.spec.Label), p.classOf(""), st.spec.ReservedCapacity()
 	outranked = !size.Fits(own.unclaimedCapacity)
-	tasks := st.countWaitingTasks()
 	if st.spec.MostPerWorker > 0 {
 		tasks = min(tasks, st.spec.MostPerWorker*own.readyWorkers-st.countTasksOnWorkersOf(q))
 	}
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -73,9 +73,13 @@
 			continue
 		}
 		t.startDelayed = false
-		if t.phase != phaseStartOrdered {
+		aboveQuota := s.isAboveQuota(t.step.job)
+		if t.phase != phaseStartOrdered || aboveQuota {
 			s.requeueTask(t, "withdrawn")
 			s.logIfRunsEnded(t, w, "withdrawn", now)
+			if aboveQuota {
+				s.stopOtherGangMembers(t, now)
+			}
 			continue
 		}
 		t.startToken, o.Order.Token = w.token, w.token
@@ -203,7 +207,7 @@
 	}
 	s.requeueMissingRuns(w, listed, sent, r.Truncated, now)
 	if !r.Truncated {
-		w.removeEndedOrphanedRuns(listed, sent)
+		s.removeEndedOrphanedRuns(w, listed, sent)
 	}
 	if w.confirmedToken < sent.token {
 		w.confirmedToken = sent.token
@@ -313,11 +317,19 @@
 // adviser holds for one process only, so an order with a ticket can't be executed by
 // another one.
 func (s *Scheduler) mayExecuteLater(t *task, at time.Time) bool {
-	if t.startSettled || t.step.spec.Speculative || t.step.job.state.Ended() || !at.Before(t.orderedAt.Add(s.timing.MaxOrderDelay)) {
+	if t.startSettled || !at.Before(t.orderedAt.Add(s.timing.MaxOrderDelay)) {
 		return false
 	}
-	q := s.queueOf(t.step.job)
-	return q == nil || q.Advice == nil
+	if j := t.step.job; j.spec.Team == "" && (t.step.spec.Speculative || j.state.Ended()) {
+		return false // A further run does no harm. That of a team would use its quota.
+	}
+	return !s.hasTicketsOnly(t.step.job)
+}
+
+// hasTicketsOnly reports whether all start orders of a job carry tickets of the adviser.
+func (s *Scheduler) hasTicketsOnly(j *job) bool {
+	q := s.queueOf(j)
+	return q != nil && q.Advice != nil
 }
 
 // raiseToken raises the fencing token of a worker. Once the worker has answered a
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -42,6 +42,8 @@
 	// waitingTasks counts the tasks of open steps that wait for a worker.
 	// tasksOnWorkers counts the tasks that use capacity of a worker.
 	waitingTasks, tasksOnWorkers int
+	// orphanedRuns contains the orphaned runs that are charged to the team of the job.
+	orphanedRuns map[runOnWorker]bool
 	// leftOut is true if the last scheduling pass left the job out.
 	leftOut bool
 	// remainingRuns describes the runs that may exist when the job ends.
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -5,7 +5,6 @@
 
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
-	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
 // runID identifies a run: one attempt at a task.
@@ -17,19 +16,57 @@
 // orphanedRun describes a run that may still exist on a worker, although it is not
 // the current run of any task there.
 type orphanedRun struct {
-	capacity resource.Vector
+	usage usage
 	// eventSequence is the value of Scheduler.eventSequence when the run became an
 	// orphaned run. Only a report whose hold was sent after that can show that the
 	// run has ended.
 	eventSequence int64
+	// lateUntil is the time until which the start order of the run may still be executed
+	// by a later process under the ID of the worker, or zero if it can't. It is only set
+	// for runs that are charged to a team.
+	lateUntil time.Time
 }
 
 // addOrphanedRun must be called before a task is taken off a worker on which its run
 // may continue. The run keeps its capacity on the worker as an orphaned run.
-func (w *worker) addOrphanedRun(t *task, eventSequence int64) {
-	capacity := t.step.spec.ReservedCapacity()
-	w.orphanedRuns[runID{t.id, t.runNumber}] = orphanedRun{capacity, eventSequence}
-	w.usedCapacity = w.usedCapacity.Add(capacity)
+func (s *Scheduler) addOrphanedRun(w *worker, t *task) {
+	r := orphanedRun{usage: usageOf(t), eventSequence: s.eventSequence}
+	if r.usage.team != "" && !t.startSettled && !s.hasTicketsOnly(t.step.job) {
+		r.lateUntil = t.orderedAt.Add(s.timing.MaxOrderDelay)
+	}
+	s.putOrphanedRun(w, runID{t.id, t.runNumber}, r)
+}
+
+// putOrphanedRun adds an orphaned run, which then uses capacity of its worker. A run that is
+// charged to a team is stored with its job: the next leader must charge it too.
+func (s *Scheduler) putOrphanedRun(w *worker, id runID, r orphanedRun) {
+	if _, known := w.orphanedRuns[id]; known {
+		return
+	}
+	w.orphanedRuns[id] = r
+	w.addUsage(r.usage)
+	if j := s.jobs[id.task.Job]; j != nil && r.usage.team != "" {
+		if j.orphanedRuns == nil {
+			j.orphanedRuns = map[runOnWorker]bool{}
+		}
+		j.orphanedRuns[runOnWorker{id, w}] = true
+		s.recordWorker(w)
+		s.markJobDirty(j)
+	}
+}
+
+// removeOrphanedRun removes an orphaned run and frees its capacity.
+func (s *Scheduler) removeOrphanedRun(w *worker, id runID) {
+	r, known := w.orphanedRuns[id]
+	if !known {
+		return
+	}
+	delete(w.orphanedRuns, id)
+	w.removeUsage(r.usage)
+	if j := s.jobs[id.task.Job]; j != nil && j.orphanedRuns[runOnWorker{id, w}] {
+		delete(j.orphanedRuns, runOnWorker{id, w})
+		s.markJobDirty(j)
+	}
 }
 
 // addUnknownRun adds an orphaned run for a reported run that belongs to no task on
@@ -44,12 +81,11 @@
 	if _, known := w.orphanedRuns[key]; known {
 		return
 	}
-	capacity := w.registration.Capacity
-	if st != nil {
-		capacity = st.spec.ReservedCapacity()
+	u := s.usageOfReported(r.Task)
+	if st == nil {
+		u.capacity = w.registration.Capacity
 	}
-	w.orphanedRuns[key] = orphanedRun{capacity, s.eventSequence}
-	w.usedCapacity = w.usedCapacity.Add(capacity)
+	s.putOrphanedRun(w, key, orphanedRun{usage: u, eventSequence: s.eventSequence})
 	s.recordWorker(w)
 }
 
@@ -65,22 +101,44 @@
 }
 
 // removeEndedOrphanedRuns removes the orphaned runs that are missing in a report and
-// frees their capacity.
-func (w *worker) removeEndedOrphanedRuns(listed map[runID]bool, sent SentHold) {
+// frees their capacity. It keeps those whose start order may be executed later.
+func (s *Scheduler) removeEndedOrphanedRuns(w *worker, listed map[runID]bool, sent SentHold) {
 	for v, r := range w.orphanedRuns {
-		if !listed[v] && sent.eventSequence > r.eventSequence {
-			delete(w.orphanedRuns, v)
-			w.usedCapacity = w.usedCapacity.Sub(r.capacity)
+		switch {
+		case listed[v]:
+			if !r.lateUntil.IsZero() {
+				r.lateUntil = time.Time{} // Its order was executed.
+				w.orphanedRuns[v] = r
+			}
+		case sent.eventSequence > r.eventSequence && !sent.sentAt.Before(r.lateUntil):
+			s.removeOrphanedRun(w, v)
 		}
 	}
 }
 
-// removeOrphanedRuns removes all orphaned runs and frees their capacity.
-func (w *worker) removeOrphanedRuns() {
+// removeOrphanedRuns removes the orphaned runs that have ended because the lease has ended,
+// and frees their capacity. It keeps those whose start order may still be executed at the
+// given time.
+func (s *Scheduler) removeOrphanedRuns(w *worker, at time.Time) {
 	for v, r := range w.orphanedRuns {
-		delete(w.orphanedRuns, v)
-		w.usedCapacity = w.usedCapacity.Sub(r.capacity)
+		if !at.Before(r.lateUntil) {
+			s.removeOrphanedRun(w, v)
+		}
+	}
+}
+
+// moveLateOrphanedRuns moves the orphaned runs whose start order may still be executed to
+// the next process of their worker, and returns their number.
+func (s *Scheduler) moveLateOrphanedRuns(old, next *worker, now time.Time) int {
+	moved := 0
+	for v, r := range old.orphanedRuns {
+		if now.Before(r.lateUntil) {
+			s.removeOrphanedRun(old, v)
+			s.putOrphanedRun(next, v, r)
+			moved++
+		}
 	}
+	return moved
 }
 
 // leaseDeadline returns the time on the worker's clock at which a lease granted now
@@ -119,7 +177,6 @@
 // without a report, because the lease has ended or the worker process is gone. It leaves
 // out the tasks for which exclude, if it is not nil, returns true.
 func (s *Scheduler) requeueLapsedRuns(w *worker, exclude func(t *task) bool, now time.Time) {
-	w.removeOrphanedRuns()
 	for _, t := range w.tasksSortedByID() {
 		if exclude != nil && exclude(t) {
 			continue
@@ -157,7 +214,7 @@
 	for _, t := range w.tasksSortedByID() {
 		if t.step.spec.Speculative && t.phase == phaseRunning {
 			s.log.Info("run_copied", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "silent_ms", now.Sub(w.lastAnswerAt).Milliseconds())
-			w.addOrphanedRun(t, s.eventSequence)
+			s.addOrphanedRun(w, t)
 			s.requeueTask(t, "copied")
 		}
 	}
@@ -195,6 +252,7 @@
 		if len(w.tasks) > 0 || len(w.orphanedRuns) > 0 {
 			// An order that was executed at the latest time holds a lease from then on.
 			latestOrder := now.Add(-time.Duration(float64(s.timing.Lease)*maxClockDrift) - leaseMargin)
+			s.removeOrphanedRuns(w, latestOrder)
 			s.requeueLapsedRuns(w, func(t *task) bool { return t.phase != phasePlaced && s.mayExecuteLater(t, latestOrder) }, now)
 		}
 		if w.confirmedToken != 0 && now.Sub(w.lastAnswerAt) > s.timing.Lease {
--- a/internal/cell/scheduler/load.go
+++ b/internal/cell/scheduler/load.go
@@ -50,6 +50,7 @@
 			"accelerators_percent", percent(v.usedCapacity.Accelerators, v.totalCapacity.Accelerators),
 			"waiting_jobs", jobs[name], "waiting_tasks", tasks[name])
 	}
+	s.logTeamLoad()
 	s.logWaitReasons(now)
 }
 
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -16,6 +16,9 @@
 	byWorker map[*worker]reservation
 	// stepCountByService counts, for each service, the steps that have reserved workers.
 	stepCountByService map[string]int
+	// quotaClaims holds what the steps that have reserved workers need of the quota of
+	// their teams.
+	quotaClaims quotaClaims
 }
 
 // reservation is the reservation of one worker for a job.
@@ -38,7 +41,7 @@
 )
 
 func newReservations() *reservations {
-	return &reservations{byWorker: map[*worker]reservation{}, stepCountByService: map[string]int{}}
+	return &reservations{byWorker: map[*worker]reservation{}, stepCountByService: map[string]int{}, quotaClaims: quotaClaims{}}
 }
 
 // blocksTask reports whether a reservation for another job keeps a task of job j from
@@ -77,7 +80,11 @@
 	slices.SortFunc(places, func(a, b expectedPlace) int {
 		return cmp.Or(cmp.Compare(a.timeUntilFree, b.timeUntilFree), compareLives(a.worker.registration.Life, b.worker.registration.Life))
 	})
-	for _, p := range places[:min(st.countWaitingTasks(), len(places))] {
+	tasks := r.quotaClaims.claim(s, st)
+	if tasks == 0 {
+		return
+	}
+	for _, p := range places[:min(tasks, len(places))] {
 		if _, alreadyReserved := r.byWorker[p.worker]; !alreadyReserved {
 			st.advice.reservedWorkers = append(st.advice.reservedWorkers, p.worker)
 		}
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -34,6 +34,9 @@
 	for i := range p.Steps {
 		s.restoreStep(j, &p.Steps[i], now)
 	}
+	for i := range p.Orphaned {
+		s.restoreOrphanedRun(j, &p.Orphaned[i], now)
+	}
 	s.restoreRemainingRuns(j, p, now)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
@@ -124,6 +127,16 @@
 	if p.Worker == "" {
 		return
 	}
+	w := s.workerOfRestoredRun(life, now)
+	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
+	t.paceUnconfirmed = true
+	t.step.job.tasksOnWorkers++
+	w.addTask(t)
+}
+
+// workerOfRestoredRun returns the worker process on which a restored run may exist, and
+// takes into account that an earlier leader may have extended its lease.
+func (s *Scheduler) workerOfRestoredRun(life backend.Life, now time.Time) *worker {
 	w := s.workers[life]
 	if latest := s.latestWorkerByID[life.ID]; latest != nil && latest.registration.Life.Born > life.Born {
 		w = latest // The start order may have reached this process instead.
@@ -133,8 +146,18 @@
 	}
 	s.extendFormerLease(w, now)
 	s.recordWorker(w)
-	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
-	t.paceUnconfirmed = true
-	t.step.job.tasksOnWorkers++
-	w.addTask(t)
+	return w
+}
+
+// restoreOrphanedRun restores a run that may exist beside those of the tasks of a job.
+func (s *Scheduler) restoreOrphanedRun(j *job, p *work.OrphanedRun, now time.Time) {
+	if p.Step >= len(j.spec.Steps) {
+		return
+	}
+	id := work.TaskID{StepID: work.StepID{Job: j.spec.ID, Occurrence: p.Occurrence, Step: p.Step}, Index: p.Index}
+	r := orphanedRun{usage: s.usageOfReported(id), eventSequence: s.eventSequence}
+	if !s.hasTicketsOnly(j) {
+		r.lateUntil = now.Add(s.timing.MaxOrderDelay)
+	}
+	s.putOrphanedRun(s.workerOfRestoredRun(backend.Life{ID: p.Worker, Born: p.Born}, now), runID{id, p.Run}, r)
 }
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -152,7 +152,7 @@
 	if w == nil || t.phase == phasePlaced {
 		return
 	}
-	w.addOrphanedRun(t, s.eventSequence)
+	s.addOrphanedRun(w, t)
 	if !t.runConfirmed {
 		s.raiseToken(w)
 	}
@@ -171,6 +171,9 @@
 		return
 	}
 	for _, member := range t.step.tasks {
+		if member != t {
+			s.keepCharged(member)
+		}
 		s.completeTask(member, now)
 	}
 }
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -80,7 +80,7 @@
 		return
 	}
 	if !st.open {
-		if q.Advice != nil && s.isStepExpectedToOpenWithin(st, adviceLeadTime+q.Advice.RequestDuration(maxWorkersPerRequest), now) {
+		if q.Advice != nil && s.fitsQuotaOnceOpen(st) && s.isStepExpectedToOpenWithin(st, adviceLeadTime+q.Advice.RequestDuration(maxWorkersPerRequest), now) {
 			s.dispatcher.addPendingStep(st, q)
 		}
 		return
@@ -88,9 +88,17 @@
 	if st.job.waitingTasks == 0 {
 		return
 	}
+	if s.isHeldByQuota(st) {
+		s.dispatcher.removePendingStep(st)
+		return
+	}
 	if s.placeStep(st, q, reserved, now) || !st.hasPlaceableTask(now) {
 		return
 	}
+	if s.isHeldByQuota(st) {
+		s.dispatcher.removePendingStep(st)
+		return
+	}
 	s.dispatcher.addPendingStep(st, q)
 	s.poolOfService(q.Service).largeStepWaiting = s.poolOfService(q.Service).largeStepWaiting || s.isLargeStep(st, q)
 	s.reserveWorkers(st, q, reserved, now)
@@ -149,6 +157,10 @@
 		if t.phase != phaseWaiting || now.Before(t.placeNotBefore) {
 			continue
 		}
+		if !s.fitsQuota(st, 1) {
+			all = false
+			break
+		}
 		w := s.chooseWorker(st, q, t, reserved, nil, now)
 		if w == nil {
 			all = false
@@ -160,13 +172,16 @@
 }
 
 // placeGang places either all tasks of a gang or none. It returns false if there are
-// not enough places for all of them.
+// not enough places for all of them, or if together they exceed the cap of their team.
 func (s *Scheduler) placeGang(st *step, q *queue.Queue, reserved *reservations, now time.Time) bool {
 	for _, t := range st.tasks {
 		if t.phase != phaseWaiting || now.Before(t.placeNotBefore) {
 			return true // Some members of an earlier run have not ended yet.
 		}
 	}
+	if !s.fitsQuota(st, len(st.tasks)) {
+		return false
+	}
 	run := int64(0)
 	for _, t := range st.tasks {
 		run = max(run, t.runNumber+1)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -25,6 +25,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/quota"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 )
@@ -120,6 +121,9 @@
 	// hold for one process only.
 	servicesWithoutAdvice map[string]bool
 
+	// quota accounts for what teams have running, with the caps of the configuration.
+	quota *quota.Ledger
+
 	jobs map[string]*job
 	// activeJobs holds the jobs that have not ended, by ID.
 	activeJobs map[string]*job
@@ -189,6 +193,7 @@
 		log: log, timing: timing, epoch: epoch, clockBase: now, wallBase: wall, lastConfirmedAppendStart: now,
 		table: &queue.Table{},
 
+		quota:                 quota.New(),
 		servicesWithoutAdvice: map[string]bool{},
 		jobs:                  map[string]*job{},
 		activeJobs:            map[string]*job{},
@@ -219,6 +224,7 @@
 func (s *Scheduler) SetTable(t *queue.Table) {
 	if t.Version > s.table.Version {
 		s.table = t
+		s.setCaps(t)
 		for i := range t.Queues {
 			if t.Queues[i].Advice == nil {
 				s.servicesWithoutAdvice[t.Queues[i].Service] = true
@@ -302,7 +308,7 @@
 		}
 	}
 	for id, j := range s.jobs {
-		if !j.storedState.Ended() || j.tasksOnWorkers > 0 {
+		if !j.storedState.Ended() || j.tasksOnWorkers > 0 || len(j.orphanedRuns) > 0 {
 			continue
 		}
 		if j.submissionStored && now.Sub(j.endedAt) >= submissionDropDelay {
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -115,6 +115,8 @@
 	// holdsWait makes workers answer holds as late as Hold.Wait allows. Otherwise they
 	// answer at once.
 	holdsWait bool
+	// quotas checks the use of teams, unless it is nil.
+	quotas *quotaCheck
 }
 
 // maxLateness is the longest time after which a worker executes a call without an answer.
@@ -234,6 +236,9 @@
 // Started implements fleet.Observer. It checks that the task may start.
 func (sm *simulation) Started(on *fleet.Worker, s backend.Start, at time.Time) {
 	sm.startCount++
+	if sm.quotas != nil {
+		sm.quotas.checkStart(on, s)
+	}
 	life := on.Registration.Life
 	speculative := sm.taskProfiles[s.Task].Speculative
 	for _, other := range sm.workers {
@@ -350,6 +355,9 @@
 	l := &simulatedLeader{simulation: sm, epoch: sm.epoch, scheduler: scheduler.New(timing, sm.epoch, sm.now, sm.now, sm.log), sessions: map[backend.Life]bool{}, holdsToInterrupt: map[backend.Life]bool{}}
 	sm.leaders = append(sm.leaders, l)
 	l.scheduler.SetTable(sm.table)
+	if sm.quotas != nil {
+		sm.quotas.noteLeader(l)
+	}
 	l.scheduler.SetAdviceVMs(sm.adviceVMs)
 	l.scheduler.SetWorkers(sm.registrations(), sm.now)
 	l.scheduler.RestoreWorkers(sm.workerRecords(), sm.now)
@@ -504,6 +512,9 @@
 func (l *simulatedLeader) sendStart(o scheduler.Order[backend.Start]) {
 	sm := l.simulation
 	sm.startSentAt[startKey{o.Order.Task, o.Order.Run}] = sm.now
+	if sm.quotas != nil {
+		sm.quotas.checkOrder(l, &o.Order)
+	}
 	sm.callWorker(o.Worker, func(v *fleet.Worker) func() {
 		if v == nil {
 			return func() {
@@ -691,6 +702,11 @@
 		if _, known := sm.endStoredAt[r.Key]; p.State.Ended() && !known {
 			sm.endStoredAt[r.Key] = sm.now
 		}
+		for _, o := range p.Orphaned {
+			if key := fmt.Sprintf("worker/%s/%d", o.Worker, o.Born); len(sm.storedWorkers[key].Value) == 0 {
+				sm.reportViolation("the record of job %s names worker %s/%d, which has no record", r.Key, o.Worker, o.Born)
+			}
+		}
 		for _, sp := range p.Steps {
 			for _, t := range sp.Tasks {
 				id := work.TaskID{StepID: work.StepID{Job: r.Key, Occurrence: sp.Occurrence, Step: sp.Step}, Index: t.Index}
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -45,6 +45,10 @@
 	priority   int
 	due        time.Time
 	class      classKey
+	// runnable is the first step with waiting tasks that can run, or nil. heldByQuota is
+	// true if there is none because of the cap of the team.
+	runnable    *step
+	heldByQuota bool
 }
 
 // jobsInSchedulingOrder returns the active jobs that have tasks to place on workers that can
@@ -64,13 +68,13 @@
 		if q == nil {
 			continue
 		}
-		class, runnable := s.hasRunnableStep(j, q)
-		if !runnable && !s.mayOpenLaterStep(j) {
+		runnable, held := s.runnableStep(j, q)
+		if runnable == nil && !s.mayOpenLaterStep(j) {
 			continue
 		}
 		allowance := s.jobAllowance(j, q)
 		ranks = append(ranks, rankedJob{
-			job: j, priority: q.Priority, due: j.submittedAt.Add(allowance), class: class,
+			job: j, priority: q.Priority, due: j.submittedAt.Add(allowance), class: classOfStep(runnable, q), runnable: runnable, heldByQuota: held,
 			timeliness: s.timelinessOf(j, q, allowance, now),
 		})
 	}
@@ -78,13 +82,16 @@
 		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
 	order := make([]*job, 0, len(ranks))
-	jobsByClass := map[classKey]int{}
+	jobsByClass, claims := map[classKey]int{}, quotaClaims{}
 	for i := range ranks {
 		r := &ranks[i]
 		// No caller waits for these jobs any more, and the other jobs come first.
 		r.job.leftOut = r.timeliness == timelinessTooLate && jobsByClass[r.class] >= tooLateJobsCutoff
 		if !r.job.leftOut {
-			jobsByClass[r.class]++
+			// A job that only the cap of its team keeps from running competes with no other.
+			if !r.heldByQuota && (r.runnable == nil || claims.claim(s, r.runnable) > 0) {
+				jobsByClass[r.class]++
+			}
 			order = append(order, r.job)
 		}
 	}
--- a/internal/cell/scheduler/waiting.go
+++ b/internal/cell/scheduler/waiting.go
@@ -30,6 +30,9 @@
 	// waitForReservation means that workers with enough free capacity and valid tickets
 	// are reserved for other steps.
 	waitForReservation waitReason = "reserved"
+	// waitForQuota means that the tasks exceed the cap of their team, or that the team's
+	// caps are not known yet.
+	waitForQuota waitReason = "quota"
 	// waitForScheduling means that nothing is missing: the next scheduling pass places
 	// the tasks.
 	waitForScheduling waitReason = "none"
@@ -42,6 +45,9 @@
 	if st.spec.Gang {
 		needed = st.spec.Count
 	}
+	if s.isHeldByQuota(st) || !s.couldFitQuota(st) {
+		return waitForQuota
+	}
 	if !s.canRun(st, q) {
 		return waitForWorker
 	}
@@ -120,7 +126,7 @@
 	for _, name := range slices.Sorted(maps.Keys(summaries)) {
 		v := summaries[name]
 		fields := []any{"queue", name}
-		for _, r := range []waitReason{waitForWorker, waitForCapacity, waitForFirstAdvice, waitForApprovedCapacity, waitForTickets, waitForReservation, waitForScheduling} {
+		for _, r := range []waitReason{waitForWorker, waitForCapacity, waitForFirstAdvice, waitForApprovedCapacity, waitForTickets, waitForReservation, waitForQuota, waitForScheduling} {
 			fields = append(fields, string(r), v.byReason[r])
 		}
 		s.log.Info("waiting_tasks", append(fields, "outranked", v.outranked, "left_out", v.leftOut)...)
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/almondpost/almondpost/internal/cell/quota"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/state/resource"
@@ -31,8 +32,11 @@
 	// token is the fencing token that is sent with new orders. confirmedToken is the
 	// highest token of a hold that the worker has answered, or 0.
 	token, confirmedToken int64
-	usedCapacity          resource.Vector
-	tasks                 map[work.TaskID]*task
+	// usedCapacity is the capacity that runs use. Only addUsage and removeUsage change it,
+	// which also charge and release ledger.
+	usedCapacity resource.Vector
+	ledger       *quota.Ledger
+	tasks        map[work.TaskID]*task
 	// orphanedRuns contains the runs that may still exist on the worker but do not
 	// belong to a task there. They use capacity until they are missing in a report or
 	// the lease ends.
@@ -98,7 +102,7 @@
 
 func (w *worker) addTask(t *task) {
 	w.tasks[t.id] = t
-	w.usedCapacity = w.usedCapacity.Add(t.step.spec.ReservedCapacity())
+	w.addUsage(usageOf(t))
 }
 
 func (w *worker) removeTask(t *task) {
@@ -106,7 +110,7 @@
 		return
 	}
 	delete(w.tasks, t.id)
-	w.usedCapacity = w.usedCapacity.Sub(t.step.spec.ReservedCapacity())
+	w.removeUsage(usageOf(t))
 }
 
 // tasksSortedByID returns the tasks on the worker, sorted by their IDs.
@@ -202,7 +206,7 @@
 }
 
 func (s *Scheduler) addWorker(r backend.Registration, now time.Time) *worker {
-	w := &worker{registration: r, token: s.firstToken(r.Life.ID), tasks: map[work.TaskID]*task{}, orphanedRuns: map[runID]orphanedRun{}, lastAnswerAt: now}
+	w := &worker{registration: r, token: s.firstToken(r.Life.ID), ledger: s.quota, tasks: map[work.TaskID]*task{}, orphanedRuns: map[runID]orphanedRun{}, lastAnswerAt: now}
 	s.workers[r.Life] = w
 	s.pools, s.lives = nil, nil
 	if s.latestWorkerByID[r.Life.ID] == nil {
@@ -233,6 +237,9 @@
 	w.removed, w.registered = true, false
 	s.pools = nil
 	s.log.Info("worker_lost", "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "reason", reason, "tasks", len(w.tasks))
+	for id := range w.orphanedRuns {
+		s.removeOrphanedRun(w, id)
+	}
 	s.requeueLapsedRuns(w, nil, now)
 	if w.sessionOpen {
 		w.sessionOpen = false
@@ -270,6 +277,7 @@
 		}
 		moved++
 	}
+	moved += s.moveLateOrphanedRuns(old, next, now)
 	next.token = max(next.token, old.token+1)
 	if moved > 0 {
 		next.extendLease(now, s.timing)
--- a/internal/cell/team/team.go
+++ b/internal/cell/team/team.go
@@ -3,6 +3,9 @@
 package team
 
 import (
+	"iter"
+	"maps"
+
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
@@ -86,6 +89,14 @@
 	return d.byName[name]
 }
 
+// All returns the teams in no particular order.
+func (d *Directory) All() iter.Seq[*Team] {
+	if d == nil {
+		return func(func(*Team) bool) {}
+	}
+	return maps.Values(d.byName)
+}
+
 // Len returns the number of teams. It is 0 if the configuration asks for no keys.
 func (d *Directory) Len() int {
 	if d == nil {
--- a/internal/cell/work/progress.go
+++ b/internal/cell/work/progress.go
@@ -22,10 +22,25 @@
 	// placed on a worker. Once the job has ended, it holds only the steps with tasks
 	// that may still be running.
 	Steps []StepProgress `json:"steps,omitempty"`
+	// Orphaned holds the runs that may still exist although they are not the latest run of
+	// a task on a worker. They are charged to the team of the job, and listed only if it has
+	// one.
+	Orphaned []OrphanedRun `json:"orphaned,omitempty"`
 	// Offset is the position of the record that this was read from. It is not stored.
 	Offset int64 `json:"-"`
 }
 
+// OrphanedRun is a run that may exist on a worker process beside the runs that Steps names.
+type OrphanedRun struct {
+	Occurrence int   `json:"occurrence,omitempty"`
+	Step       int   `json:"step,omitempty"`
+	Index      int   `json:"i,omitempty"`
+	Run        int64 `json:"run,omitempty"`
+	// Worker and Born identify the worker process.
+	Worker string `json:"worker"`
+	Born   int64  `json:"born,omitempty"`
+}
+
 // StepProgress is the progress of a step of one occurrence.
 type StepProgress struct {
 	Occurrence int `json:"occurrence,omitempty"`
@@ -110,6 +125,11 @@
 	if p.DoneOccurrences < 0 {
 		return invalid("%d occurrences are done", p.DoneOccurrences)
 	}
+	for i := range p.Orphaned {
+		if r := &p.Orphaned[i]; r.Occurrence < 0 || r.Step < 0 || r.Index < 0 || r.Run < 0 || r.Run > maxRunNumber || r.Worker == "" {
+			return invalid("orphaned run %d of task %d.%d.%d on worker %.32q", r.Run, r.Occurrence, r.Step, r.Index, r.Worker)
+		}
+	}
 	for i := range p.Steps {
 		s := &p.Steps[i]
 		if s.Occurrence < 0 || s.Step < 0 {
