Order jobs of teams by weighted max-min fairness

Cause: inside a timeliness and queue priority, jobs were ordered by due time, so a team that sent several times its usual load took the capacity of others.

Change: inside these, jobs beyond the guaranteed rate of their team come after all others; then share.Order picks the team with the lowest dominant share of the service's pool divided by its weight, with a heap of teams; then the due time decides. share.Rate counts only jobs within the rate, by acceptance time. A job beyond the rate is not placed between two passes. Without teams, the order is the one by due time.

--- a/internal/cell/scheduler/bench_test.go
+++ b/internal/cell/scheduler/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/team"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/emulate/fleet"
 	"github.com/almondpost/almondpost/internal/peer/backend"
@@ -171,3 +172,38 @@
 		}
 	}
 }
+
+// BenchmarkTeams measures a scheduling pass with some thousands of waiting jobs while all
+// workers are full, without and with teams.
+func BenchmarkTeams(b *testing.B) {
+	for _, teams := range []int{0, 20, 1000} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			sm := newSimulation(1, faultProbabilities{})
+			sm.addWorkers(200, workerCapacity)
+			if teams > 0 {
+				var list []team.Team
+				for i := range teams {
+					list = append(list, team.Team{Name: fmt.Sprintf("team-%d", i), Weight: float64(1 + i%9)})
+				}
+				d, err := team.New(list)
+				if err != nil {
+					b.Fatal(err)
+				}
+				sm.table = &queue.Table{Version: 2, Queues: sm.table.Queues, Teams: d}
+			}
+			l := sm.electLeader()
+			for i := range 4000 {
+				j := &work.Job{ID: fmt.Sprintf("job-%d", i), Queue: "batch", Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}
+				if teams > 0 {
+					j.Team = fmt.Sprintf("team-%d", i%teams)
+				}
+				sm.submit(j, fleet.TaskProfile{RunTime: time.Hour})
+			}
+			sm.runFor(200 * time.Millisecond)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.scheduler.Schedule(sm.now)
+			}
+		})
+	}
+}
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -44,6 +44,8 @@
 	waitingTasks, tasksOnWorkers int
 	// orphanedRuns contains the orphaned runs that are charged to the team of the job.
 	orphanedRuns map[runOnWorker]bool
+	// beyondRate is true if the job exceeds the rate that is guaranteed to its team.
+	beyondRate bool
 	// leftOut is true if the last scheduling pass left the job out.
 	leftOut bool
 	// remainingRuns describes the runs that may exist when the job ends.
@@ -196,6 +198,7 @@
 	}
 	s.jobs[spec.ID] = j
 	s.activeJobs[spec.ID] = j
+	j.beyondRate = s.exceedsRate(j)
 	return j
 }
 
--- a/internal/cell/scheduler/quota.go
+++ b/internal/cell/scheduler/quota.go
@@ -38,12 +38,26 @@
 func (w *worker) addUsage(u usage) {
 	w.usedCapacity = w.usedCapacity.Add(u.capacity)
 	w.ledger.Charge(u.team, u.size)
+	if u.team != "" {
+		if w.usedByTeam == nil {
+			w.usedByTeam = map[string]resource.Vector{}
+		}
+		w.usedByTeam[u.team] = w.usedByTeam[u.team].Add(u.capacity)
+	}
 }
 
 // removeUsage must be called when a run ceases to use capacity of the worker.
 func (w *worker) removeUsage(u usage) {
 	w.usedCapacity = w.usedCapacity.Sub(u.capacity)
 	w.ledger.Release(u.team, u.size)
+	if u.team == "" {
+		return
+	}
+	if left := w.usedByTeam[u.team].Sub(u.capacity); left.IsZero() {
+		delete(w.usedByTeam, u.team)
+	} else {
+		w.usedByTeam[u.team] = left
+	}
 }
 
 // runOnWorker is a run on one worker process.
@@ -164,13 +178,17 @@
 	if s.table.Teams.Len() == 0 {
 		return
 	}
-	waiting := map[string]int{}
+	waiting, waitingJobs, beyondRate := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, team := range s.quota.Charged() {
 		waiting[team] = 0
 	}
 	for _, j := range s.activeJobs {
 		if j.spec.Team != "" && j.waitingTasks > 0 {
 			waiting[j.spec.Team] += j.waitingTasks
+			waitingJobs[j.spec.Team]++
+			if j.beyondRate {
+				beyondRate[j.spec.Team]++
+			}
 		}
 	}
 	teams := sortedKeys(waiting, func(a, b string) int {
@@ -185,6 +203,7 @@
 		s.log.Info("team_load", "team", team,
 			"milliprocessors", used.Milliprocessors, "cap_milliprocessors", limit.Milliprocessors,
 			"memory_mebibytes", used.MemoryMebibytes, "cap_memory_mebibytes", limit.MemoryMebibytes,
-			"accelerators", used.Accelerators, "cap_accelerators", limit.Accelerators, "waiting_tasks", waiting[team])
+			"accelerators", used.Accelerators, "cap_accelerators", limit.Accelerators, "waiting_tasks", waiting[team],
+			"waiting_jobs", waitingJobs[team], "beyond_rate", beyondRate[team])
 	}
 }
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -45,14 +45,15 @@
 
 // scheduleUrgentJob places the tasks of an urgent job, or requests advice for it,
 // between two scheduling passes. It uses the reservations of the last pass. It does
-// nothing for other jobs, or for a job that can no longer complete in time.
+// nothing for other jobs, for a job that can no longer complete in time, or for one beyond
+// the rate of its team, which must not come before the jobs of others.
 //
 // Under a backlog, passes take long and are rare. Without this function, an urgent
 // job would wait for one pass to request advice and for the next one to use the
 // answer.
 func (s *Scheduler) scheduleUrgentJob(j *job, now time.Time) {
 	q := s.queueOf(j)
-	if q == nil || q.Priority != urgentPriority || j.state.Ended() || s.reservations == nil {
+	if q == nil || q.Priority != urgentPriority || j.beyondRate || j.state.Ended() || s.reservations == nil {
 		return
 	}
 	if p := s.timelinessOf(j, q, s.jobAllowance(j, q), now); p == timelinessOverdue || p == timelinessTooLate {
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -26,6 +26,7 @@
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/quota"
+	"github.com/almondpost/almondpost/internal/cell/share"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 )
@@ -123,6 +124,8 @@
 
 	// quota accounts for what teams have running, with the caps of the configuration.
 	quota *quota.Ledger
+	// rates tells which jobs exceed the rate that is guaranteed to their team.
+	rates *share.Rate
 
 	jobs map[string]*job
 	// activeJobs holds the jobs that have not ended, by ID.
@@ -194,6 +197,7 @@
 		table: &queue.Table{},
 
 		quota:                 quota.New(),
+		rates:                 share.NewRate(maxJobAge),
 		servicesWithoutAdvice: map[string]bool{},
 		jobs:                  map[string]*job{},
 		activeJobs:            map[string]*job{},
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -44,6 +44,7 @@
 	timeliness timeliness
 	priority   int
 	due        time.Time
+	service    string
 	class      classKey
 	// runnable is the first step with waiting tasks that can run, or nil. heldByQuota is
 	// true if there is none because of the cap of the team.
@@ -53,6 +54,8 @@
 
 // jobsInSchedulingOrder returns the active jobs that have tasks to place on workers that can
 // run them, or may need advice soon, sorted by timeliness, then by priority, then by due time.
+// With teams, jobs beyond the rate of their team come after the others of the same timeliness
+// and priority, and arrangeByShare decides before the due time does.
 //
 // Timeliness comes first because of overload. If jobs were sorted by due time alone,
 // each job would wait until it is late, so that all jobs would be late. After an
@@ -74,13 +77,14 @@
 		}
 		allowance := s.jobAllowance(j, q)
 		ranks = append(ranks, rankedJob{
-			job: j, priority: q.Priority, due: j.submittedAt.Add(allowance), class: classOfStep(runnable, q), runnable: runnable, heldByQuota: held,
+			job: j, priority: q.Priority, service: q.Service, due: j.submittedAt.Add(allowance), class: classOfStep(runnable, q), runnable: runnable, heldByQuota: held,
 			timeliness: s.timelinessOf(j, q, allowance, now),
 		})
 	}
 	slices.SortFunc(ranks, func(a, b rankedJob) int {
-		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
+		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority), compareBools(a.job.beyondRate, b.job.beyondRate), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
+	s.arrangeByShare(ranks)
 	order := make([]*job, 0, len(ranks))
 	jobsByClass, claims := map[classKey]int{}, quotaClaims{}
 	for i := range ranks {
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -36,7 +36,9 @@
 	// which also charge and release ledger.
 	usedCapacity resource.Vector
 	ledger       *quota.Ledger
-	tasks        map[work.TaskID]*task
+	// usedByTeam is the part of usedCapacity that the runs of each team use.
+	usedByTeam map[string]resource.Vector
+	tasks      map[work.TaskID]*task
 	// orphanedRuns contains the runs that may still exist on the worker but do not
 	// belong to a task there. They use capacity until they are missing in a report or
 	// the lease ends.
