Check quotas under caps on one resource and repeated restarts

Change: some caps limit processors only. TestNoStartExceedsTheCapWhileWorkers- Restart restarts workers often while orders are executed late. It requires only the quotas and counts the violations of other promises, which also occur without teams; they are listed in KNOWN-RED.txt. They are not traced.

--- a/internal/cell/scheduler/quota_property_test.go
+++ b/internal/cell/scheduler/quota_property_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -221,7 +222,7 @@
 		case 1:
 			v[name] = resource.Vector{MemoryMebibytes: int64(tasks) * taskSize.MemoryMebibytes}
 		case 2:
-			v[name] = quota.Times(taskSize, tasks).Add(resource.Vector{Milliprocessors: 1200})
+			v[name] = resource.Vector{Milliprocessors: int64(tasks)*taskSize.Milliprocessors + 1200}
 		default:
 			v[name] = quota.Times(taskSize, tasks)
 		}
@@ -311,20 +312,66 @@
 	return sm
 }
 
+// addRestarts makes workers restart often while many orders are executed late. A late order is
+// only executed if its worker restarts twice meanwhile: the next process refuses it once it
+// has answered a hold.
+func (p *quotaPlan) addRestarts(t *rapid.T) {
+	p.probabilities.lateCallProbability = 0.2
+	from := drawDuration(t, "restartsAt", time.Second, cancellationFaultPeriod/2)
+	for i := range 30 {
+		at := from + drawDuration(t, "at", 0, 8*time.Second)
+		p.faults = append(p.faults, cancellationFault{at: at, kind: "worker restarts", worker: i % 5})
+	}
+}
+
+// quotaCounts sums what the plans of a test have done. others counts the violations of other
+// promises.
+type quotaCounts struct{ plans, starts, atTheCap, others int }
+
+func (n *quotaCounts) add(sm *simulation) {
+	n.plans, n.starts, n.atTheCap = n.plans+1, n.starts+sm.quotas.starts, n.atTheCap+sm.quotas.startsAtTheCap
+}
+
+func (n *quotaCounts) check(t *testing.T) {
+	t.Logf("%d plans, %d starts, %d of them at the cap; %d violations of other promises", n.plans, n.starts, n.atTheCap, n.others)
+	if n.atTheCap == 0 {
+		t.Error("no team has reached its cap")
+	}
+}
+
 // A team must not exceed its cap through any path that starts work, and must not lose quota
 // to runs that have ended.
 func TestNoStartExceedsTheCap(t *testing.T) {
 	seeded.SetChecks(t, 40)
-	plans, starts, atTheCap := 0, 0, 0
+	var n quotaCounts
 	rapid.Check(t, func(rt *rapid.T) {
 		sm := drawQuotaPlan(rt).play(logr.Discard())
 		for _, v := range sm.violations {
 			rt.Errorf("%s", v)
 		}
-		plans, starts, atTheCap = plans+1, starts+sm.quotas.starts, atTheCap+sm.quotas.startsAtTheCap
+		n.add(sm)
 	})
-	t.Logf("%d plans, %d starts, %d of them at the cap", plans, starts, atTheCap)
-	if atTheCap == 0 {
-		t.Error("no team has reached its cap")
-	}
+	n.check(t)
+}
+
+// An order that a restarted worker executes late must count until then. Only the quotas are
+// required: with so many restarts and late orders, other promises are broken in a few plans,
+// also without teams (see KNOWN-RED.txt). These are counted.
+func TestNoStartExceedsTheCapWhileWorkersRestart(t *testing.T) {
+	seeded.SetChecks(t, 20)
+	var n quotaCounts
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawQuotaPlan(rt)
+		p.addRestarts(rt)
+		sm := p.play(logr.Discard())
+		for _, v := range sm.violations {
+			if strings.Contains(v, "QUOTA") {
+				rt.Errorf("%s", v)
+			} else {
+				n.others++
+			}
+		}
+		n.add(sm)
+	})
+	n.check(t)
 }
