--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -77,9 +77,13 @@
 			continue
 		}
 		t.startDelayed = false
-		if t.phase != phaseStartOrdered {
+		aboveQuota := s.isAboveQuota(t.step.job)
+		if t.phase != phaseStartOrdered || aboveQuota {
 			s.requeueTask(t, "withdrawn")
 			s.logIfRunsEnded(t, w, "withdrawn", now)
+			if aboveQuota {
+				s.stopOtherGangMembers(t, now)
+			}
 			continue
 		}
 		t.startToken, o.Order.Token = w.token, w.token
@@ -207,7 +211,7 @@
 	}
 	s.requeueMissingRuns(w, listed, sent, r.Truncated, now)
 	if !r.Truncated {
-		w.removeEndedOrphanedRuns(listed, sent)
+		s.removeEndedOrphanedRuns(w, listed, sent)
 	}
 	if w.confirmedToken < sent.token {
 		w.confirmedToken = sent.token
@@ -317,7 +321,12 @@
 // given time, although the present process of the worker refuses it because of its
 // fencing token: a later process under the same ID has seen no token.
 func (s *Scheduler) mayExecuteLater(t *task, at time.Time) bool {
-	return !t.startSettled && !t.step.spec.Speculative && !t.step.job.state.Ended() && at.Before(t.executableUntil)
+	if t.startSettled || !at.Before(t.executableUntil) {
+		return false
+	}
+	// A further run of a speculative or cancelled task does no harm. That of a team would use
+	// its quota.
+	return t.step.job.spec.Team != "" || !t.step.spec.Speculative && !t.step.job.state.Ended()
 }
 
 // raiseToken raises the fencing token of a worker. Once the worker has answered a
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -42,6 +42,10 @@
 	// waitingTasks counts the tasks of open steps that wait for a worker.
 	// tasksOnWorkers counts the tasks that use capacity of a worker.
 	waitingTasks, tasksOnWorkers int
+	// orphanedRuns contains the orphaned runs that are charged to the team of the job.
+	orphanedRuns map[runOnWorker]bool
+	// beyondRate is true if the job exceeds the rate that is guaranteed to its team.
+	beyondRate bool
 	// leftOut is true if the last scheduling pass left the job out.
 	leftOut bool
 	// remainingRuns describes the runs that may exist when the job ends.
@@ -199,6 +203,7 @@
 	}
 	s.jobs[spec.ID] = j
 	s.activeJobs[spec.ID] = j
+	j.beyondRate = s.exceedsRate(j)
 	return j
 }
 
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -34,6 +34,9 @@
 	for i := range p.Steps {
 		s.restoreStep(j, &p.Steps[i], now)
 	}
+	for i := range p.Orphaned {
+		s.restoreOrphanedRun(j, &p.Orphaned[i], now)
+	}
 	s.restoreRemainingRuns(j, p, now)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
@@ -124,6 +127,17 @@
 	if p.Worker == "" {
 		return
 	}
+	w := s.workerOfRestoredRun(life, now)
+	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
+	t.executableUntil, t.ticketed = s.restoredOrderLimit(t.step.job, now)
+	t.paceUnconfirmed = true
+	t.step.job.tasksOnWorkers++
+	w.addTask(t)
+}
+
+// workerOfRestoredRun returns the worker process on which a restored run may exist, and
+// takes into account that an earlier leader may have extended its lease.
+func (s *Scheduler) workerOfRestoredRun(life backend.Life, now time.Time) *worker {
 	w := s.workers[life]
 	if latest := s.latestWorkerByID[life.ID]; latest != nil && latest.registration.Life.Born > life.Born {
 		w = latest // The start order may have reached this process instead.
@@ -133,17 +147,29 @@
 	}
 	s.extendFormerLease(w, now)
 	s.recordWorker(w)
-	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
-	t.paceUnconfirmed = true
-	t.executableUntil, t.ticketed = now.Add(s.timing.MaxOrderDelay), false
-	if validity, ok := s.ticketValidity(t.step.job); ok {
-		t.ticketed = true
-		if until := latestTicketUse(now, validity); until.Before(t.executableUntil) {
-			t.executableUntil = until
-		}
+	return w
+}
+
+// restoreOrphanedRun restores a run that may exist beside those of the tasks of a job.
+func (s *Scheduler) restoreOrphanedRun(j *job, p *work.OrphanedRun, now time.Time) {
+	if p.Step >= len(j.spec.Steps) {
+		return
 	}
-	t.step.job.tasksOnWorkers++
-	w.addTask(t)
+	id := work.TaskID{StepID: work.StepID{Job: j.spec.ID, Occurrence: p.Occurrence, Step: p.Step}, Index: p.Index}
+	r := orphanedRun{usage: s.usageOfReported(id), eventSequence: s.eventSequence}
+	r.lateUntil, _ = s.restoredOrderLimit(j, now)
+	s.putOrphanedRun(s.workerOfRestoredRun(backend.Life{ID: p.Worker, Born: p.Born}, now), runID{id, p.Run}, r)
+}
+
+// restoredOrderLimit returns the time after which no process executes a start order any more
+// that an earlier leader has sent for a job, and whether such orders carry tickets.
+func (s *Scheduler) restoredOrderLimit(j *job, now time.Time) (until time.Time, ticketed bool) {
+	until = now.Add(s.timing.MaxOrderDelay)
+	validity, ticketed := s.ticketValidity(j)
+	if refused := latestTicketUse(now, validity); ticketed && refused.Before(until) {
+		until = refused
+	}
+	return until, ticketed
 }
 
 // ticketValidity returns how long the tickets are valid with which an earlier leader has
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -44,11 +44,18 @@
 	timeliness timeliness
 	priority   int
 	due        time.Time
+	service    string
 	class      classKey
+	// runnable is the first step with waiting tasks that can run, or nil. heldByQuota is
+	// true if there is none because of the cap of the team.
+	runnable    *step
+	heldByQuota bool
 }
 
 // jobsInSchedulingOrder returns the active jobs that have tasks to place on workers that can
 // run them, or may need advice soon, sorted by timeliness, then by priority, then by due time.
+// With teams, jobs beyond the rate of their team come after the others of the same timeliness
+// and priority, and arrangeByShare decides before the due time does.
 //
 // Timeliness comes first because of overload. If jobs were sorted by due time alone,
 // each job would wait until it is late, so that all jobs would be late. After an
@@ -64,27 +71,31 @@
 		if q == nil {
 			continue
 		}
-		class, runnable := s.hasRunnableStep(j, q)
-		if !runnable && !s.mayOpenLaterStep(j) {
+		runnable, held := s.runnableStep(j, q)
+		if runnable == nil && !s.mayOpenLaterStep(j) {
 			continue
 		}
 		allowance := s.jobAllowance(j, q)
 		ranks = append(ranks, rankedJob{
-			job: j, priority: q.Priority, due: j.submittedAt.Add(allowance), class: class,
+			job: j, priority: q.Priority, service: q.Service, due: j.submittedAt.Add(allowance), class: classOfStep(runnable, q), runnable: runnable, heldByQuota: held,
 			timeliness: s.timelinessOf(j, q, allowance, now),
 		})
 	}
 	slices.SortFunc(ranks, func(a, b rankedJob) int {
-		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
+		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority), compareBools(a.job.beyondRate, b.job.beyondRate), a.due.Compare(b.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
+	s.arrangeByShare(ranks)
 	order := make([]*job, 0, len(ranks))
-	jobsByClass := map[classKey]int{}
+	jobsByClass, claims := map[classKey]int{}, quotaClaims{}
 	for i := range ranks {
 		r := &ranks[i]
 		// No caller waits for these jobs any more, and the other jobs come first.
 		r.job.leftOut = r.timeliness == timelinessTooLate && jobsByClass[r.class] >= tooLateJobsCutoff
 		if !r.job.leftOut {
-			jobsByClass[r.class]++
+			// A job that only the cap of its team keeps from running competes with no other.
+			if !r.heldByQuota && (r.runnable == nil || claims.claim(s, r.runnable) > 0) {
+				jobsByClass[r.class]++
+			}
 			order = append(order, r.job)
 		}
 	}
