--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -66,7 +66,8 @@
 }
 
 // sendDelayedStarts sends the starts that were delayed by an acknowledgement, with the
-// present fencing token. A task that was stopped meanwhile is requeued instead.
+// present fencing token. A task that was stopped meanwhile is requeued instead, and one whose
+// start is too old because this VM was suspended.
 func (s *Scheduler) sendDelayedStarts(w *worker, now time.Time) {
 	w.acknowledging = false
 	delayed := w.delayedStarts
@@ -77,12 +78,13 @@
 			continue
 		}
 		t.startDelayed = false
-		if t.phase != phaseStartOrdered {
+		if t.phase != phaseStartOrdered || now.Sub(t.orderedAt) > maxStartDelay {
 			s.requeueTask(t, "withdrawn")
 			s.logIfRunsEnded(t, w, "withdrawn", now)
 			continue
 		}
 		t.startToken, o.Order.Token = w.token, w.token
+		t.executableUntil = now.Add(s.timing.MaxOrderDelay)
 		s.effects.Starts = append(s.effects.Starts, o)
 	}
 }
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -115,15 +115,22 @@
 	}
 }
 
+// hasExecutableStart reports whether any process of the worker may execute a start order at a
+// given time that it is not known to have executed or refused.
+func (w *worker) hasExecutableStart(at time.Time) bool {
+	for _, t := range w.tasks {
+		if t.phase != phasePlaced && !t.startSettled && at.Before(t.executableUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // requeueLapsedRuns requeues all tasks on a worker whose runs are known to have ended
-// without a report, because the lease has ended or the worker process is gone. It leaves
-// out the tasks for which exclude, if it is not nil, returns true.
-func (s *Scheduler) requeueLapsedRuns(w *worker, exclude func(t *task) bool, now time.Time) {
+// without a report, because the lease has ended or the worker process is gone.
+func (s *Scheduler) requeueLapsedRuns(w *worker, now time.Time) {
 	w.removeOrphanedRuns()
 	for _, t := range w.tasksSortedByID() {
-		if exclude != nil && exclude(t) {
-			continue
-		}
 		s.log.Info("run_lapsed", append([]any{"task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "token", t.startToken}, w.extensionFields(now)...)...)
 		s.requeueTask(t, "lapsed")
 		s.logIfRunsEnded(t, w, "lapsed", now)
@@ -193,9 +200,11 @@
 			continue
 		}
 		if len(w.tasks) > 0 || len(w.orphanedRuns) > 0 {
-			// An order that was executed at the latest time holds a lease from then on.
+			// A start that was executed at the latest time extends the lease of all runs.
 			latestOrder := now.Add(-time.Duration(float64(s.timing.Lease)*maxClockDrift) - leaseMargin)
-			s.requeueLapsedRuns(w, func(t *task) bool { return t.phase != phasePlaced && s.mayExecuteLater(t, latestOrder) }, now)
+			if !w.hasExecutableStart(latestOrder) {
+				s.requeueLapsedRuns(w, now)
+			}
 		}
 		if w.confirmedToken != 0 && now.Sub(w.lastAnswerAt) > s.timing.Lease {
 			// When the worker answers again, its report may still list earlier runs.
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -135,7 +135,11 @@
 	s.recordWorker(w)
 	t.phase, t.worker, t.startToken, t.orderedAt = phaseStartOrdered, w, 0, now
 	t.paceUnconfirmed = true
-	t.executableUntil, t.ticketed = now.Add(s.timing.MaxOrderDelay), false
+	t.executableUntil, t.ticketed = now, false
+	if s.timing.MaxOrderDelay > 0 {
+		// The earlier leader may have been suspended, and send the start maxStartDelay later.
+		t.executableUntil = now.Add(maxStartDelay + s.timing.MaxOrderDelay)
+	}
 	if validity, ok := s.ticketValidity(t.step.job); ok {
 		t.ticketed = true
 		if until := latestTicketUse(now, validity); until.Before(t.executableUntil) {
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -237,7 +237,7 @@
 	w.removed, w.registered = true, false
 	s.pools = nil
 	s.log.Info("worker_lost", "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "reason", reason, "tasks", len(w.tasks))
-	s.requeueLapsedRuns(w, nil, now)
+	s.requeueLapsedRuns(w, now)
 	if w.sessionOpen {
 		w.sessionOpen = false
 		s.effects.SessionsToClose = append(s.effects.SessionsToClose, w.registration.Life)
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -185,15 +185,13 @@
 
 // sent records that sending to a VM has ended, and returns the VM that must be sent the
 // configuration next, the one that has been outdated the longest. ok is false if there is
-// none. If the configuration has arrived, the VM counts as up to date until it answers a
-// heartbeat.
-func (o *outdatedVMTracker) sent(name string, arrived bool, at time.Time) (next string, ok bool) {
+// none. Whether or not the configuration has arrived, the VM counts as up to date until it
+// answers a heartbeat: it may have ended.
+func (o *outdatedVMTracker) sent(name string, at time.Time) (next string, ok bool) {
 	delete(o.sendingTo, name)
-	if arrived {
-		delete(o.outdatedSince, name)
-	}
+	delete(o.outdatedSince, name)
 	for n, since := range o.outdatedSince {
-		if n == name || o.sendingTo[n] || at.Sub(since) < configurationSendDelay {
+		if o.sendingTo[n] || at.Sub(since) < configurationSendDelay {
 			continue
 		}
 		if !ok || cmp.Or(since.Compare(o.outdatedSince[next]), strings.Compare(n, next)) < 0 {
@@ -215,7 +213,7 @@
 	_, err := link.Call[ConfigurationArgs, Nothing](ctx, l.node.peerClient, m.Address, "Table", ConfigurationArgs{Version: table.Version, Text: compress(table.Text)})
 	l.node.log.Info("configuration_told", "vm", m.Name, "version", table.Version, "told", err == nil)
 	l.mutex.Lock()
-	name, ok := l.outdatedVMs.sent(m.Name, err == nil, now())
+	name, ok := l.outdatedVMs.sent(m.Name, now())
 	l.mutex.Unlock()
 	if !ok {
 		return
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -173,6 +173,7 @@
 func followTopic(ctx context.Context, n *Node, topic store.Topic, apply func([]store.Record)) {
 	from, timeouts := int64(-1), 0
 	for ctx.Err() == nil {
+		begun := now()
 		batch, interrupted, err := n.pollTopic(ctx, topic, from, timeouts)
 		if interrupted {
 			continue
@@ -186,7 +187,9 @@
 			if ctx.Err() == nil {
 				n.log.Info("follow_failed", "topic", string(topic), "error", err.Error())
 			}
-			sleep(ctx, storeRetryPause+rand.N(storeRetryPause))
+			if now().Sub(begun) < storeRetryPause { // A read that hung was long enough.
+				sleep(ctx, storeRetryPause+rand.N(storeRetryPause))
+			}
 			continue
 		}
 		if len(batch.Records) > 0 || from < 0 {
--- a/internal/peer/store/pages.go
+++ b/internal/peer/store/pages.go
@@ -68,20 +68,37 @@
 	return Snapshot{Records: records, End: end}, nil
 }
 
-// pageTimeout is how long the first attempt to read a page may take. A page of 1 MB takes
-// less over the slowest network link, also beside those of other partitions.
-const pageTimeout = 2500 * time.Millisecond
+// pageRetryDelay is how long a read of a page may take before a second one is sent beside it.
+const pageRetryDelay = 2500 * time.Millisecond
 
-// readPage reads one page. A read without an answer is repeated with twice the time until ctx
-// is done: a connection can stop delivering messages without an error while new ones work.
+// readPage reads one page. If there is no answer within pageRetryDelay, it sends the read again
+// and takes the first answer: a connection can stop delivering messages without an error
+// while new ones work, but over a slow network link the first answer may just be arriving.
 func readPage(ctx context.Context, p PageReader, t Topic, part int, after string) (Page, error) {
-	for timeout := pageTimeout; ; timeout *= 2 {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		page, err := p.NewestPage(callCtx, t, part, after)
-		timedOut := callCtx.Err() != nil && ctx.Err() == nil
-		cancel()
-		if err == nil || !timedOut {
-			return page, err
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		page Page
+		err  error
+	}
+	results := make(chan result, 2)
+	read := func() {
+		page, err := p.NewestPage(ctx, t, part, after)
+		results <- result{page, err}
+	}
+	go read()
+	retry := time.NewTimer(pageRetryDelay)
+	defer retry.Stop()
+	for pending := 1; ; {
+		select {
+		case r := <-results:
+			pending--
+			if r.err == nil || pending == 0 {
+				return r.page, r.err
+			}
+		case <-retry.C:
+			pending++
+			go read()
 		}
 	}
 }
