--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -164,7 +164,11 @@
 // restoredOrderLimit returns the time after which no process executes a start order any more
 // that an earlier leader has sent for a job, and whether such orders carry tickets.
 func (s *Scheduler) restoredOrderLimit(j *job, now time.Time) (until time.Time, ticketed bool) {
-	until = now.Add(s.timing.MaxOrderDelay)
+	until = now
+	if s.timing.MaxOrderDelay > 0 {
+		// The earlier leader may have been suspended, and send the start maxStartDelay later.
+		until = now.Add(maxStartDelay + s.timing.MaxOrderDelay)
+	}
 	validity, ticketed := s.ticketValidity(j)
 	if refused := latestTicketUse(now, validity); ticketed && refused.Before(until) {
 		until = refused
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -246,7 +246,7 @@
 	for id := range w.orphanedRuns {
 		s.removeOrphanedRun(w, id)
 	}
-	s.requeueLapsedRuns(w, nil, now)
+	s.requeueLapsedRuns(w, now)
 	if w.sessionOpen {
 		w.sessionOpen = false
 		s.effects.SessionsToClose = append(s.effects.SessionsToClose, w.registration.Life)
--- a/internal/node/entryvm/members.go
+++ b/internal/node/entryvm/members.go
@@ -201,7 +201,9 @@
 			if ctx.Err() == nil {
 				n.log.Info("follow_failed", "topic", string(f.topic), "error", err.Error())
 			}
-			sleep(ctx, storeRetryPause+rand.N(storeRetryPause))
+			if now().Sub(begun) < storeRetryPause { // A read that hung was long enough.
+				sleep(ctx, storeRetryPause+rand.N(storeRetryPause))
+			}
 			continue
 		}
 		if len(batch.Records) > 0 || from < 0 {
