Keep tasks apart that are known to slow each other down

Cause: placement packs the fullest worker first and so puts tasks beside those that disturb them even while other workers have room. Change: each report of a hold feeds interference.Model; a worker with tasks in a known pair with the task gets a penalty of at most 2.9 in its score, never a veto, and none while a large step waits. Two gauges, two log lines, documents. Of entryvm, only the tests named Held, Gauge and Cut were run.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/almondpost/almondpost/internal/cell/interference"
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/state/resource"
@@ -23,11 +24,12 @@
 // gang to which the task belongs.
 func (s *Scheduler) chooseWorker(st *step, q *queue.Queue, t *task, reserved *reservations, gangMembersByRack map[string]int, now time.Time) *worker {
 	c := workerSelection{scheduler: s, task: t, reserved: reserved, gangMembersByRack: gangMembersByRack, taskCapacity: st.spec.ReservedCapacity(), now: now, expectedEnd: now.Add(s.runTimes.expectedOccupancy(st))}
+	c.partners = s.interferencePartners(st, q)
 	if q.Advice == nil {
 		for _, w := range s.poolOfService(q.Service).readyWorkers {
 			c.considerWorker(w)
 		}
-		return c.bestWorker
+		return c.chosenWorker()
 	}
 	// Of a large pool, only a few workers have tickets. Searching just these is
 	// faster.
@@ -37,7 +39,7 @@
 			c.considerWorker(w)
 		}
 	}
-	return c.bestWorker
+	return c.chosenWorker()
 }
 
 // workerSelection searches for the best worker for a task.
@@ -51,6 +53,19 @@
 	now, expectedEnd time.Time
 	bestWorker       *worker
 	bestScore        float64
+	// partners lists the images that are in a known pair with the image of the task. If
+	// there are any, bestWithout and bestScoreWithout are the best worker and its score
+	// without the penalties for known pairs.
+	partners         []interference.Partner
+	bestWithout      *worker
+	bestScoreWithout float64
+}
+
+// chosenWorker returns the best worker, and notes in the task whether the penalties for known
+// pairs decided on it.
+func (c *workerSelection) chosenWorker() *worker {
+	c.task.movedByInterference = len(c.partners) > 0 && c.bestWorker != c.bestWithout
+	return c.bestWorker
 }
 
 // considerWorker makes a worker the best one found so far if it may run the task and
@@ -64,11 +79,23 @@
 	if c.now.Before(w.slowUntil) {
 		score -= slowWorkerPenalty
 	}
-	if c.bestWorker == nil || score > c.bestScore || (score == c.bestScore && compareLives(w.registration.Life, c.bestWorker.registration.Life) < 0) {
+	if len(c.partners) > 0 {
+		if isBetterWorker(w, score, c.bestWithout, c.bestScoreWithout) {
+			c.bestWithout, c.bestScoreWithout = w, score
+		}
+		score -= learnedPenalty(w, st, c.partners)
+	}
+	if isBetterWorker(w, score, c.bestWorker, c.bestScore) {
 		c.bestWorker, c.bestScore = w, score
 	}
 }
 
+// isBetterWorker reports whether a worker is better than the best one found so far, which may
+// be nil.
+func isBetterWorker(w *worker, score float64, best *worker, bestScore float64) bool {
+	return best == nil || score > bestScore || (score == bestScore && compareLives(w.registration.Life, best.registration.Life) < 0)
+}
+
 // belowTaskLimit reports whether a worker may get one more task of a step under the
 // limit in MostPerWorker.
 func belowTaskLimit(w *worker, st *step) bool { return remainingTaskLimit(w, st) > 0 }
@@ -106,6 +133,14 @@
 	// interferencePenalty is for placing a filling task on a worker with serving
 	// tasks, or a serving task on a worker with filling tasks.
 	interferencePenalty = 2.0
+	// learnedPenaltyPerExcess times the learned slowdown above 1 is the penalty for a worker
+	// with a task of a known pair. At a slowdown of 1.5 it equals the difference between an
+	// empty worker and a full one.
+	learnedPenaltyPerExcess = 2.0
+	// maxInterferencePenalty is the limit on the sum of both penalties for interference. It
+	// is below rackBonus and failedTaskPenalty, so that neither the place of the input data
+	// nor a failure is outweighed.
+	maxInterferencePenalty = 2.9
 )
 
 // scoreWorker rates a worker for a task; the highest score is the best. Without
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -201,10 +201,12 @@
 	}
 	// The key contains the run number because a report can list two runs of one task.
 	listed := make(map[runID]bool, len(r.Running))
+	s.interference.reported = s.interference.reported[:0]
 	for i := range r.Running {
 		listed[runID{r.Running[i].Task, r.Running[i].Run}] = true
-		s.applyReportedRun(w, &r.Running[i], now)
+		s.interference.reported = append(s.interference.reported, s.applyReportedRun(w, &r.Running[i], now))
 	}
+	s.observeInterference(w, r, now)
 	s.requeueMissingRuns(w, listed, sent, r.Truncated, now)
 	if !r.Truncated {
 		w.removeEndedOrphanedRuns(listed, sent)
@@ -227,8 +229,9 @@
 
 // applyReportedRun updates a task from the run that a report lists as running. A run
 // that does not belong to a task on the worker is recorded as an orphaned run. It is
-// stopped, unless the worker itself replaces it by a newer run of the task.
-func (s *Scheduler) applyReportedRun(w *worker, r *backend.Run, now time.Time) {
+// stopped, unless the worker itself replaces it by a newer run of the task. The result is
+// the task, or nil if the run belongs to no task on the worker.
+func (s *Scheduler) applyReportedRun(w *worker, r *backend.Run, now time.Time) *task {
 	t := s.findTask(r.Task)
 	if t != nil {
 		t.step.job.anyRunReported = true
@@ -240,10 +243,10 @@
 		}
 		s.addUnknownRun(w, r, st, now)
 		if t != nil && t.worker == w && t.runNumber > r.Run {
-			return // The worker itself replaces an older run by the newer run of the task.
+			return nil // The worker itself replaces an older run by the newer run of the task.
 		}
 		s.orderStop(w, r.Task, r.Run)
-		return
+		return nil
 	}
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
@@ -264,6 +267,7 @@
 	if t.step.job.state.Ended() && t.phase == phaseRunning {
 		s.stopTask(t, now)
 	}
+	return t
 }
 
 // confirmRun records that a worker has started the run of a task.
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/almondpost/almondpost/internal/cell/interference"
 	"github.com/almondpost/almondpost/internal/cell/work"
 )
 
@@ -151,6 +152,11 @@
 	// paceUnconfirmed is true if the run may have another pace: an order was lost, or an
 	// earlier leader may have ordered one.
 	paceUnconfirmed bool
+	// interference is what is kept of the run between two reports to learn how much tasks
+	// slow each other down. movedByInterference is true if the task was placed on another
+	// worker than it would have been without that.
+	interference        interference.Track
+	movedByInterference bool
 	// startedAt is when the task was placed on its worker. Once the start is ordered,
 	// it is the time of that order.
 	startedAt time.Time
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -218,6 +218,9 @@
 	t.startSettled, t.runReported, t.startDelayed, t.paceUnconfirmed = false, false, false, false
 	t.startedAt = now
 	w.addTask(t)
+	if t.movedByInterference {
+		s.interference.movedPlacements++
+	}
 	j.waitingTasks--
 	j.tasksOnWorkers++
 	j.anyTaskPlaced = true
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/almondpost/almondpost/internal/cell/interference"
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/backend"
@@ -159,6 +160,7 @@
 	// reservations are the reservations of the last scheduling pass.
 	reservations *reservations
 	runTimes     runTimeEstimator
+	interference interferenceState
 	effects      Effects
 	// schedulingNeeded is true if something has changed since the last scheduling
 	// pass.
@@ -201,6 +203,7 @@
 		formerTokens:          map[string]formerToken{},
 		dispatcher:            newAdviceDispatcher(),
 		runTimes:              newRunTimeEstimator(),
+		interference:          interferenceState{model: interference.New()},
 	}
 }
 
@@ -263,6 +266,7 @@
 		s.dropEndedJobs(now)
 	}
 	s.schedulingNeeded = s.schedulingNeeded || s.hasWaitingTasks()
+	s.refreshInterference(now)
 	s.logLoad(now)
 }
 
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -33,6 +33,8 @@
 	token, confirmedToken int64
 	usedCapacity          resource.Vector
 	tasks                 map[work.TaskID]*task
+	// images counts the tasks by their images; those without one are left out.
+	images []imageCount
 	// orphanedRuns contains the runs that may still exist on the worker but do not
 	// belong to a task there. They use capacity until they are missing in a report or
 	// the lease ends.
@@ -103,6 +105,7 @@
 func (w *worker) addTask(t *task) {
 	w.tasks[t.id] = t
 	w.usedCapacity = w.usedCapacity.Add(t.step.spec.ReservedCapacity())
+	w.countImage(t.step.spec.Image, 1)
 }
 
 func (w *worker) removeTask(t *task) {
@@ -111,6 +114,7 @@
 	}
 	delete(w.tasks, t.id)
 	w.usedCapacity = w.usedCapacity.Sub(t.step.spec.ReservedCapacity())
+	w.countImage(t.step.spec.Image, -1)
 }
 
 // tasksSortedByID returns the tasks on the worker, sorted by their IDs.
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -160,7 +160,7 @@
 	for _, s := range l.sessions {
 		s.close()
 	}
-	l.removeHeldGauges()
+	l.removeGauges()
 	l.mutex.Unlock()
 	l.node.log.Info("leader_retired", "epoch", l.epoch)
 }
@@ -288,7 +288,7 @@
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
 			s.SetJobsReadUntil(l.oldestJobsRead())
 			s.Tick(at)
-			l.setHeldGauges(s)
+			l.setGauges(s)
 			s.SetAdviceVMs(l.reachableVMs(at))
 		})
 		if successors := l.handOverCandidates(now()); len(successors) > 0 {
