Ignore known interference for 10 s after a large step has waited

Change: the penalty stays off for 10 s after a large step of the service has waited. With a pause of 0 the new test fails (43.1 s instead of 34.9 s); with a veto instead of the penalty TestInterferenceDelaysNothingWithoutRoom fails.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -24,7 +24,7 @@
 // gang to which the task belongs.
 func (s *Scheduler) chooseWorker(st *step, q *queue.Queue, t *task, reserved *reservations, gangMembersByRack map[string]int, now time.Time) *worker {
 	c := workerSelection{scheduler: s, task: t, reserved: reserved, gangMembersByRack: gangMembersByRack, taskCapacity: st.spec.ReservedCapacity(), now: now, expectedEnd: now.Add(s.runTimes.expectedOccupancy(st))}
-	c.partners = s.interferencePartners(st, q)
+	c.partners = s.interferencePartners(st, q, now)
 	if q.Advice == nil {
 		for _, w := range s.poolOfService(q.Service).readyWorkers {
 			c.considerWorker(w)
--- a/internal/cell/scheduler/interference.go
+++ b/internal/cell/scheduler/interference.go
@@ -13,6 +13,10 @@
 // whose observations have become too old.
 const interferenceRefreshInterval = 2 * time.Second
 
+// largeStepPause is how long known pairs are ignored after a large step of the service has
+// waited. Tasks that are spread out between two such steps delay the next one.
+const largeStepPause = 10 * time.Second
+
 // interferenceState holds what is known of tasks that slow each other down. It is lost on
 // failover and then learned again.
 type interferenceState struct {
@@ -22,6 +26,8 @@
 	// movedPlacements counts the tasks that were placed on another worker because of known
 	// pairs.
 	movedPlacements int64
+	// largeStepWaitedAt is, by service, when a large step waited last.
+	largeStepWaitedAt map[string]time.Time
 	// reported holds the tasks of the runs in the report that is being handled, nil for runs
 	// that belong to no task on the worker. partners is reused for each task that is placed.
 	reported []*task
@@ -153,10 +159,10 @@
 func (s *Scheduler) MovedPlacements() int64 { return s.interference.movedPlacements }
 
 // interferencePartners returns the images in a known pair with the image of a step. The result
-// is valid until the next call. It is empty while a large step waits: entire workers must
-// become free for it, so small tasks are not spread out.
-func (s *Scheduler) interferencePartners(st *step, q *queue.Queue) []interference.Partner {
-	if s.KnownInterferingPairs() == 0 || st.spec.Image == "" || s.poolOfService(q.Service).largeStepWaiting {
+// is valid until the next call. It is empty for largeStepPause after a large step has waited:
+// entire workers must become free for such steps, so small tasks are not spread out.
+func (s *Scheduler) interferencePartners(st *step, q *queue.Queue, now time.Time) []interference.Partner {
+	if s.KnownInterferingPairs() == 0 || st.spec.Image == "" || now.Sub(s.interference.largeStepWaitedAt[q.Service]) < largeStepPause {
 		return nil
 	}
 	s.interference.partners = s.interference.model.Partners(s.interference.partners[:0], st.spec.Image)
--- a/internal/cell/scheduler/interference_test.go
+++ b/internal/cell/scheduler/interference_test.go
@@ -270,3 +270,18 @@
 		}
 	}
 }
+
+// Guards against small tasks that are spread out and so delay tasks that need an entire worker.
+func TestInterferenceDoesNotDelayLargeTasks(t *testing.T) {
+	is := is.New(t)
+	images := append(slices.Clone(disturbingImages), replayImage{name: "big", interval: 4 * time.Second, runTime: 4 * time.Second, size: resource.Vector{Milliprocessors: 7500, MemoryMebibytes: 7000}})
+	for _, workers := range []int{11, 14} {
+		var off, on time.Duration
+		for seed := range uint64(4) {
+			withOff, withOn := replayInterference(seed, workers, images, 0.3, false), replayInterference(seed, workers, images, 0.3, true)
+			off, on = off+withOff.meanWait("big"), on+withOn.meanWait("big")
+		}
+		t.Logf("%d workers: off %s, on %s", workers, off/4, on/4)
+		is.True(on <= off)
+	}
+}
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -92,7 +92,10 @@
 		return
 	}
 	s.dispatcher.addPendingStep(st, q)
-	s.poolOfService(q.Service).largeStepWaiting = s.poolOfService(q.Service).largeStepWaiting || s.isLargeStep(st, q)
+	if s.isLargeStep(st, q) {
+		s.poolOfService(q.Service).largeStepWaiting = true
+		s.interference.largeStepWaitedAt[q.Service] = now
+	}
 	s.reserveWorkers(st, q, reserved, now)
 }
 
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -203,7 +203,7 @@
 		formerTokens:          map[string]formerToken{},
 		dispatcher:            newAdviceDispatcher(),
 		runTimes:              newRunTimeEstimator(),
-		interference:          interferenceState{model: interference.New()},
+		interference:          interferenceState{model: interference.New(), largeStepWaitedAt: map[string]time.Time{}},
 	}
 }
 
