--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -101,7 +101,10 @@
 		return
 	}
 	s.dispatcher.addPendingStep(st, q)
-	s.poolOfService(q.Service).largeStepWaiting = s.poolOfService(q.Service).largeStepWaiting || s.isLargeStep(st, q)
+	if s.isLargeStep(st, q) {
+		s.poolOfService(q.Service).largeStepWaiting = true
+		s.interference.largeStepWaitedAt[q.Service] = now
+	}
 	s.reserveWorkers(st, q, reserved, now)
 }
 
@@ -234,6 +237,9 @@
 	t.startSettled, t.runReported, t.startDelayed, t.paceUnconfirmed = false, false, false, false
 	t.startedAt = now
 	w.addTask(t)
+	if t.movedByInterference {
+		s.interference.movedPlacements++
+	}
 	j.waitingTasks--
 	j.tasksOnWorkers++
 	j.anyTaskPlaced = true
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/almondpost/almondpost/internal/cell/interference"
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/quota"
 	"github.com/almondpost/almondpost/internal/cell/share"
@@ -166,6 +167,7 @@
 	// reservations are the reservations of the last scheduling pass.
 	reservations *reservations
 	runTimes     runTimeEstimator
+	interference interferenceState
 	effects      Effects
 	// schedulingNeeded is true if something has changed since the last scheduling
 	// pass.
@@ -210,6 +212,7 @@
 		formerTokens:          map[string]formerToken{},
 		dispatcher:            newAdviceDispatcher(),
 		runTimes:              newRunTimeEstimator(),
+		interference:          interferenceState{model: interference.New(), largeStepWaitedAt: map[string]time.Time{}},
 	}
 }
 
@@ -273,6 +276,7 @@
 		s.dropEndedJobs(now)
 	}
 	s.schedulingNeeded = s.schedulingNeeded || s.hasWaitingTasks()
+	s.refreshInterference(now)
 	s.logLoad(now)
 }
 
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -39,6 +39,8 @@
 	// usedByTeam is the part of usedCapacity that the runs of each team use.
 	usedByTeam map[string]resource.Vector
 	tasks      map[work.TaskID]*task
+	// images counts the tasks by their images; those without one are left out.
+	images []imageCount
 	// orphanedRuns contains the runs that may still exist on the worker but do not
 	// belong to a task there. They use capacity until they are missing in a report or
 	// the lease ends.
@@ -109,6 +111,7 @@
 func (w *worker) addTask(t *task) {
 	w.tasks[t.id] = t
 	w.addUsage(usageOf(t))
+	w.countImage(t.step.spec.Image, 1)
 }
 
 func (w *worker) removeTask(t *task) {
@@ -117,6 +120,7 @@
 	}
 	delete(w.tasks, t.id)
 	w.removeUsage(usageOf(t))
+	w.countImage(t.step.spec.Image, -1)
 }
 
 // tasksSortedByID returns the tasks on the worker, sorted by their IDs.
