--- a/internal/peer/store/pages_test.go
+++ b/internal/peer/store/pages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,14 +98,20 @@
 // hangingPages is a store.PageReader whose first reads of a page get no answer.
 type hangingPages struct {
 	pageSequence
+	// mutex guards unanswered and the pages: reads of one page may overlap.
+	mutex      sync.Mutex
 	unanswered int
 }
 
 // NewestPage implements store.PageReader.
 func (p *hangingPages) NewestPage(ctx context.Context, t store.Topic, part int, after string) (store.Page, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	if p.unanswered > 0 {
 		p.unanswered--
+		p.mutex.Unlock()
 		<-ctx.Done()
+		p.mutex.Lock()
 		return store.Page{}, ctx.Err()
 	}
 	return p.pageSequence.NewestPage(ctx, t, part, after)
@@ -127,7 +134,7 @@
 				is := is.New(t)
 				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 				defer cancel()
-				p := &hangingPages{pageSequence{pages: []store.Page{{Records: []store.Record{{Key: "a", Value: []byte("1")}}, End: 1}}}, s.unanswered}
+				p := &hangingPages{unanswered: s.unanswered, pageSequence: pageSequence{pages: []store.Page{{Records: []store.Record{{Key: "a", Value: []byte("1")}}, End: 1}}}}
 				snapshot, err := store.ReadSnapshot(ctx, p, store.Jobs, 0)
 				is.Equal(err == nil, s.found)
 				is.Equal(len(snapshot.Records) == 1, s.found)
