Start tasks with a token above that of the hold under way

What callers saw: nothing yet. Cause: a start that is ordered while a hold is unanswered carried the token of that hold. If the next process of the worker executes the start and then, late, the hold, it forgets an end that no leader has seen, or its lease lasts longer than the leader reckons. Change: such a start carries a higher token, so the process refuses the hold. It isn't needed if the ticket was issued before the last answered hold was sent. The raised token needs no confirmation, so the worker goes on getting tasks.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -90,6 +90,8 @@
 	// refusedAfter is the time after which a worker certainly refuses the ticket. It is
 	// later than expiresAt, since the time of issue is only estimated.
 	refusedAfter time.Time
+	// receivedAt is when the answer with the ticket arrived.
+	receivedAt time.Time
 }
 
 // isValid reports whether the ticket can be used now.
@@ -317,7 +319,7 @@
 	for _, w := range o.workers {
 		a.answered[w] = true
 		if text, approved := answer.Tickets[w.registration.Life.ID]; approved {
-			a.tickets[w] = ticket{text: text, expiresAt: issuedAt.Add(answer.Validity), refusedAfter: latestTicketUse(now, answer.Validity)}
+			a.tickets[w] = ticket{text: text, expiresAt: issuedAt.Add(answer.Validity), refusedAfter: latestTicketUse(now, answer.Validity), receivedAt: now}
 		}
 	}
 	s.dispatcher.recordApprovalRate(o.step.job.spec.Queue, float64(len(answer.Tickets))/float64(len(o.workers)))
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -121,9 +121,10 @@
 		s.stopOtherGangMembers(t, now)
 		return
 	}
-	t.phase, t.startToken, t.startedAt, t.orderedAt = phaseStartOrdered, w.token, now, now
+	ticket := t.step.advice.tickets[w]
+	t.phase, t.startToken, t.startedAt, t.orderedAt = phaseStartOrdered, w.startToken(ticket), now, now
 	t.executableUntil, t.ticketed = now.Add(s.timing.MaxOrderDelay), false
-	if ticket := t.step.advice.tickets[w]; ticket.text != "" {
+	if ticket.text != "" {
 		t.ticketed = true
 		if ticket.refusedAfter.Before(t.executableUntil) {
 			t.executableUntil = ticket.refusedAfter
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -39,7 +39,7 @@
 		w.extendLease(now, s.timing)
 		w.held.extensionSentAt = now
 	}
-	w.holdTakesEffect = hold.Deadline > 0 || hold.Acknowledged > 0
+	w.holdTakesEffect, w.heldToken = hold.Deadline > 0 || hold.Acknowledged > 0, w.token
 	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, acknowledged: hold.Acknowledged, sentAt: now, extends: hold.Deadline > 0}, true
 }
 
@@ -124,13 +124,16 @@
 	case backend.KindLifeMismatch:
 		s.replaceWorker(w, now)
 	case backend.KindFenced:
-		s.log.Info("hold_fenced", "worker", life.ID, "token", w.token)
-		w.token += fencedTokenIncrement
+		s.log.Info("hold_fenced", "worker", life.ID, "token", w.heldToken, "start_token", w.token)
+		if w.heldToken == w.token { // Otherwise a start with the higher token may have overtaken the hold.
+			w.requireToken(w.token + fencedTokenIncrement)
+		}
 	default:
 		if w.acknowledging || w.holdTakesEffect {
-			w.token++
+			w.requireToken(w.token + 1)
 		}
 	}
+	w.holdTakesEffect = false
 	s.sendDelayedStarts(w, now)
 }
 
@@ -194,7 +197,7 @@
 		w.noteFirstReport(r)
 	}
 	s.noteAnswer(w, sent, now)
-	w.lastAnswerAt, w.unansweredHolds = now, 0
+	w.lastAnswerAt, w.unansweredHolds, w.holdTakesEffect, w.reportedAsOf = now, 0, false, sent.sentAt
 	w.forgottenEndNumber = max(w.forgottenEndNumber, sent.acknowledged)
 	s.sendDelayedStarts(w, now)
 	w.setClockReading(r.Clock, now)
@@ -338,6 +341,6 @@
 // raiseToken raises the fencing token of a worker. Once the worker has answered a
 // hold with the new token, it refuses every order that was sent with a lower one.
 func (s *Scheduler) raiseToken(w *worker) {
-	w.token++
+	w.requireToken(w.token + 1)
 	s.effects.HoldAtOnce = append(s.effects.HoldAtOnce, w.registration.Life)
 }
--- a/internal/cell/scheduler/lease_next_process_test.go
+++ b/internal/cell/scheduler/lease_next_process_test.go
@@ -26,6 +26,8 @@
 	start        backend.Start
 	// lateHold is a hold before the start. It was not answered, but the next one was.
 	lateHold backend.Hold
+	// underWay is the hold that extends the lease and is not answered when the start is ordered.
+	underWay backend.Hold
 }
 
 // ignoreRuns is a fleet.Observer.
@@ -55,7 +57,7 @@
 	r.lateHold, _, _ = s.NextHold(r.first.Life, now)
 	s.HoldFailed(r.first.Life, backend.KindUnknown, now)
 	r.answerHold(r.first, &backend.Report{Clock: time.Minute, Ended: []backend.EndedRun{{Number: 7, Task: work.TaskID{StepID: work.StepID{Job: "earlier"}}, Run: 1, Outcome: backend.Stopped}}})
-	_, _, _ = s.NextHold(r.first.Life, now) // Its answer is lost.
+	r.underWay, _, _ = s.NextHold(r.first.Life, now) // Its answer is lost.
 	// The worker restarts after it has answered, and before the adviser is asked.
 	registration := r.first
 	registration.Life.Born += 1000
@@ -177,3 +179,18 @@
 	state, _ := r.scheduler.Status("job")
 	is.Equal(state, work.Completed)
 }
+
+// The hold that was under way when a start was ordered is executed late by the next process,
+// after the start. It extended the lease of the run beyond the time after which the scheduler
+// starts the task again.
+func TestLateHoldExtendsNoLeaseOfTheNextProcess(t *testing.T) {
+	is := is.New(t)
+	r := newUnknownProcessTest(is, fleet.TaskProfile{Size: taskSize, RunTime: time.Minute}, 10*time.Millisecond)
+	is.True(r.underWay.Deadline > 0)
+	r.scheduler.StartAnswered(r.first.Life, &r.start, backend.KindUnknown, 0, r.now)
+	is.Equal(r.next.Start(r.start, r.now), backend.Kind(""))
+	_, _ = r.next.Hold(r.underWay, r.now.Add(5900*time.Millisecond))
+	r.awaitRepeatedStart(is)
+	r.next.Advance(r.now)
+	is.Equal(len(r.next.Running()), 0)
+}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -59,7 +59,7 @@
 	s.log.Info("start_refused", "task", t.id.String(), "run", t.runNumber, "worker", life.ID, "born", life.Born, "token", o.Token, "kind", string(kind))
 	switch kind {
 	case backend.KindUnknown:
-		if w.token == t.startToken {
+		if t.startToken >= w.requiredToken {
 			s.raiseToken(w)
 		}
 		return
@@ -70,7 +70,7 @@
 		}
 	case backend.KindFenced:
 		t.startSettled = true
-		if w.token == t.startToken {
+		if t.startToken >= w.requiredToken {
 			s.raiseToken(w)
 		}
 		return // The next report, for a hold with a higher token, shows whether the run exists.
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -30,8 +30,9 @@
 	// worker, until it is told to close the session.
 	sessionOpen bool
 	// token is the fencing token that is sent with new orders. confirmedToken is the
-	// highest token of a hold that the worker has answered, or 0.
-	token, confirmedToken int64
+	// highest token of a hold that the worker has answered, or 0. The worker gets no new
+	// tasks until it is at least requiredToken, which is at most token.
+	token, confirmedToken, requiredToken int64
 	// usedCapacity is the capacity that runs use. Only addUsage and removeUsage change it,
 	// which also charge and release ledger.
 	usedCapacity resource.Vector
@@ -58,12 +59,15 @@
 	// acknowledging is true while a hold with a guarded acknowledgement is unanswered; see
 	// hasUnreportedStart. delayedStarts holds the starts that wait for the answer.
 	acknowledging bool
-	// holdTakesEffect is true if the last hold extends the lease or acknowledges ends. If it
-	// is not answered, the next process under the ID may execute it late. Later starts carry
-	// a higher fencing token, so that a process that has executed one refuses the hold.
+	// holdTakesEffect is true if the hold under way extends the lease or acknowledges ends,
+	// and heldToken is its fencing token. The next process under the ID may execute it late.
+	// Starts that this process may execute before carry a higher token; see startToken.
 	holdTakesEffect bool
-	delayedStarts   []Order[backend.Start]
-	lostStops       lostStops
+	heldToken       int64
+	// reportedAsOf is when the last hold that the worker has answered was sent.
+	reportedAsOf  time.Time
+	delayedStarts []Order[backend.Start]
+	lostStops     lostStops
 	// clockReading is the reading of the worker's clock at clockReadAt.
 	clockReading time.Duration
 	clockReadAt  time.Time
@@ -90,10 +94,26 @@
 	slowUntil time.Time
 }
 
-// tokenUnconfirmed reports whether the worker has not yet answered a hold with its
-// current fencing token. It may then refuse an order, or have runs that the scheduler
-// does not know of.
-func (w *worker) tokenUnconfirmed() bool { return w.confirmedToken != w.token }
+// tokenUnconfirmed reports whether the worker has not yet answered a hold with the required
+// fencing token. It may then refuse an order, or have runs that the scheduler does not know
+// of.
+func (w *worker) tokenUnconfirmed() bool { return w.confirmedToken < w.requiredToken }
+
+// requireToken raises the fencing token, which the worker must then confirm.
+func (w *worker) requireToken(token int64) { w.token, w.requiredToken = token, token }
+
+// startToken returns the fencing token for a start with a ticket, which may be empty. It is
+// above the token of the hold under way if the next process of the worker may execute the
+// start: that process numbers its ends anew and has another clock, and must refuse the hold
+// after the start. A ticket that was issued before the last answered hold was sent holds for
+// no process after the one that has answered.
+func (w *worker) startToken(t ticket) int64 {
+	nextProcessMayStart := t.text == "" || t.receivedAt.After(w.reportedAsOf)
+	if w.holdTakesEffect && w.heldToken == w.token && nextProcessMayStart {
+		w.token++
+	}
+	return w.token
+}
 
 // rack returns the rack of the worker. Its name is the second label of the worker.
 func (w *worker) rack() string { return labelAt(w.registration.Labels, 1) }
@@ -216,7 +236,8 @@
 }
 
 func (s *Scheduler) addWorker(r backend.Registration, now time.Time) *worker {
-	w := &worker{registration: r, token: s.firstToken(r.Life.ID), ledger: s.quota, tasks: map[work.TaskID]*task{}, orphanedRuns: map[runID]orphanedRun{}, lastAnswerAt: now}
+	w := &worker{registration: r, ledger: s.quota, tasks: map[work.TaskID]*task{}, orphanedRuns: map[runID]orphanedRun{}, lastAnswerAt: now}
+	w.requireToken(s.firstToken(r.Life.ID))
 	s.workers[r.Life] = w
 	s.pools, s.lives = nil, nil
 	if s.latestWorkerByID[r.Life.ID] == nil {
@@ -288,7 +309,9 @@
 		moved++
 	}
 	moved += s.moveLateOrphanedRuns(old, next, now)
-	next.token = max(next.token, old.token+1)
+	if next.token <= old.token {
+		next.requireToken(old.token + 1)
+	}
 	if moved > 0 {
 		next.extendLease(now, s.timing)
 		s.recordWorker(next)
