Stop tasks that do not end before their draining worker exits

Cause: only tasks with checkpoints were stopped before the exit. The others were killed by it without a report, so the leader had to wait out the lease. It also expected the exit up to 0.4 s too late, since it learns of the announcement late. Change: 0.9 s before the exit, tasks that are expected to need longer are stopped too, and start elsewhere at once. Measured: TestTasksThatDoNotEndInTimeLeaveADrainingWorker failed before.

--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -232,19 +232,25 @@
 	}
 }
 
-// drainCheckpointLeadTime is how long before a draining worker exits the scheduler
-// stops its tasks that save checkpoints. It is twice the time that a stop takes.
-const drainCheckpointLeadTime = 900 * time.Millisecond
+const (
+	// drainStopLeadTime is how long before a draining worker may exit the scheduler stops
+	// tasks on it. It is twice the time that a stop takes.
+	drainStopLeadTime = 900 * time.Millisecond
+	// drainNoticeDelay is how long after a worker has announced that it drains the leader may
+	// learn of it. The registrations are read every 350 ms.
+	drainNoticeDelay = 400 * time.Millisecond
+)
 
-// stopTasksWithCheckpointsIfDraining stops the tasks on a worker that save
-// checkpoints, shortly before the worker exits. They resume on another worker from
-// their checkpoints.
-func (s *Scheduler) stopTasksWithCheckpointsIfDraining(w *worker, now time.Time) {
-	if !w.registration.Draining || w.drainEnd.IsZero() || now.Before(w.drainEnd.Add(-drainCheckpointLeadTime)) {
+// stopTasksOfDrainingWorker stops the tasks on a worker that save checkpoints, and those that
+// are not expected to end in time, shortly before the worker may exit. They start on another
+// worker at once. Once the worker has exited, they would wait until its lease has ended.
+func (s *Scheduler) stopTasksOfDrainingWorker(w *worker, now time.Time) {
+	if !w.registration.Draining || w.drainEnd.IsZero() || now.Before(w.drainEnd.Add(-drainStopLeadTime)) {
 		return
 	}
+	left := w.drainEnd.Sub(now)
 	for _, t := range w.tasksSortedByID() {
-		if t.step.spec.Checkpoints && t.phase == phaseRunning {
+		if t.phase == phaseRunning && (t.step.spec.Checkpoints || s.runTimes.remainingRunTime(t, now) > left) {
 			s.stopTask(t, now)
 		}
 	}
@@ -256,7 +262,7 @@
 	for _, life := range s.sortedLives() {
 		w := s.workers[life]
 		s.requeueSpeculativeTasks(w, now)
-		s.stopTasksWithCheckpointsIfDraining(w, now)
+		s.stopTasksOfDrainingWorker(w, now)
 		s.repeatNextLostStop(w, now)
 		if now.Before(w.leaseEnd) {
 			continue
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -303,6 +303,33 @@
 	is.Equal(len(v.Running()), 0)
 }
 
+// A task that does not end before its draining worker exits waited until the lease of the worker
+// had ended.
+func TestTasksThatDoNotEndInTimeLeaveADrainingWorker(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		runTime  time.Duration
+		running  int
+	}{
+		{"the task needs much longer", time.Minute, 0},
+		{"the task ends in time", 3 * time.Second, 1},
+	}
+	for _, c := range scenarios {
+		t.Run(c.testName, func(t *testing.T) {
+			is := is.New(t)
+			sm := newSimulation(1, faultProbabilities{})
+			sm.addWorkers(1, workerCapacity)
+			sm.electLeader()
+			sm.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: c.runTime}}}, fleet.TaskProfile{RunTime: c.runTime})
+			sm.runFor(500 * time.Millisecond)
+			v := sm.workers[sm.sortedLives()[0]]
+			v.Registration.Draining, v.Registration.Remaining = true, 3*time.Second
+			sm.runFor(2400 * time.Millisecond)
+			is.Equal(len(v.Running()), c.running)
+		})
+	}
+}
+
 func TestOccurrencesStartWhenDue(t *testing.T) {
 	is := is.New(t)
 	sm := newSimulation(1, faultProbabilities{})
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -194,7 +194,7 @@
 	}
 	s.latestWorkerByID[r.Life.ID] = w
 	if r.Draining && !w.registration.Draining {
-		w.drainEnd = now.Add(r.Remaining)
+		w.drainEnd = now.Add(max(r.Remaining-drainNoticeDelay, 0))
 		s.log.Info("worker_draining", "worker", r.Life.ID, "remaining_ms", r.Remaining.Milliseconds(), "tasks", len(w.tasks))
 	}
 	w.registration, w.registered = r, true
