Send a hold again at once that a start has overtaken

Cause: a start carries a token above that of the hold under way. If it reaches the worker first, the worker refuses the hold, and the leader took that for the sign of another leader: it renewed its claim and paused for 0.3 s. Change: HoldFailed tells whether the token was raised since the hold was sent. Then the next hold follows after the usual pause. If another VM does lead, that one is refused too. Measured: tests of the scheduler (104 s) and of internal/node pass.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -113,11 +113,12 @@
 }
 
 // HoldFailed handles a hold that was not answered or that the worker refused. kind is
-// the kind of the error.
-func (s *Scheduler) HoldFailed(life backend.Life, kind backend.Kind, now time.Time) {
+// the kind of the error. It reports whether the worker has seen a token that this leader has
+// not sent, so that another VM may lead.
+func (s *Scheduler) HoldFailed(life backend.Life, kind backend.Kind, now time.Time) (superseded bool) {
 	w := s.workers[life]
 	if w == nil {
-		return
+		return false
 	}
 	w.held.failure = kind
 	switch kind {
@@ -125,7 +126,8 @@
 		s.replaceWorker(w, now)
 	case backend.KindFenced:
 		s.log.Info("hold_fenced", "worker", life.ID, "token", w.heldToken, "start_token", w.token)
-		if w.heldToken == w.token { // Otherwise a start with the higher token may have overtaken the hold.
+		// If the token was raised since the hold was sent, a start has overtaken the hold.
+		if superseded = w.heldToken == w.token; superseded {
 			w.requireToken(w.token + fencedTokenIncrement)
 		}
 	default:
@@ -135,6 +137,7 @@
 	}
 	w.holdTakesEffect = false
 	s.sendDelayedStarts(w, now)
+	return superseded
 }
 
 const (
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -102,12 +102,13 @@
 			s.leader.node.log.Info("hold_failed", "worker", s.life.ID, "kind", string(kind), "error", err.Error())
 		}
 		var pause time.Duration
+		superseded := false
 		s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
 			c.HoldSent(s.life, s.worker.KeeperOfLastHold())
-			c.HoldFailed(s.life, kind, at)
+			superseded = c.HoldFailed(s.life, kind, at)
 			pause = c.HoldRetryPause(s.life, at)
 		})
-		if kind == backend.KindFenced {
+		if superseded {
 			s.leader.signalClaimRenewal()
 			sleep(s.ctx, fencedHoldRetryPause)
 		} else if !s.wasHoldInterrupted() {
