Give a pace a higher token after one without an answer

Cause: a pace that was not answered may be executed seconds later. It then replaced a pace that was ordered after it, for good: a paused task stood still, or one that should be paused disturbed its neighbour. Change: after a pace without an answer the worker's token is raised, so the worker refuses the late order once it has seen a later one.

--- a/internal/cell/scheduler/pace.go
+++ b/internal/cell/scheduler/pace.go
@@ -49,15 +49,22 @@
 	}
 }
 
-// PaceNotConfirmed must be called when a pace order may not have been executed. The pace
-// is ordered again with a later report.
-func (s *Scheduler) PaceNotConfirmed(life backend.Life, o *backend.Pace) {
+// PaceNotConfirmed must be called when a pace order may not have been executed; kind is the
+// kind of the error. The pace is ordered again with a later report. An order that was not
+// answered may still be executed, so later ones carry a higher fencing token: otherwise the
+// late order would replace their pace.
+func (s *Scheduler) PaceNotConfirmed(life backend.Life, o *backend.Pace, kind backend.Kind) {
 	w := s.workers[life]
 	if w == nil {
 		return
 	}
-	if t := w.tasks[o.Task]; t != nil && t.runNumber == o.Run {
-		t.paceUnconfirmed = true
+	t := w.tasks[o.Task]
+	if t == nil || t.runNumber != o.Run {
+		return
+	}
+	t.paceUnconfirmed = true
+	if kind == backend.KindUnknown && o.Token >= w.requiredToken {
+		s.raiseToken(w)
 	}
 }
 
--- a/internal/cell/scheduler/pace_test.go
+++ b/internal/cell/scheduler/pace_test.go
@@ -45,6 +45,7 @@
 			}}
 			s.Restore(job, &work.Progress{State: work.Running, Started: true, Steps: []work.StepProgress{{Step: 0, Tasks: restored}, {Step: 1, Tasks: restored}}}, now)
 			s.TakeEffects()
+			unanswered := int64(0)
 			for i, latency := range sc.latencies {
 				_, sent, _ := s.NextHold(worker.Life, now)
 				s.HoldAnswered(worker.Life, sent, &backend.Report{Life: worker.Life, Clock: time.Second, Running: []backend.Run{
@@ -53,8 +54,10 @@
 				ordered := -1
 				for _, o := range s.TakeEffects().Paces {
 					ordered = o.Order.Percent
+					is.True(o.Order.Token > unanswered) // Executed late, the lost order replaced the later pace.
 					if i+1 == sc.lost {
-						s.PaceNotConfirmed(worker.Life, &o.Order)
+						unanswered = o.Order.Token
+						s.PaceNotConfirmed(worker.Life, &o.Order, backend.KindUnknown)
 					}
 				}
 				is.Equal(ordered, sc.expected[i])
--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -211,6 +211,7 @@
 	defer cancel()
 	if err := s.worker.Pace(ctx, o); err != nil && s.ctx.Err() == nil {
 		s.leader.node.log.Info("pace_not_confirmed", "worker", s.life.ID, "task", o.Task.String(), "percent", o.Percent, "error", err.Error())
-		s.leader.updateScheduler(func(c *scheduler.Scheduler, _ time.Time) { c.PaceNotConfirmed(s.life, &o) })
+		kind := fault.KindOr(err, backend.KindUnknown)
+		s.leader.updateScheduler(func(c *scheduler.Scheduler, _ time.Time) { c.PaceNotConfirmed(s.life, &o, kind) })
 	}
 }
