Stop no task of a draining worker once a stop would come too late

Cause: after the announced exit no time was left, so every task counted as too long. A worker may stay for many seconds longer, and its tasks end there. Change: tasks without checkpoints are stopped only while there is time for the stop. Measured: the third scenario of TestTasksThatDoNotEndInTimeLeaveADrainingWorker failed before.

--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -234,8 +234,9 @@
 
 const (
 	// drainStopLeadTime is how long before a draining worker may exit the scheduler stops
-	// tasks on it. It is twice the time that a stop takes.
+	// tasks on it. It is twice drainStopTime, the time that a stop takes.
 	drainStopLeadTime = 900 * time.Millisecond
+	drainStopTime     = drainStopLeadTime / 2
 	// drainNoticeDelay is how long after a worker has announced that it drains the leader may
 	// learn of it. The registrations are read every 350 ms.
 	drainNoticeDelay = 400 * time.Millisecond
@@ -243,14 +244,16 @@
 
 // stopTasksOfDrainingWorker stops the tasks on a worker that save checkpoints, and those that
 // are not expected to end in time, shortly before the worker may exit. They start on another
-// worker at once. Once the worker has exited, they would wait until its lease has ended.
+// worker at once. Once the worker has exited, they would wait until its lease has ended. When
+// there is no time left for a stop, tasks without checkpoints run on: the worker may stay longer.
 func (s *Scheduler) stopTasksOfDrainingWorker(w *worker, now time.Time) {
 	if !w.registration.Draining || w.drainEnd.IsZero() || now.Before(w.drainEnd.Add(-drainStopLeadTime)) {
 		return
 	}
 	left := w.drainEnd.Sub(now)
 	for _, t := range w.tasksSortedByID() {
-		if t.phase == phaseRunning && (t.step.spec.Checkpoints || s.runTimes.remainingRunTime(t, now) > left) {
+		tooLong := left >= drainStopTime && s.runTimes.remainingRunTime(t, now) > left
+		if t.phase == phaseRunning && (t.step.spec.Checkpoints || tooLong) {
 			s.stopTask(t, now)
 		}
 	}
--- a/internal/cell/scheduler/scheduler_test.go
+++ b/internal/cell/scheduler/scheduler_test.go
@@ -307,12 +307,14 @@
 // had ended.
 func TestTasksThatDoNotEndInTimeLeaveADrainingWorker(t *testing.T) {
 	scenarios := []struct {
-		testName string
-		runTime  time.Duration
-		running  int
+		testName          string
+		estimate, runTime time.Duration
+		after             time.Duration
+		running           int
 	}{
-		{"the task needs much longer", time.Minute, 0},
-		{"the task ends in time", 3 * time.Second, 1},
+		{"the task needs much longer", time.Minute, time.Minute, 2400 * time.Millisecond, 0},
+		{"the task ends in time", 3 * time.Second, 3 * time.Second, 2400 * time.Millisecond, 1},
+		{"the task takes longer than estimated and the worker stays", 2 * time.Second, 5 * time.Second, 3500 * time.Millisecond, 1},
 	}
 	for _, c := range scenarios {
 		t.Run(c.testName, func(t *testing.T) {
@@ -320,11 +322,11 @@
 			sm := newSimulation(1, faultProbabilities{})
 			sm.addWorkers(1, workerCapacity)
 			sm.electLeader()
-			sm.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: c.runTime}}}, fleet.TaskProfile{RunTime: c.runTime})
+			sm.submit(&work.Job{ID: "job", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: c.estimate}}}, fleet.TaskProfile{RunTime: c.runTime})
 			sm.runFor(500 * time.Millisecond)
 			v := sm.workers[sm.sortedLives()[0]]
 			v.Registration.Draining, v.Registration.Remaining = true, 3*time.Second
-			sm.runFor(2400 * time.Millisecond)
+			sm.runFor(c.after)
 			is.Equal(len(v.Running()), c.running)
 		})
 	}
