Model gangs in the test that they run once

Cause: in TestGangsRunOnce members of a gang completed although others were not present, which no worker lets happen. Change: the workers share the state of gangs, as in TestRunsDoNotOverlap. Members work from the moment at which all are present, and end as incomplete or broken. What is checked has not changed.

--- a/internal/cell/scheduler/gang_simulation_test.go
+++ b/internal/cell/scheduler/gang_simulation_test.go
@@ -104,6 +104,8 @@
 func runGangs(t *testing.T, queue string, c simulationScenario) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sm := newSimulation(rapid.Uint64().Draw(rt, "seed"), c.faults)
+		gangs := &fleet.Gangs{Wait: overlapGangWait, BreakDelay: 100 * time.Millisecond}
+		sm.prepareProcess = func(v *fleet.Worker) { v.Gangs = gangs }
 		sm.addWorkers(9, workerCapacity)
 		sm.electLeader()
 		sm.addGangs(8, queue)
