Name steps that wait for long, and tasks that nothing has settled

step_waiting names a step that has waited for 3 s with its reason and what the adviser has approved, again when the reason changes; task_unsettled names a task whose placement, start or stop is outstanding for 3 s.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -202,6 +202,7 @@
 	s.noteAnswer(w, sent, now)
 	w.lastAnswerAt, w.unansweredHolds, w.holdTakesEffect, w.reportedAsOf = now, 0, false, sent.sentAt
 	w.forgottenEndNumber = max(w.forgottenEndNumber, sent.acknowledged)
+	w.endsTruncated = r.Truncated
 	s.sendDelayedStarts(w, now)
 	w.setClockReading(r.Clock, now)
 	for i := range r.Ended {
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -78,7 +78,10 @@
 	// its tasks may start.
 	open     bool
 	openedAt time.Time
-	advice   advice
+	// lastPlacedAt is when a worker was last chosen for a task of the step.
+	lastPlacedAt time.Time
+	wait         stepWait
+	advice       advice
 }
 
 // taskPhase says how far a task has come.
@@ -102,6 +105,11 @@
 	phaseDone
 )
 
+// String returns the name of the phase for logs.
+func (p taskPhase) String() string {
+	return [...]string{"waiting", "placed", "start_ordered", "running", "stopping", "done"}[p]
+}
+
 // task is one task of a step.
 type task struct {
 	id    work.TaskID
@@ -170,6 +178,10 @@
 	// placeNotBefore is the earliest time at which the task may be placed again.
 	placeNotBefore time.Time
 	stopSentAt     time.Time
+	// stoppingSince is when the first stop of the run was ordered. unsettledLogged is true once
+	// a line task_unsettled has named the run. Both are only logged.
+	stoppingSince   time.Time
+	unsettledLogged bool
 	// earlier describes the last run before the next start. It is nil if the task was not
 	// restored and no run of it has ended early since its last start. It is only logged.
 	earlier *earlierRun
--- a/internal/cell/scheduler/load.go
+++ b/internal/cell/scheduler/load.go
@@ -52,6 +52,7 @@
 	}
 	s.logTeamLoad()
 	s.logWaitReasons(now)
+	s.logUnsettledTasks(now)
 }
 
 func percent(part, whole int64) int64 {
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -235,7 +235,7 @@
 	t.runNumber++
 	t.phase, t.worker, t.startToken, t.runConfirmed, t.inCommit = phasePlaced, w, 0, false, false
 	t.startSettled, t.runReported, t.startDelayed, t.paceUnconfirmed = false, false, false, false
-	t.startedAt = now
+	t.startedAt, t.step.lastPlacedAt, t.unsettledLogged = now, now, false
 	w.addTask(t)
 	if t.movedByInterference {
 		s.interference.movedPlacements++
--- a/internal/cell/scheduler/stops.go
+++ b/internal/cell/scheduler/stops.go
@@ -41,7 +41,7 @@
 
 // stopTask orders the worker of a task to stop it.
 func (s *Scheduler) stopTask(t *task, now time.Time) {
-	t.phase, t.stopSentAt = phaseStopping, now
+	t.phase, t.stopSentAt, t.stoppingSince = phaseStopping, now, now
 	s.orderStop(t.worker, t.id, t.runNumber)
 }
 
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -53,6 +53,8 @@
 	// forgottenEndNumber is the number of the last end that the worker has answered to
 	// have forgotten, because it was acknowledged.
 	forgottenEndNumber int64
+	// endsTruncated is true if the last report may lack ends of runs. It is only logged.
+	endsTruncated bool
 	// acknowledgedEndNumber is the number of the last end that a hold of this leader has
 	// acknowledged, whether or not it was answered. It is only logged.
 	acknowledgedEndNumber int64
--- a/internal/cell/work/job.go
+++ b/internal/cell/work/job.go
@@ -222,6 +222,11 @@
 	Step       int
 }
 
+// Compare orders steps by job, occurrence and step.
+func (s StepID) Compare(o StepID) int {
+	return cmp.Or(cmp.Compare(s.Job, o.Job), cmp.Compare(s.Occurrence, o.Occurrence), cmp.Compare(s.Step, o.Step))
+}
+
 // TaskID identifies a task of a step. Index is a number from 0 to Step.Count-1.
 type TaskID struct {
 	StepID
@@ -240,7 +245,7 @@
 
 // Compare orders tasks by job, occurrence, step and index.
 func (t TaskID) Compare(o TaskID) int {
-	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+	return cmp.Or(t.StepID.Compare(o.StepID), cmp.Compare(t.Index, o.Index))
 }
 
 // State is the state of a job as shown to callers.
