Show that steps without usable capacity hold back others

A lasting task whose worker is lost, and a step whose tickets expire while its approved workers are full, never start again although most of the pool is free: ten lasting jobs with waiting tasks for two full workers claim the capacity of the three other workers, so the steps behind them may not ask the adviser.

--- /dev/null
+++ b/internal/cell/scheduler/held_back_test.go
@@ -0,0 +1,78 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+// tenthOfWorker is the size of a task of which ten fit on a worker.
+var tenthOfWorker = resource.Vector{Milliprocessors: workerCapacity.Milliprocessors / 10, MemoryMebibytes: workerCapacity.MemoryMebibytes / 10}
+
+// workerOf returns a worker on which a task runs, or nil.
+func (sm *simulation) workerOf(id work.TaskID) *fleet.Worker {
+	for _, life := range sm.sortedLives() {
+		if v := sm.workers[life]; slices.Contains(v.Running(), id) {
+			return v
+		}
+	}
+	return nil
+}
+
+// Lasting tasks that waited for the workers that may run them claimed the capacity of all
+// others. Steps behind them were not allowed to renew their tickets, and never started.
+func TestClaimsOfStepsWithoutUsableCapacityHoldBackNoOthers(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		lasting  bool
+		// fullFor is how long other tasks fill the approved workers, from the submission on.
+		fullFor time.Duration
+		// lost is true if the worker of the task is lost later.
+		lost bool
+	}{
+		{"a lasting task whose worker is lost", true, 0, true},
+		{"a step whose tickets expire while its workers are full", false, 4 * time.Second, false},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			sm := newSimulation(1, faultProbabilities{})
+			sm.fixedDelays, sm.useDeclaredAdviceTimes = true, true
+			sm.addWorkers(5, workerCapacity)
+			sm.electLeader()
+			sm.runFor(time.Second)
+			for i := range 10 { // By isApproved, two tasks of each fill workers 1 and 3, and three wait.
+				sm.submit(&work.Job{ID: fmt.Sprintf("spread-%02d", i), Queue: "advised", Steps: []work.Step{
+					{Count: 5, Size: tenthOfWorker, MostPerWorker: 1, Lasting: true, Estimate: time.Second},
+				}}, fleet.TaskProfile{})
+			}
+			sm.runFor(5 * time.Second)
+			if sc.fullFor > 0 {
+				sm.submit(&work.Job{ID: "filler-1", Queue: "advised", Steps: []work.Step{{Count: 30, Size: tenthOfWorker, Estimate: time.Second}}}, fleet.TaskProfile{RunTime: sc.fullFor})
+			}
+			task := work.TaskID{StepID: work.StepID{Job: "single-1"}}
+			sm.submit(&work.Job{ID: task.Job, Queue: "advised", Steps: []work.Step{{Count: 1, Size: tenthOfWorker, Lasting: sc.lasting, Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+			sm.runFor(time.Second)
+			is.Equal(sm.workerOf(task) == nil, sc.fullFor > 0)
+			sm.runFor(3 * time.Second)
+			possibleSince := sm.now
+			if sc.lost {
+				w := sm.workerOf(task)
+				sm.exit(w)
+				delete(sm.listed, w.Registration.Life.ID)
+				possibleSince = sm.now.Add(sm.timing.Lease)
+			}
+			for sm.workerOf(task) == nil && sm.now.Sub(possibleSince) < 20*time.Second {
+				sm.runFor(100 * time.Millisecond)
+			}
+			is.True(sm.now.Sub(possibleSince) < 3*time.Second)
+		})
+	}
+}
