Claim only capacity that a step may use

Callers saw accepted work that did not run beside idle workers: a lasting task whose worker was lost, or a step whose tickets had expired.

A step that waits claims capacity for all its tasks, so that steps behind it do not ask the adviser about places that it takes. It did so even if all workers that the adviser approves were full or at the limit of tasks per worker. Ten such steps can claim all free capacity for as long as they wait; the steps behind them may ask the adviser only once and never renew their tickets.

Once the adviser was asked about all workers that could run a step, the step claims only the places on those that are approved.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -68,6 +68,9 @@
 	// answered contains every worker that the adviser has either approved or
 	// rejected.
 	answered map[*worker]bool
+	// answeredFor is the last pool of which answered contains all workers that could run the
+	// step, or nil.
+	answeredFor *pool
 	// workersAwaitingAnswer contains the workers named in requests that the adviser
 	// has not answered yet.
 	workersAwaitingAnswer map[*worker]bool
--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -69,12 +69,23 @@
 			return false
 		}
 	}
+	return !st.hasUnansweredWorker(p)
+}
+
+// hasUnansweredWorker reports whether the pool has a worker that could run a step and about
+// which the adviser has not answered.
+func (st *step) hasUnansweredWorker(p *pool) bool {
+	a := &st.advice
+	if a.answeredFor == p {
+		return false
+	}
 	for _, w := range p.classOf(st.spec.Label).workers {
-		if isCapable(w, st) && !st.advice.answered[w] {
-			return false
+		if isCapable(w, st) && !a.answered[w] {
+			return true
 		}
 	}
-	return true
+	a.answeredFor = p
+	return false
 }
 
 // runnableStep returns the first open step of a job with waiting tasks that can run, or nil
@@ -152,11 +163,16 @@
 
 // claimCapacity subtracts the capacity that a number of tasks of a step need from the
 // unclaimed capacity of the workers that may run them. It reports whether there was none
-// left for a single task.
+// left for a single task. Once the adviser was asked about all workers, a step claims no more
+// than it can use on those that are approved: it would keep others from capacity that it
+// never takes.
 func (p *pool) claimCapacity(st *step, q *queue.Queue, tasks int) (outranked bool) {
 	own, all, size := p.classOf(st.spec.Label), p.classOf(""), st.spec.ReservedCapacity()
 	outranked = !size.Fits(own.unclaimedCapacity)
-	if st.spec.MostPerWorker > 0 {
+	switch {
+	case !st.hasUnansweredWorker(p):
+		tasks = min(tasks, st.countApprovedPlaces(q))
+	case st.spec.MostPerWorker > 0:
 		tasks = min(tasks, st.spec.MostPerWorker*own.readyWorkers-st.countTasksOnWorkersOf(q))
 	}
 	for ; tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
@@ -168,6 +184,18 @@
 	return outranked
 }
 
+// countApprovedPlaces returns how many more tasks of a step the workers that the adviser has
+// approved could run now, whether their tickets have expired or not.
+func (st *step) countApprovedPlaces(q *queue.Queue) int {
+	n := 0
+	for w := range st.advice.tickets {
+		if w.ready && w.acceptsTasksOf(q) {
+			n += usablePlaces(w, st)
+		}
+	}
+	return n
+}
+
 // countTasksOnWorkersOf returns the number of tasks of a step that use capacity of a worker
 // that may get further ones of the queue.
 func (st *step) countTasksOnWorkersOf(q *queue.Queue) int {
