Ask about further workers beside those that get no tasks

Callers saw accepted work that did not run beside idle workers.

A step counted the free capacity of approved workers that get no tasks at the moment, because they are silent, avoided or have not confirmed a token. While it had such a worker, it asked the adviser about no other; a large step also reserved the silent worker as the first to be free.

Only workers that get tasks count as places, and reservations prefer them. A large step that has reserved others asks about further workers first.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -224,7 +224,7 @@
 	var stale []*worker
 	places := 0
 	for w, t := range st.advice.tickets {
-		if !w.acceptsTasksOf(q) || s.reservations.isReservedForOtherJob(w, st.job) {
+		if !w.ready || !w.acceptsTasksOf(q) || s.reservations.isReservedForOtherJob(w, st.job) {
 			continue
 		}
 		if st.spec.Gang || places == 0 {
@@ -237,7 +237,7 @@
 	if len(st.advice.workersAwaitingAnswer) == 0 {
 		switch {
 		case s.isLargeStep(st, q) && len(st.advice.reservedWorkers) > 0:
-			if st.areReservedWorkersSoonFree(q) {
+			if st.areReservedWorkersSoonFree(q) && (st.advice.areReservedWorkersReady() || !st.hasUnansweredWorker(s.poolOfService(q.Service))) {
 				return st.advice.reservedWorkersWithoutValidTicket(now.Add(q.Advice.RequestDuration(len(st.advice.reservedWorkers))))
 			}
 		case places > 0 && len(stale) > 0 && !s.isLargeStep(st, q):
@@ -290,6 +290,11 @@
 	return len(st.advice.reservedWorkers) > 0 && st.advice.timeUntilReservedFree <= q.Advice.RequestDuration(len(st.advice.reservedWorkers))
 }
 
+// areReservedWorkersReady reports whether all reserved workers could be given tasks.
+func (a *advice) areReservedWorkersReady() bool {
+	return !slices.ContainsFunc(a.reservedWorkers, func(w *worker) bool { return !w.ready })
+}
+
 // reservedWorkersWithoutValidTicket returns the reserved workers without a ticket
 // that is valid at a given time. The caller passes the time at which a request about
 // them would be answered.
--- a/internal/cell/scheduler/held_back_test.go
+++ b/internal/cell/scheduler/held_back_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
@@ -76,3 +77,36 @@
 		})
 	}
 }
+
+// A step counted the free capacity of an approved worker that got no tasks, because it was
+// silent, and asked the adviser about no other worker meanwhile.
+func TestStepAsksBesideAnApprovedWorkerThatIsSilent(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %t", gang), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			s := newAdvisedScheduler(now, 1)
+			addHeldWorkers(s, 40, now, "desk")
+			s.Submit(&work.Job{ID: "job", Queue: "short", Accepted: now, Steps: []work.Step{{Count: 1, Gang: gang, Size: taskSize, Estimate: time.Second}}}, now)
+			s.Schedule(now)
+			requests := s.TakeEffects().AdviceRequests
+			is.Equal(len(requests), 1)
+			is.Equal(len(requests[0].Workers), 30)
+			silent := requests[0].Workers[0]
+			s.AdviceAnswered(requests[0].Number, backend.Advice{Tickets: map[string]string{silent: "ticket"}, Validity: 10 * time.Second}, false, now)
+			for range 4 { // The worker becomes silent before the task is placed.
+				now = now.Add(time.Second)
+				for _, life := range s.Workers() {
+					if _, sent, _ := s.NextHold(life, now); life.ID != silent {
+						s.HoldAnswered(life, sent, &backend.Report{Life: life, Clock: now.Sub(time.Unix(1_700_000_000, 0)) + time.Second}, now)
+					}
+				}
+				s.Tick(now)
+			}
+			s.Schedule(now)
+			requests = s.TakeEffects().AdviceRequests
+			is.Equal(len(requests), 1)
+			is.Equal(len(requests[0].Workers), 10)
+		})
+	}
+}
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -60,7 +60,7 @@
 
 // reserveWorkers reserves workers for the waiting tasks of a large step. It chooses
 // the workers that are expected to have enough free capacity soonest, and none that
-// can never run the tasks.
+// can never run the tasks. Workers that get no tasks at the moment come last.
 func (s *Scheduler) reserveWorkers(st *step, q *queue.Queue, r *reservations, now time.Time) {
 	if !s.isLargeStep(st, q) || r.stepCountByService[q.Service] >= max(minReservingSteps, len(s.poolOfService(q.Service).workers)/workersPerReservingStep) {
 		return
@@ -78,21 +78,27 @@
 		return // The gang would not fit even if all these workers were empty.
 	}
 	slices.SortFunc(places, func(a, b expectedPlace) int {
-		return cmp.Or(cmp.Compare(a.timeUntilFree, b.timeUntilFree), compareLives(a.worker.registration.Life, b.worker.registration.Life))
+		return cmp.Or(compareBools(!a.worker.ready, !b.worker.ready), cmp.Compare(a.timeUntilFree, b.timeUntilFree), compareLives(a.worker.registration.Life, b.worker.registration.Life))
 	})
 	tasks := r.quotaClaims.claim(s, st)
 	if tasks == 0 {
 		return
 	}
-	for _, p := range places[:min(tasks, len(places))] {
+	places = places[:min(tasks, len(places))]
+	timeUntilFree := time.Duration(0)
+	if len(places) > 0 {
+		timeUntilFree = places[0].timeUntilFree
+	}
+	for _, p := range places {
 		if _, alreadyReserved := r.byWorker[p.worker]; !alreadyReserved {
 			st.advice.reservedWorkers = append(st.advice.reservedWorkers, p.worker)
 		}
 		r.byWorker[p.worker] = reservation{job: st.job, freeAt: now.Add(p.timeUntilFree)}
-		if st.spec.Gang || len(st.advice.reservedWorkers) == 1 {
-			st.advice.timeUntilReservedFree = p.timeUntilFree
+		if st.spec.Gang {
+			timeUntilFree = max(timeUntilFree, p.timeUntilFree)
 		}
 	}
+	st.advice.timeUntilReservedFree = timeUntilFree
 	r.stepCountByService[q.Service]++
 }
 
