Ask about workers that join while others drain

Callers saw accepted work that did not run beside idle workers.

A step took the adviser for asked about all workers if as many had an answer as are listed. Workers that drain count among the former only, so a step that was refused everywhere did not ask about the workers that replaced them until the draining ones were gone.

A step has asked about all workers if each capable listed one has an answer.

TestStepAsksAboutWorkersThatJoinWhileOthersDrain failed before with 0 requests.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -393,7 +393,7 @@
 	if len(st.advice.answered) >= len(p.workers) {
 		maps.DeleteFunc(st.advice.answered, func(w *worker, _ bool) bool { return w.removed })
 	}
-	if len(st.advice.answered) >= len(p.workers) {
+	if !st.hasUnansweredWorker(p) {
 		return nil
 	}
 	candidates := p.workersLeastUsedFirst()
--- a/internal/cell/scheduler/held_back_test.go
+++ b/internal/cell/scheduler/held_back_test.go
@@ -110,3 +110,32 @@
 		})
 	}
 }
+
+// Workers that leave counted among those about which the adviser had answered, but not among
+// those that are listed: a step did not ask about workers that joined meanwhile.
+func TestStepAsksAboutWorkersThatJoinWhileOthersDrain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := newAdvisedScheduler(now, 1)
+	list := addHeldWorkers(s, 10, now, "desk")
+	s.Submit(&work.Job{ID: "job", Queue: "short", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}, now)
+	s.Schedule(now)
+	requests := s.TakeEffects().AdviceRequests
+	is.Equal(len(requests), 1)
+	is.Equal(len(requests[0].Workers), 10)
+	s.AdviceAnswered(requests[0].Number, backend.Advice{Validity: 2 * time.Second}, false, now)
+
+	for i := range 4 {
+		list[i].Draining = true
+		list = append(list, backend.Registration{Life: backend.Life{ID: fmt.Sprintf("joined-%d", i), Born: 2}, Service: "desk", Capacity: workerCapacity})
+	}
+	s.SetWorkers(list, now)
+	for _, life := range s.Workers() {
+		_, sent, _ := s.NextHold(life, now)
+		s.HoldAnswered(life, sent, &backend.Report{Life: life, Clock: time.Second}, now)
+	}
+	s.Schedule(now)
+	requests = s.TakeEffects().AdviceRequests
+	is.Equal(len(requests), 1)
+	is.Equal(len(requests[0].Workers), 4)
+}
--- a/internal/cell/scheduler/waiting.go
+++ b/internal/cell/scheduler/waiting.go
@@ -75,7 +75,7 @@
 	switch {
 	case free < needed:
 		return waitForCapacity
-	case approved < needed && len(st.advice.answered) < len(s.poolOfService(q.Service).workers):
+	case approved < needed && st.hasUnansweredWorker(s.poolOfService(q.Service)):
 		return waitForFirstAdvice
 	case approved < needed:
 		return waitForApprovedCapacity
