Acknowledge ends once no process can execute an unreported start

Callers would see tasks that never complete and capacity that stays in use: a report lists 500 ends. If more are waiting, and the answers to some starts were lost whose runs ended beyond those 500, no report shows these runs. The leader acknowledged no ends while a start was not reported, so the list stayed as it was and the tasks stayed on the worker for good.

The acknowledgement is withheld because the next process of the worker might execute the start and number its ends anew. That is impossible once this process has answered a hold that was sent after the start could last be executed.

TestEndsThatNoReportListsBlockTheirWorker failed before (running 17 s later) and passes.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -53,12 +53,15 @@
 // not answered, later starts carry a higher fencing token: a process that has executed one
 // of them refuses the acknowledgement.
 //
+// A start counts for as long as a process may begin that executes it. Its run may have ended
+// beyond what a report lists, so that only an acknowledgement shows it.
+//
 // Where all starts carry tickets, the next process executes only those with a ticket that was
 // issued after its start. There an acknowledgement may go with a long poll, and starts are sent
 // meanwhile: otherwise a busy worker would be held twice as often.
 func (w *worker) hasUnreportedStart() bool {
 	for _, t := range w.tasks {
-		if t.phase != phasePlaced && !t.runReported {
+		if t.phase != phasePlaced && !t.runReported && w.reportedAsOf.Before(t.executableUntil) {
 			return true
 		}
 	}
--- a/internal/emulate/fleet/worker.go
+++ b/internal/emulate/fleet/worker.go
@@ -101,6 +101,8 @@
 	// Tickets are the tickets that an adviser has issued. If it is nil, the worker checks
 	// none.
 	Tickets *Tickets
+	// MaxEndsPerReport is the largest number of ends that a report lists. 0 means no limit.
+	MaxEndsPerReport int
 	// Gangs is shared by the workers that run the members of gangs. If it is nil, members
 	// run like other tasks.
 	Gangs     *Gangs
@@ -304,5 +306,8 @@
 	w.unacknowledgedEnds = pending
 	report := backend.Report{Life: w.Registration.Life, Clock: w.Clock(now), Ended: slices.Clone(w.unacknowledgedEnds)}
 	report.Running = w.Runs()
+	if most := w.MaxEndsPerReport; most > 0 && len(report.Ended) >= most {
+		report.Ended, report.Truncated = report.Ended[:most], true
+	}
 	return report, ""
 }
