Claim no capacity of workers that are reserved for other jobs

The places of a step on approved workers that are reserved for another job can't be taken by it, so claiming them holds back others for nothing. Which tasks of a step may claim capacity is decided in one function now.

No test of its own; TestClaimsOfStepsWithoutUsableCapacityHoldBackNoOthers and the tests of advice and feasibility pass.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -185,7 +185,7 @@
 				if s.isLargeStep(st, q) {
 					continue
 				}
-				st.advice.outranked = s.poolOfService(q.Service).claimCapacity(st, q, tasks)
+				st.advice.outranked = s.poolOfService(q.Service).claimCapacity(st, s.claimableTasks(st, q, tasks))
 			}
 		}
 	}
--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -161,41 +161,47 @@
 	return c
 }
 
-// claimCapacity subtracts the capacity that a number of tasks of a step need from the
-// unclaimed capacity of the workers that may run them. It reports whether there was none
-// left for a single task. Once the adviser was asked about all workers, a step claims no more
-// than it can use on those that are approved: it would keep others from capacity that it
-// never takes.
-func (p *pool) claimCapacity(st *step, q *queue.Queue, tasks int) (outranked bool) {
-	own, all, size := p.classOf(st.spec.Label), p.classOf(""), st.spec.ReservedCapacity()
-	outranked = !size.Fits(own.unclaimedCapacity)
+// claimableTasks returns for how many of its waiting tasks a step may claim capacity. Once the
+// adviser was asked about all workers, these are only the tasks that fit on approved ones: the
+// step would keep others from capacity that it never takes.
+func (s *Scheduler) claimableTasks(st *step, q *queue.Queue, tasks int) int {
+	p := s.poolOfService(q.Service)
 	switch {
 	case !st.hasUnansweredWorker(p):
-		tasks = min(tasks, st.countApprovedPlaces(q))
+		return min(tasks, s.countApprovedPlaces(st, q))
 	case st.spec.MostPerWorker > 0:
-		tasks = min(tasks, st.spec.MostPerWorker*own.readyWorkers-st.countTasksOnWorkersOf(q))
+		return min(tasks, st.spec.MostPerWorker*p.classOf(st.spec.Label).readyWorkers-st.countTasksOnWorkersOf(q))
 	}
-	for ; tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
-		own.unclaimedCapacity = own.unclaimedCapacity.Sub(size)
-		if own != all { // Steps without a label may have claimed more of it already.
-			all.unclaimedCapacity = all.unclaimedCapacity.Sub(size).Max(resource.Vector{})
-		}
-	}
-	return outranked
+	return tasks
 }
 
 // countApprovedPlaces returns how many more tasks of a step the workers that the adviser has
 // approved could run now, whether their tickets have expired or not.
-func (st *step) countApprovedPlaces(q *queue.Queue) int {
+func (s *Scheduler) countApprovedPlaces(st *step, q *queue.Queue) int {
 	n := 0
 	for w := range st.advice.tickets {
-		if w.ready && w.acceptsTasksOf(q) {
+		if w.ready && w.acceptsTasksOf(q) && !s.reservations.isReservedForOtherJob(w, st.job) {
 			n += usablePlaces(w, st)
 		}
 	}
 	return n
 }
 
+// claimCapacity subtracts the capacity that a number of tasks of a step need from the
+// unclaimed capacity of the workers that may run them. It reports whether there was none
+// left for a single task.
+func (p *pool) claimCapacity(st *step, tasks int) (outranked bool) {
+	own, all, size := p.classOf(st.spec.Label), p.classOf(""), st.spec.ReservedCapacity()
+	outranked = !size.Fits(own.unclaimedCapacity)
+	for ; tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
+		own.unclaimedCapacity = own.unclaimedCapacity.Sub(size)
+		if own != all { // Steps without a label may have claimed more of it already.
+			all.unclaimedCapacity = all.unclaimedCapacity.Sub(size).Max(resource.Vector{})
+		}
+	}
+	return outranked
+}
+
 // countTasksOnWorkersOf returns the number of tasks of a step that use capacity of a worker
 // that may get further ones of the queue.
 func (st *step) countTasksOnWorkersOf(q *queue.Queue) int {
