Stop tasks of workers that drain during a take-over

Callers saw accepted work that stood still after all entry VMs were replaced, although workers had room.

A worker that was draining when a leader first listed it had no end of its drain. Nothing was stopped there before it exited, so its tasks waited until its lease had ended, 8.3 s after the take-over or later.

Such a worker has an end now. It is uncertain, since the age of the entry is not known, so tasks that would not end in time, or that save checkpoints, are stopped at once. A restored run counts from the take-over, so some that would have ended in time are stopped too.

--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -246,8 +246,9 @@
 // are not expected to end in time, shortly before the worker may exit. They start on another
 // worker at once. Once the worker has exited, they would wait until its lease has ended. When
 // there is no time left for a stop, tasks without checkpoints run on: the worker may stay longer.
+// If the end of the drain is uncertain, the same tasks are stopped at once.
 func (s *Scheduler) stopTasksOfDrainingWorker(w *worker, now time.Time) {
-	if !w.registration.Draining || w.drainEnd.IsZero() || now.Before(w.drainEnd.Add(-drainStopLeadTime)) {
+	if !w.registration.Draining || w.drainEnd.IsZero() || (!w.drainEndUncertain && now.Before(w.drainEnd.Add(-drainStopLeadTime))) {
 		return
 	}
 	left := w.drainEnd.Sub(now)
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -86,8 +86,11 @@
 	// usedFraction is the fraction of the worker's capacity that was in use when the
 	// workers were last sorted by it.
 	usedFraction float64
-	// drainEnd is the time before which a draining worker does not exit.
-	drainEnd time.Time
+	// drainEnd is the time before which a draining worker does not exit. If drainEndUncertain
+	// is true, the worker was draining when this leader first learned of it, and may exit earlier
+	// by the unknown age of its entry.
+	drainEnd          time.Time
+	drainEndUncertain bool
 	// consecutiveFailures counts the failed runs on the worker since the last
 	// completed one. The worker gets no new tasks before avoidUntil.
 	consecutiveFailures int
@@ -187,7 +190,8 @@
 		return
 	}
 	w := s.workers[r.Life]
-	if w == nil {
+	added := w == nil
+	if added {
 		w = s.addWorker(r, now)
 		s.replaceEarlierProcesses(w, now)
 	}
@@ -195,7 +199,8 @@
 		s.replaceProcess(old, w, "restarted", now)
 	}
 	s.latestWorkerByID[r.Life.ID] = w
-	if r.Draining && !w.registration.Draining {
+	if r.Draining && (added || !w.registration.Draining) {
+		w.drainEndUncertain = added
 		w.drainEnd = now.Add(max(r.Remaining-drainNoticeDelay, 0))
 		s.log.Info("worker_draining", "worker", r.Life.ID, "remaining_ms", r.Remaining.Milliseconds(), "tasks", len(w.tasks))
 	}
