--- a/internal/cell/scheduler/restored_waits_test.go
+++ b/internal/cell/scheduler/restored_waits_test.go
@@ -4,10 +4,14 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/peer/backend"
 )
 
 // A leader that took over while a worker was draining stopped nothing there: tasks that did not
@@ -43,3 +47,67 @@
 		})
 	}
 }
+
+// restoredLeader is a scheduler with workers that has restored one job.
+type restoredLeader struct {
+	scheduler *scheduler.Scheduler
+	now       time.Time
+	list      []backend.Registration
+}
+
+// newRestoredLeader restores a job with the given progress. There are two workers.
+func newRestoredLeader(job *work.Job, p *work.Progress) *restoredLeader {
+	now := time.Unix(1_700_000_000, 0)
+	l := &restoredLeader{now: now, scheduler: scheduler.New(scheduler.Timing{
+		Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxLateness, EndedJobRetention: time.Hour,
+	}, 2, now, now, logr.Discard())}
+	for _, id := range []string{"worker-0", "worker-1"} {
+		l.list = append(l.list, backend.Registration{Life: backend.Life{ID: id, Born: 5}, Service: "desk", Capacity: workerCapacity})
+	}
+	l.scheduler.SetWorkers(l.list, now)
+	job.ID, job.Queue, job.Accepted = "job", "urgent", now
+	l.scheduler.Restore(job, p, now)
+	l.scheduler.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	return l
+}
+
+// run lets the scheduler run for d. All workers answer holds; the list of workers does not change. It
+// returns the orders.
+func (l *restoredLeader) run(d time.Duration, report func(life backend.Life, h backend.Hold) backend.Report) (starts []scheduler.Order[backend.Start], stops []scheduler.Order[backend.Stop]) {
+	s := l.scheduler
+	for end := l.now.Add(d); l.now.Before(end); {
+		l.now = l.now.Add(100 * time.Millisecond)
+		s.AppendConfirmed(l.now)
+		for _, life := range s.Workers() {
+			hold, sent, _ := s.NextHold(life, l.now)
+			r := report(life, hold)
+			r.Clock = time.Hour + l.now.Sub(time.Unix(1_700_000_000, 0))
+			s.HoldAnswered(life, sent, &r, l.now)
+		}
+		s.Tick(l.now)
+		s.Schedule(l.now)
+		if c := s.NextCommit(l.now); c != nil {
+			s.Committed(c, l.now)
+		}
+		effects := s.TakeEffects()
+		starts, stops = append(starts, effects.Starts...), append(stops, effects.Stops...)
+	}
+	return starts, stops
+}
+
+// The list of workers changed last before a lasting task was confirmed on a draining worker. The
+// task ran until the worker exited.
+func TestLastingTaskThatIsConfirmedLateLeavesADrainingWorker(t *testing.T) {
+	is := is.New(t)
+	l := newRestoredLeader(&work.Job{Steps: []work.Step{{Count: 1, Size: taskSize, Lasting: true}}}, &work.Progress{State: work.Running, Started: true, Steps: []work.StepProgress{{Tasks: []work.TaskProgress{{Run: 1, Worker: "worker-0", Born: 5}}}}})
+	l.list[0].Draining, l.list[0].Remaining = true, 20*time.Second
+	l.scheduler.SetWorkers(l.list, l.now)
+	_, stops := l.run(2*time.Second, func(life backend.Life, _ backend.Hold) backend.Report {
+		r := backend.Report{Life: life}
+		if life.ID == "worker-0" {
+			r.Running = []backend.Run{{Task: work.TaskID{StepID: work.StepID{Job: "job"}}, Run: 1}}
+		}
+		return r
+	})
+	is.True(len(stops) > 0)
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -254,7 +254,8 @@
 }
 
 // stopLastingTasksIfDraining stops the lasting tasks on a worker if it is draining,
-// so that they move to another worker. Other tasks may end before the worker exits.
+// so that they move to another worker. Other tasks may end before the worker exits. A start that
+// was under way when the worker began to drain may be confirmed after that.
 func (s *Scheduler) stopLastingTasksIfDraining(w *worker, now time.Time) {
 	if !w.registration.Draining {
 		return
