Stop restored members of a gang that broke up

Callers could see a gang that did not run again after a take-over, although there was room.

When a member of a gang ends or can't start, the leader stops the others and places all of them anew once they have ended. The stored progress names the workers of the others, but not that they were being stopped. If the leader was lost before they had stopped, the next one took them for running, and the gang waited until they ended by themselves.

A restored gang with a member on no worker is stopped.

TestRestoredGangWithAnEndedMemberIsStopped failed before without a stop order.

--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
@@ -45,6 +46,7 @@
 			}
 		}
 		if !j.state.Ended() {
+			s.stopRestoredGangs(o, now)
 			s.openReadySteps(o, now)
 		}
 	}
@@ -55,6 +57,16 @@
 	s.logRestored(j)
 }
 
+// stopRestoredGangs stops the members of each gang of which another one is on no worker. The
+// earlier leader was stopping them, since all members start together; its orders may be lost.
+func (s *Scheduler) stopRestoredGangs(o *occurrence, now time.Time) {
+	for _, st := range o.steps {
+		if i := slices.IndexFunc(st.tasks, func(t *task) bool { return t.phase == phaseWaiting }); i >= 0 {
+			s.stopOtherGangMembers(st.tasks[i], now)
+		}
+	}
+}
+
 // maxLinesWithoutProgress limits the lines about jobs without stored progress: no task of
 // such a job was placed, and there may be very many.
 const maxLinesWithoutProgress = 1000
--- a/internal/cell/scheduler/restored_waits_test.go
+++ b/internal/cell/scheduler/restored_waits_test.go
@@ -111,3 +111,30 @@
 	})
 	is.True(len(stops) > 0)
 }
+
+// A leader stopped the members of a gang of which one had ended, and was lost before the others
+// had stopped. The next one waited for their ends, but stopped none.
+func TestRestoredGangWithAnEndedMemberIsStopped(t *testing.T) {
+	is := is.New(t)
+	l := newRestoredLeader(&work.Job{Steps: []work.Step{{Count: 2, Size: taskSize, Gang: true}}}, &work.Progress{State: work.Running, Started: true, Steps: []work.StepProgress{{Tasks: []work.TaskProgress{
+		{Index: 0, Run: 1, Worker: "worker-0", Born: 5}, {Index: 1, Run: 1},
+	}}}})
+	member := backend.Run{Task: work.TaskID{StepID: work.StepID{Job: "job"}}, Run: 1}
+	stopped := false
+	report := func(life backend.Life, _ backend.Hold) backend.Report {
+		r := backend.Report{Life: life}
+		switch {
+		case life.ID != "worker-0":
+		case stopped:
+			r.Ended = []backend.EndedRun{{Number: 1, Task: member.Task, Run: 1, Outcome: backend.Stopped}}
+		default:
+			r.Running = []backend.Run{member}
+		}
+		return r
+	}
+	_, stops := l.run(time.Second, report)
+	is.True(len(stops) > 0)
+	stopped = true
+	starts, _ := l.run(time.Second, report)
+	is.Equal(len(starts), 2)
+}
