Acknowledge ends although a start is unreported

Callers could see a task that neither ran nor ended, on a worker that answered.

A worker lists 500 ends at most. Ends are not acknowledged while a start on the worker is unreported, since the next process of the worker may have executed it. If the run of such a start had ended and its end was beyond the first 500, no report ever listed it: the listed ends were not acknowledged, and a report that may lack ends does not show that a run is absent. Holds were answered, so the lease did not end either. It takes over 500 ends that no leader has acknowledged on one worker.

A start keeps ends from being acknowledged only until the present process has answered a hold that was sent after the start could last be executed. No later process can have executed it then.

--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -44,7 +44,10 @@
 }
 
 // hasUnreportedStart reports whether a start was ordered on the worker that its present
-// process is not known to have executed.
+// process is not known to have executed and that a later process may have executed. None has if
+// the present process has answered a hold that was sent after the start could last be executed.
+// Without this limit, a start whose end is beyond those that a report lists would keep the listed
+// ends from being acknowledged, and so its own end from being listed.
 //
 // If the worker has restarted under its ID, such a start may have been executed by the next
 // process, which numbers its ends anew. An acknowledgement that reached it would make it
@@ -58,7 +61,7 @@
 // meanwhile: otherwise a busy worker would be held twice as often.
 func (w *worker) hasUnreportedStart() bool {
 	for _, t := range w.tasks {
-		if t.phase != phasePlaced && !t.runReported {
+		if t.phase != phasePlaced && !t.runReported && w.reportedAsOf.Before(t.executableUntil) {
 			return true
 		}
 	}
--- a/internal/cell/scheduler/restored_waits_test.go
+++ b/internal/cell/scheduler/restored_waits_test.go
@@ -138,3 +138,29 @@
 	starts, _ := l.run(time.Second, report)
 	is.Equal(len(starts), 2)
 }
+
+// A report lists 500 ends at most. A worker got no acknowledgement while a restored run on it was
+// neither running nor among them, so that no later report listed the end of the run.
+func TestEndsThatAReportLacksAreListedLater(t *testing.T) {
+	const listed = 500
+	is := is.New(t)
+	p := &work.Progress{State: work.Running, Started: true, Steps: []work.StepProgress{{}}}
+	var ends []backend.EndedRun
+	for i := range listed + 100 {
+		p.Steps[0].Tasks = append(p.Steps[0].Tasks, work.TaskProgress{Index: i, Run: 1, Worker: "worker-0", Born: 5})
+		ends = append(ends, backend.EndedRun{Number: int64(i + 1), Task: work.TaskID{StepID: work.StepID{Job: "job"}, Index: i}, Run: 1, Outcome: backend.Done})
+	}
+	l := newRestoredLeader(&work.Job{Steps: []work.Step{{Count: listed + 100, Size: taskSize}, {Count: 1, Size: taskSize, After: []int{0}}}}, p)
+	starts, _ := l.run(40*time.Second, func(life backend.Life, h backend.Hold) backend.Report {
+		r := backend.Report{Life: life}
+		if life.ID == "worker-0" {
+			for len(ends) > 0 && ends[0].Number <= h.Acknowledged {
+				ends = ends[1:]
+			}
+			r.Ended, r.Truncated = ends[:min(len(ends), listed)], len(ends) >= listed
+		}
+		return r
+	})
+	is.True(len(starts) > 0)
+	is.Equal(starts[0].Order.Task.Step, 1)
+}
