Let tasks use what reserved tasks leave of a worker

Callers saw accepted work that did not run beside workers with room for it.

A worker that was reserved for a large task got no task that would end later than the reserved one was to start, even if there was room for both. While tasks of six tenths of a worker followed one another, four tenths of each worker stayed free, and a small lasting task waited for 16 s and more.

A reservation tells how much capacity is spare beside the reserved tasks when they are expected to start. Longer tasks may use that.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -72,7 +72,10 @@
 // has a higher score.
 func (c *workerSelection) considerWorker(w *worker) {
 	st := c.task.step
-	if !c.taskCapacity.Fits(w.freeCapacity()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocksTask(w, st.job, c.expectedEnd) || !belowTaskLimit(w, st) || w.hasOrphanedRunOf(c.task.id) {
+	if !c.taskCapacity.Fits(w.freeCapacity()) || !w.registration.HasLabel(st.spec.Label) || !belowTaskLimit(w, st) || w.hasOrphanedRunOf(c.task.id) {
+		return
+	}
+	if c.reserved.blocksTask(w, st, c.expectedEnd) {
 		return
 	}
 	score := c.scheduler.scoreWorker(w, st, c.task, c.gangMembersByRack)
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -23,10 +23,14 @@
 
 // reservation is the reservation of one worker for a job.
 type reservation struct {
-	job *job
-	// freeAt is when the worker is expected to have enough free capacity for a task
+	job  *job
+	step *step
+	// freeAt is when the worker is expected to have enough free capacity for the tasks
 	// of the job.
 	freeAt time.Time
+	// spareCapacity is the capacity that is expected to be free at freeAt beyond what the
+	// tasks of the job need. usedCapacity is what was in use when the worker was reserved.
+	spareCapacity, usedCapacity resource.Vector
 }
 
 const (
@@ -44,12 +48,16 @@
 	return &reservations{byWorker: map[*worker]reservation{}, stepCountByService: map[string]int{}, quotaClaims: quotaClaims{}}
 }
 
-// blocksTask reports whether a reservation for another job keeps a task of job j from
-// a worker. It does so if the task would not end before the reserved capacity is
-// expected to be free. Shorter tasks may backfill the worker until then.
-func (r *reservations) blocksTask(w *worker, j *job, expectedEnd time.Time) bool {
+// blocksTask reports whether a reservation for another job keeps a task of a step from a
+// worker. It does so if the task would not end before the reserved capacity is expected to be
+// free, and if less capacity is spare then. Other tasks may backfill the worker.
+func (r *reservations) blocksTask(w *worker, st *step, expectedEnd time.Time) bool {
 	res, ok := r.byWorker[w]
-	return ok && res.job != j && expectedEnd.After(res.freeAt)
+	if !ok || res.job == st.job || !expectedEnd.After(res.freeAt) {
+		return false
+	}
+	usedSince := w.usedCapacity.Sub(res.usedCapacity).Max(resource.Vector{})
+	return !usedSince.Add(st.spec.ReservedCapacity()).Fits(res.spareCapacity)
 }
 
 // isReservedForOtherJob reports whether a worker is reserved for a job other than j.
@@ -90,10 +98,15 @@
 		timeUntilFree = places[0].timeUntilFree
 	}
 	for _, p := range places {
-		if _, alreadyReserved := r.byWorker[p.worker]; !alreadyReserved {
+		earlier, alreadyReserved := r.byWorker[p.worker]
+		if !alreadyReserved {
 			st.advice.reservedWorkers = append(st.advice.reservedWorkers, p.worker)
 		}
-		r.byWorker[p.worker] = reservation{job: st.job, freeAt: now.Add(p.timeUntilFree)}
+		spare := p.spareCapacity
+		if alreadyReserved && earlier.step != st {
+			spare = resource.Vector{} // Another step of the job needs capacity too.
+		}
+		r.byWorker[p.worker] = reservation{job: st.job, step: st, freeAt: now.Add(p.timeUntilFree), spareCapacity: spare, usedCapacity: p.worker.usedCapacity}
 		if st.spec.Gang {
 			timeUntilFree = max(timeUntilFree, p.timeUntilFree)
 		}
@@ -125,6 +138,8 @@
 	// timeUntilFree is the expected time until the capacity is free; 0 means that it
 	// is free now.
 	timeUntilFree time.Duration
+	// spareCapacity is what is free then beyond this place and those before it on the worker.
+	spareCapacity resource.Vector
 }
 
 // appendExpectedPlaces appends the places for tasks of a step on a worker: those that
@@ -136,8 +151,10 @@
 	free, taskCapacity := w.freeCapacity(), st.spec.ReservedCapacity()
 	limit := min(remainingTaskLimit(w, st), st.countWaitingTasks())
 	n := min(countPlaces(taskCapacity, free), limit)
+	spare := free
 	for range n {
-		places = append(places, expectedPlace{w, 0})
+		spare = spare.Sub(taskCapacity)
+		places = append(places, expectedPlace{w, 0, spare})
 	}
 	if n == limit {
 		return places
@@ -154,9 +171,10 @@
 	}
 	slices.SortFunc(taskEnds, func(a, b taskEnd) int { return cmp.Compare(a.remaining, b.remaining) })
 	for _, e := range taskEnds {
-		free = free.Add(e.capacity)
-		for ; n < min(countPlaces(taskCapacity, free), limit); n++ {
-			places = append(places, expectedPlace{w, e.remaining})
+		spare = spare.Add(e.capacity)
+		for ; n < limit && taskCapacity.Fits(spare); n++ {
+			spare = spare.Sub(taskCapacity)
+			places = append(places, expectedPlace{w, e.remaining, spare})
 		}
 	}
 	return places
--- a/internal/cell/scheduler/waiting.go
+++ b/internal/cell/scheduler/waiting.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		valid += places
-		if s.reservations == nil || !s.reservations.blocksTask(w, st.job, expectedEnd) {
+		if s.reservations == nil || !s.reservations.blocksTask(w, st, expectedEnd) {
 			unreserved += places
 		}
 	}
