Do not keep lasting tasks from reserved workers

Callers saw a lasting task that did not run beside workers with room for it.

A lasting task never ends before a reserved task is to start. So it waited until the reserved task had run, and again for the next one: for over 30 s while a gang waited for entire workers that were in part free.

A lasting task is placed on a reserved worker if there is no other for it. It would take the place for good later anyhow. Tasks with an end still wait for reservations: there is no limit to their number, so that they could keep a large task from its workers for ever.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -75,13 +75,17 @@
 	if !c.taskCapacity.Fits(w.freeCapacity()) || !w.registration.HasLabel(st.spec.Label) || !belowTaskLimit(w, st) || w.hasOrphanedRunOf(c.task.id) {
 		return
 	}
-	if c.reserved.blocksTask(w, st, c.expectedEnd) {
+	delaysReserved := c.reserved.delaysReservedTask(w, st, c.expectedEnd)
+	if delaysReserved && !st.spec.Lasting {
 		return
 	}
 	score := c.scheduler.scoreWorker(w, st, c.task, c.gangMembersByRack)
 	if c.now.Before(w.slowUntil) {
 		score -= slowWorkerPenalty
 	}
+	if delaysReserved {
+		score -= reservedWorkerPenalty
+	}
 	if len(c.partners) > 0 {
 		if isBetterWorker(w, score, c.bestWithout, c.bestScoreWithout) {
 			c.bestWithout, c.bestScoreWithout = w, score
@@ -133,6 +137,10 @@
 	failedTaskPenalty = 3.0
 	// slowWorkerPenalty is for a worker that counts as slow at the moment.
 	slowWorkerPenalty = 6.0
+	// reservedWorkerPenalty is for a worker that is reserved for a task that would be delayed.
+	// It outweighs all others: a lasting task is placed on such a worker only if there is no
+	// other.
+	reservedWorkerPenalty = 20.0
 	// interferencePenalty is for placing a filling task on a worker with serving
 	// tasks, or a serving task on a worker with filling tasks.
 	interferencePenalty = 2.0
--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,7 +17,8 @@
 	return resource.Vector{Milliprocessors: tenths * tenthOfWorker.Milliprocessors, MemoryMebibytes: tenths * tenthOfWorker.MemoryMebibytes}
 }
 
-// newLastingSimulation returns a simulation with five workers.
+// newLastingSimulation returns a simulation with five workers. By isApproved, lastingTask may
+// use workers 1 and 3 if it is in the advised queue.
 func newLastingSimulation() *simulation {
 	sm := newSimulation(1, faultProbabilities{})
 	sm.fixedDelays, sm.useDeclaredAdviceTimes = true, true
@@ -26,6 +28,22 @@
 	return sm
 }
 
+var lastingTask = work.TaskID{StepID: work.StepID{Job: "lasting-1"}}
+
+func (sm *simulation) submitLastingTask(queueName string) {
+	sm.submit(&work.Job{ID: lastingTask.Job, Queue: queueName, Steps: []work.Step{{Count: 1, Size: tenthOfWorker, Lasting: true, Estimate: time.Second}}}, fleet.TaskProfile{})
+}
+
+// waitForRun runs the simulation until a task runs, and returns how long that takes, at most
+// 30 seconds.
+func (sm *simulation) waitForRun(id work.TaskID) time.Duration {
+	since := sm.now
+	for sm.workerOf(id) == nil && sm.now.Sub(since) < 30*time.Second {
+		sm.runFor(50 * time.Millisecond)
+	}
+	return sm.now.Sub(since)
+}
+
 // A worker with room for both a reserved task and another one was kept free of the other.
 func TestTasksUseCapacityThatReservedTasksDoNotNeed(t *testing.T) {
 	is := is.New(t)
@@ -51,3 +69,45 @@
 	sm.runFor(17 * time.Second)
 	is.Equal(running("reserved", 5), 5)
 }
+
+// A lasting task ends after every reservation begins. So it did not start on any reserved
+// worker, however much of it was free.
+func TestReservationsDoNotKeepLastingTasksWaiting(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		// occupy submits the jobs that keep the workers reserved.
+		occupy func(sm *simulation)
+	}{
+		{"tasks of half a worker follow one another", func(sm *simulation) {
+			for i := range 40 {
+				sm.schedule(time.Duration(i)*time.Second, func() {
+					sm.submit(&work.Job{ID: fmt.Sprintf("half-%02d", i), Queue: "urgent", Steps: []work.Step{{Count: 5, Size: shareOfWorker(6), Estimate: 2 * time.Second}}}, fleet.TaskProfile{RunTime: 2 * time.Second})
+				})
+			}
+		}},
+		{"a gang waits for a worker that lasting tasks use", func(sm *simulation) {
+			sm.submit(&work.Job{ID: "user", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: shareOfWorker(2), Lasting: true}}}, fleet.TaskProfile{})
+			sm.runFor(time.Second)
+			sm.submit(&work.Job{ID: "gang", Queue: "urgent", Steps: []work.Step{{Count: 5, Gang: true, Size: workerCapacity, Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+		}},
+		{"a gang waits for entire workers", func(sm *simulation) {
+			sm.submit(&work.Job{ID: "short", Queue: "urgent", Steps: []work.Step{{Count: 10, Size: shareOfWorker(4), Estimate: 20 * time.Second}}}, fleet.TaskProfile{RunTime: 20 * time.Second})
+			sm.runFor(time.Second)
+			sm.submit(&work.Job{ID: "gang", Queue: "urgent", Steps: []work.Step{{Count: 5, Gang: true, Size: workerCapacity, Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+		}},
+	}
+	for _, sc := range scenarios {
+		for _, queueName := range []string{"batch", "advised"} {
+			t.Run(sc.testName+", "+queueName, func(t *testing.T) {
+				is := is.New(t)
+				sm := newLastingSimulation()
+				sc.occupy(sm)
+				sm.runFor(2500 * time.Millisecond)
+				sm.submitLastingTask(queueName)
+				waited := sm.waitForRun(lastingTask)
+				is.True(waited < 3*time.Second)
+				is.Equal(len(sm.violations), 0)
+			})
+		}
+	}
+}
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -48,10 +48,10 @@
 	return &reservations{byWorker: map[*worker]reservation{}, stepCountByService: map[string]int{}, quotaClaims: quotaClaims{}}
 }
 
-// blocksTask reports whether a reservation for another job keeps a task of a step from a
-// worker. It does so if the task would not end before the reserved capacity is expected to be
-// free, and if less capacity is spare then. Other tasks may backfill the worker.
-func (r *reservations) blocksTask(w *worker, st *step, expectedEnd time.Time) bool {
+// delaysReservedTask reports whether a task of a step would delay a task of another job for
+// which a worker is reserved. It does so if it would not end before the reserved capacity is
+// expected to be free, and if less capacity is spare then. Other tasks may backfill the worker.
+func (r *reservations) delaysReservedTask(w *worker, st *step, expectedEnd time.Time) bool {
 	res, ok := r.byWorker[w]
 	if !ok || res.job == st.job || !expectedEnd.After(res.freeAt) {
 		return false
@@ -60,6 +60,13 @@
 	return !usedSince.Add(st.spec.ReservedCapacity()).Fits(res.spareCapacity)
 }
 
+// blocksTask reports whether a reservation for another job keeps a task of a step from a
+// worker. It keeps no lasting task from it: that would wait until the reserved task has run, and
+// again for the next one.
+func (r *reservations) blocksTask(w *worker, st *step, expectedEnd time.Time) bool {
+	return !st.spec.Lasting && r.delaysReservedTask(w, st, expectedEnd)
+}
+
 // isReservedForOtherJob reports whether a worker is reserved for a job other than j.
 func (r *reservations) isReservedForOtherJob(w *worker, j *job) bool {
 	res, ok := r.byWorker[w]
