Reserve no workers for a gang that lasting tasks keep out

Callers saw accepted work that did not run beside idle workers.

Workers are reserved for a gang if its members fit on them at the same time. Lasting tasks were taken for tasks that end, so that a gang which can't start before their jobs are cancelled kept all other workers free.

Only the capacity beside lasting tasks counts.

TestGangThatCannotFitBesideLastingTasksReservesNoWorkers failed before.

--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -111,3 +111,17 @@
 		}
 	}
 }
+
+// A gang that does not fit beside the lasting tasks reserved workers for as long as it waited.
+func TestGangThatCannotFitBesideLastingTasksReservesNoWorkers(t *testing.T) {
+	is := is.New(t)
+	sm := newLastingSimulation()
+	sm.submitLastingTask("batch")
+	sm.runFor(time.Second)
+	sm.submit(&work.Job{ID: "gang", Queue: "urgent", Steps: []work.Step{{Count: 5, Gang: true, Size: workerCapacity, Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+	sm.submit(&work.Job{ID: "long", Queue: "batch", Steps: []work.Step{{Count: 5, Size: shareOfWorker(9), Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+	sm.runFor(time.Second)
+	for i := range 5 {
+		is.True(sm.workerOf(work.TaskID{StepID: work.StepID{Job: "long"}, Index: i}) != nil)
+	}
+}
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -86,11 +86,11 @@
 		if r.isReservedForOtherJob(w, st.job) || !belowTaskLimit(w, st) {
 			continue
 		}
-		maxPlaces += countPlaces(st.spec.ReservedCapacity(), w.registration.Capacity)
+		maxPlaces += countPlaces(st.spec.ReservedCapacity(), w.capacityBesideLastingTasks())
 		places = s.appendExpectedPlaces(w, st, places, now)
 	}
 	if st.spec.Gang && maxPlaces < st.spec.Count {
-		return // The gang would not fit even if all these workers were empty.
+		return // The gang would not fit even if these workers ran lasting tasks only.
 	}
 	slices.SortFunc(places, func(a, b expectedPlace) int {
 		return cmp.Or(compareBools(!a.worker.ready, !b.worker.ready), cmp.Compare(a.timeUntilFree, b.timeUntilFree), compareLives(a.worker.registration.Life, b.worker.registration.Life))
@@ -122,6 +122,18 @@
 	r.stepCountByService[q.Service]++
 }
 
+// capacityBesideLastingTasks returns the capacity of a worker that is free once all tasks have
+// ended that have an end.
+func (w *worker) capacityBesideLastingTasks() resource.Vector {
+	capacity := w.registration.Capacity
+	for _, t := range w.tasks {
+		if t.step.spec.Lasting {
+			capacity = capacity.Sub(t.step.spec.ReservedCapacity())
+		}
+	}
+	return capacity
+}
+
 // permittedWorkers returns the workers that may run the tasks of a step. If the queue
 // needs advice, these are the workers with a ticket, which may have expired;
 // otherwise all capable workers.
