Renew tickets for reserved workers that a step may use

Callers saw accepted work that did not run beside workers with room for it.

A step did not renew its tickets for workers that were reserved for other jobs, although its tasks may start there if they end before the reserved ones start, if there is room for both or if they last. Once its tickets had expired while these workers were full, it waited until the reservations were over. A large lasting step renewed no tickets unless it had reserved workers itself.

A step renews its tickets for all workers on which its tasks may start.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -222,9 +222,9 @@
 		return nil // Only a gang has several requests in flight.
 	}
 	var stale []*worker
-	places := 0
+	places, expectedEnd := 0, now.Add(s.runTimes.expectedOccupancy(st))
 	for w, t := range st.advice.tickets {
-		if !w.ready || !w.acceptsTasksOf(q) || s.reservations.isReservedForOtherJob(w, st.job) {
+		if !w.ready || !w.acceptsTasksOf(q) || s.reservations.blocksTask(w, st, expectedEnd) {
 			continue
 		}
 		if st.spec.Gang || places == 0 {
@@ -240,7 +240,7 @@
 			if st.areReservedWorkersSoonFree(q) && (st.advice.areReservedWorkersReady() || !st.hasUnansweredWorker(s.poolOfService(q.Service))) {
 				return st.advice.reservedWorkersWithoutValidTicket(now.Add(q.Advice.RequestDuration(len(st.advice.reservedWorkers))))
 			}
-		case places > 0 && len(stale) > 0 && !s.isLargeStep(st, q):
+		case len(stale) > 0 && places >= st.placesNeededToStart() && (st.spec.Lasting || !s.isLargeStep(st, q)):
 			return workersMostLikelyFree(stale, st)
 		}
 	}
@@ -250,6 +250,14 @@
 	return nil
 }
 
+// placesNeededToStart returns how many places a step needs so that a task of it can start.
+func (st *step) placesNeededToStart() int {
+	if st.spec.Gang {
+		return st.spec.Count
+	}
+	return 1
+}
+
 // countMissingPlaces returns how many places a step lacks beyond those that its tickets
 // and unanswered requests are expected to bring. It asks about further workers while
 // this is above 0. A place is free capacity for one task; the parameter places is the
--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -125,3 +125,33 @@
 		is.True(sm.workerOf(work.TaskID{StepID: work.StepID{Job: "long"}, Index: i}) != nil)
 	}
 }
+
+// The tickets of a step were not renewed while its workers were reserved, although its tasks
+// did not have to wait for the reserved ones.
+func TestStepRenewsTicketsForReservedWorkersThatItMayUse(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		step     work.Step
+	}{
+		{"a task that ends before the reserved ones start", work.Step{Size: tenthOfWorker, Estimate: time.Second}},
+		{"a small lasting task", work.Step{Size: tenthOfWorker, Lasting: true}},
+		{"a large lasting task", work.Step{Size: shareOfWorker(5), Lasting: true}},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			sm := newLastingSimulation()
+			submit := func(id, queueName string, step work.Step) {
+				sm.submit(&work.Job{ID: id, Queue: queueName, Steps: []work.Step{step}}, fleet.TaskProfile{RunTime: step.Estimate})
+			}
+			submit("running-1", "urgent", work.Step{Count: 5, Size: shareOfWorker(6), Estimate: 6 * time.Second})
+			submit("running-2", "urgent", work.Step{Count: 5, Size: shareOfWorker(4), Estimate: 40 * time.Second})
+			sm.runFor(time.Second)
+			submit("reserved", "urgent", work.Step{Count: 5, Size: workerCapacity, Estimate: time.Minute})
+			sc.step.Count = 1
+			submit("single-1", "advised", sc.step)
+			sm.runFor(5 * time.Second)
+			is.True(sm.waitForRun(work.TaskID{StepID: work.StepID{Job: "single-1"}}) < 3*time.Second)
+		})
+	}
+}
