Pass only changes of the list of workers on in the simulation

The leading entry VM passes the list of workers on to the scheduler when it has changed, and once when it takes over. The simulation passed it on every 100 ms, which hid what the scheduler did only then.

go test ./internal/cell/scheduler passes as before.

--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -417,7 +417,8 @@
 		sm.quotas.noteLeader(l)
 	}
 	l.scheduler.SetAdviceVMs(sm.adviceVMs)
-	l.scheduler.SetWorkers(sm.registrations(), sm.now)
+	l.registrations = sm.registrations()
+	l.scheduler.SetWorkers(l.registrations, sm.now)
 	l.scheduler.RestoreWorkers(sm.workerRecords(), sm.now)
 	for _, j := range sm.jobs {
 		l.scheduler.Restore(j, sm.storedProgress[j.ID], sm.now)
@@ -464,6 +465,8 @@
 	deposed    bool
 	// holdsToInterrupt contains the workers to which the next hold must be sent at once.
 	holdsToInterrupt map[backend.Life]bool
+	// registrations is the list of workers that the scheduler was given last.
+	registrations []backend.Registration
 	// frozen is true while the leader does nothing. Calls that it has already sent
 	// are still delivered.
 	frozen bool
@@ -710,8 +713,9 @@
 
 func (l *simulatedLeader) tick() {
 	l.updateScheduler(func(at time.Time) {
-		if !l.cutOffFromStore {
-			l.scheduler.SetWorkers(l.simulation.registrations(), at)
+		if list := l.simulation.registrations(); !l.cutOffFromStore && haveChanged(l.registrations, list) {
+			l.registrations = list
+			l.scheduler.SetWorkers(list, at)
 		}
 		l.scheduler.Tick(at)
 	})
@@ -720,6 +724,13 @@
 	}
 }
 
+// haveChanged reports whether the leading entry VM passes a list of workers on after another.
+func haveChanged(old, list []backend.Registration) bool {
+	return !slices.EqualFunc(old, list, func(a, b backend.Registration) bool {
+		return a.Life == b.Life && a.Draining == b.Draining && a.Service == b.Service && a.Address == b.Address
+	})
+}
+
 // scheduleAndCommit does a scheduling pass and stores the next commit, and repeats
 // this until the leader is deposed.
 func (l *simulatedLeader) scheduleAndCommit() {
