Stop lasting tasks on draining workers at any time

Callers saw a lasting task that stayed on a worker that was about to leave, and then did not run until the lease of the worker had ended.

Lasting tasks on a draining worker are stopped so that they move. That was done only when the list of workers changed: a task whose start was confirmed later, or that another leader restored after it had read the list, ran on until its worker exited or some other worker joined or left.

They are stopped with the next tick.

--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -155,3 +155,81 @@
 		})
 	}
 }
+
+// drain makes the worker of a task drain, and returns the worker.
+func (sm *simulation) drainWorkerOf(id work.TaskID, remaining time.Duration) *fleet.Worker {
+	v := sm.workerOf(id)
+	v.Registration.Draining, v.Registration.Remaining = true, remaining
+	return v
+}
+
+// waitForMove runs the simulation until a task runs on another worker than v, and returns how
+// long that takes, at most 30 seconds.
+func (sm *simulation) waitForMove(id work.TaskID, v *fleet.Worker) time.Duration {
+	since := sm.now
+	for w := sm.workerOf(id); (w == nil || w == v) && sm.now.Sub(since) < 30*time.Second; w = sm.workerOf(id) {
+		sm.runFor(50 * time.Millisecond)
+	}
+	return sm.now.Sub(since)
+}
+
+// A lasting task was only stopped at the moment at which its worker was listed as draining. If
+// its start was not confirmed by then, or another leader led, it ran until the worker exited and
+// then waited until its lease had ended.
+func TestLastingTasksLeaveDrainingWorkers(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		// begin submits the task, and returns its draining worker.
+		begin func(sm *simulation) *fleet.Worker
+		limit time.Duration
+	}{
+		{"the start is confirmed later", func(sm *simulation) *fleet.Worker {
+			for i := range 5 {
+				sm.callFaults.workerAnswersLostUntil[fmt.Sprintf("worker-%d", i)] = sm.now.Add(600 * time.Millisecond)
+			}
+			sm.submitLastingTask("advised")
+			sm.waitForRun(lastingTask)
+			return sm.drainWorkerOf(lastingTask, 20*time.Second)
+		}, 4 * time.Second},
+		{"another leader takes over", func(sm *simulation) *fleet.Worker {
+			sm.submitLastingTask("advised")
+			sm.runFor(3 * time.Second)
+			sm.restartLeader(time.Second)
+			return sm.drainWorkerOf(lastingTask, 20*time.Second)
+		}, 4 * time.Second},
+		{"stops are lost", func(sm *simulation) *fleet.Worker {
+			sm.submitLastingTask("advised")
+			sm.runFor(3 * time.Second)
+			v := sm.drainWorkerOf(lastingTask, 20*time.Second)
+			sm.callFaults.pausedUntil[v.Registration.Life.ID] = sm.now.Add(time.Second)
+			return v
+		}, 4 * time.Second},
+		{"the answers of the worker are lost", func(sm *simulation) *fleet.Worker {
+			sm.submitLastingTask("advised")
+			sm.runFor(3 * time.Second)
+			v := sm.drainWorkerOf(lastingTask, 20*time.Second)
+			sm.callFaults.workerAnswersLostUntil[v.Registration.Life.ID] = sm.now.Add(2 * time.Second)
+			return v
+		}, 4 * time.Second},
+		{"the worker exits early", func(sm *simulation) *fleet.Worker {
+			sm.submitLastingTask("advised")
+			sm.runFor(3 * time.Second)
+			v := sm.drainWorkerOf(lastingTask, 20*time.Second)
+			sm.schedule(200*time.Millisecond, func() {
+				sm.exit(v)
+				delete(sm.listed, v.Registration.Life.ID)
+			})
+			return v
+		}, 8 * time.Second},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			sm := newLastingSimulation()
+			v := sc.begin(sm)
+			took := sm.waitForMove(lastingTask, v)
+			is.True(took < sc.limit)
+			is.Equal(len(sm.violations), 0)
+		})
+	}
+}
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -265,6 +265,7 @@
 	for _, life := range s.sortedLives() {
 		w := s.workers[life]
 		s.requeueSpeculativeTasks(w, now)
+		s.stopLastingTasksIfDraining(w, now)
 		s.stopTasksOfDrainingWorker(w, now)
 		s.repeatNextLostStop(w, now)
 		if now.Before(w.leaseEnd) {
