Note when a worker may exit that drained before the take-over

Callers saw tasks that were lost with a worker that had said when it would leave.

Tasks that do not end before their draining worker may exit are stopped in time. The leader noted when the worker may exit only if the worker had been listed before as one that does not drain. So after a take-over, or for a worker that was first listed while it drained, no task was stopped.

TestTasksLeaveAWorkerThatDrainedBeforeTheTakeOver failed before (not moved within 30 s).

--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -233,3 +233,17 @@
 		})
 	}
 }
+
+// A leader that took over while a worker drained did not note when the worker may exit. Tasks
+// that do not end in time were not stopped, and waited until the lease of the worker had ended.
+func TestTasksLeaveAWorkerThatDrainedBeforeTheTakeOver(t *testing.T) {
+	is := is.New(t)
+	sm := newLastingSimulation()
+	task := work.TaskID{StepID: work.StepID{Job: "job"}}
+	sm.submit(&work.Job{ID: task.Job, Queue: "batch", Steps: []work.Step{{Count: 1, Size: taskSize, Checkpoints: true}}}, fleet.TaskProfile{RunTime: time.Hour})
+	sm.runFor(time.Second)
+	v := sm.drainWorkerOf(task, 5*time.Second)
+	sm.runFor(time.Second)
+	sm.restartLeader(time.Second)
+	is.True(sm.waitForMove(task, v) < 7*time.Second)
+}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -187,7 +187,8 @@
 		return
 	}
 	w := s.workers[r.Life]
-	if w == nil {
+	known := w != nil
+	if !known {
 		w = s.addWorker(r, now)
 		s.replaceEarlierProcesses(w, now)
 	}
@@ -195,7 +196,7 @@
 		s.replaceProcess(old, w, "restarted", now)
 	}
 	s.latestWorkerByID[r.Life.ID] = w
-	if r.Draining && !w.registration.Draining {
+	if r.Draining && (!known || !w.registration.Draining) {
 		w.drainEnd = now.Add(max(r.Remaining-drainNoticeDelay, 0))
 		s.log.Info("worker_draining", "worker", r.Life.ID, "remaining_ms", r.Remaining.Milliseconds(), "tasks", len(w.tasks))
 	}
