Order no start on a worker that drains

Callers saw tasks that had to start again, since their first run began on a worker that was about to leave.

A worker that drains is chosen for no task. But it may begin to drain while the placement of a task is being stored, for up to 3 s with a slow store, or while a start waits for the answer to an acknowledgement. The start was ordered then.

Such a task is requeued, as if its worker had left.

TestNoStartIsOrderedOnAWorkerThatDrains failed before.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -110,12 +110,12 @@
 }
 
 // orderStart orders the worker of a task to start it, once the placement is stored.
-// If the worker cannot be used any more, its ticket has expired, the commit is too old or
-// the cap of the team was lowered below its use, the task is requeued instead.
+// If the worker cannot be used any more or drains, its ticket has expired, the commit is too
+// old or the cap of the team was lowered below its use, the task is requeued instead.
 func (s *Scheduler) orderStart(t *task, commitStart, now time.Time) {
 	w := t.worker
 	t.inCommit = false
-	if w.removed || w.tokenUnconfirmed() || t.step.advice.isTicketExpired(w, now) || now.Sub(commitStart) > maxStartDelay || s.isAboveQuota(t.step.job) {
+	if w.removed || w.registration.Draining || w.tokenUnconfirmed() || t.step.advice.isTicketExpired(w, now) || now.Sub(commitStart) > maxStartDelay || s.isAboveQuota(t.step.job) {
 		s.log.Info("start_withdrawn", "task", t.id.String(), "run", t.runNumber, "worker", w.registration.Life.ID, "born", w.registration.Life.Born, "age_ms", now.Sub(commitStart).Milliseconds())
 		s.requeueTask(t, "withdrawn")
 		s.stopOtherGangMembers(t, now)
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -66,8 +66,8 @@
 }
 
 // sendDelayedStarts sends the starts that were delayed by an acknowledgement, with the
-// present fencing token. A task that was stopped meanwhile is requeued instead, and one whose
-// start is too old because this VM was suspended.
+// present fencing token. A task that was stopped meanwhile is requeued instead, one whose worker
+// drains, and one whose start is too old because this VM was suspended.
 func (s *Scheduler) sendDelayedStarts(w *worker, now time.Time) {
 	w.acknowledging = false
 	delayed := w.delayedStarts
@@ -79,10 +79,10 @@
 		}
 		t.startDelayed = false
 		aboveQuota := s.isAboveQuota(t.step.job)
-		if t.phase != phaseStartOrdered || aboveQuota || now.Sub(t.orderedAt) > maxStartDelay {
+		if t.phase != phaseStartOrdered || aboveQuota || w.registration.Draining || now.Sub(t.orderedAt) > maxStartDelay {
 			s.requeueTask(t, "withdrawn")
 			s.logIfRunsEnded(t, w, "withdrawn", now)
-			if aboveQuota {
+			if aboveQuota || w.registration.Draining {
 				s.stopOtherGangMembers(t, now)
 			}
 			continue
--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -5,10 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
@@ -247,3 +251,26 @@
 	sm.restartLeader(time.Second)
 	is.True(sm.waitForMove(task, v) < 7*time.Second)
 }
+
+// The placement of a task was stored after its worker had begun to drain. The task was started
+// there all the same.
+func TestNoStartIsOrderedOnAWorkerThatDrains(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, now, now, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	list := addHeldWorkers(s, 2, now, "desk")
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Lasting: true}}}, now)
+	var starts []scheduler.Order[backend.Start]
+	for range 2 {
+		s.Schedule(now)
+		c := s.NextCommit(now)
+		is.True(c != nil)
+		list[0].Draining = true
+		s.SetWorkers(list, now)
+		s.Committed(c, now)
+		starts = append(starts, s.TakeEffects().Starts...)
+	}
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Worker, list[1].Life)
+}
