--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -274,3 +274,61 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Worker, list[1].Life)
 }
+
+// newSlowAdviceSimulation returns a simulation with 30 workers, of which the advised queue may
+// use half. The adviser is slow.
+func newSlowAdviceSimulation() *simulation {
+	sm := newSimulation(1, faultProbabilities{})
+	sm.fixedDelays, sm.useDeclaredAdviceTimes = true, true
+	sm.table.Queues[2].Advice = &queue.AdviceCost{Fixed: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Validity: 2 * time.Second}
+	sm.addWorkers(30, workerCapacity)
+	sm.electLeader()
+	sm.runFor(time.Second)
+	return sm
+}
+
+// Guards against waits beyond the lease of a lost worker, and after a take-over beyond the time
+// for which the earlier leader may have extended it.
+func TestLastingTasksLeaveLostWorkers(t *testing.T) {
+	const request = 800 * time.Millisecond
+	scenarios := []struct {
+		testName string
+		fault    func(sm *simulation, v *fleet.Worker)
+		// limit is the longest time until the task is to start elsewhere.
+		limit func(timing scheduler.Timing) time.Duration
+	}{
+		{"the worker crashes and stays listed", func(sm *simulation, v *fleet.Worker) { sm.exit(v) },
+			func(timing scheduler.Timing) time.Duration { return timing.Lease }},
+		{"the worker restarts and is listed late", func(sm *simulation, v *fleet.Worker) {
+			sm.listDelay, sm.fixedDelays = 20*time.Second, false
+			sm.restartWorker(v.Registration.Life)
+		}, func(scheduler.Timing) time.Duration { return 0 }},
+		{"another worker is lost while the lease ends", func(sm *simulation, v *fleet.Worker) {
+			sm.unreachableWorkers[v.Registration.Life] = true
+			sm.schedule(6*time.Second, func() {
+				for _, life := range sm.sortedLives() {
+					if other := sm.workers[life]; other != v && isApproved(lastingTask.StepID, life.ID) {
+						sm.unreachableWorkers[life] = true
+						return
+					}
+				}
+			})
+		}, func(timing scheduler.Timing) time.Duration { return timing.Lease }},
+		{"the leader is lost while the lease ends", func(sm *simulation, v *fleet.Worker) {
+			sm.unreachableWorkers[v.Registration.Life] = true
+			sm.schedule(5*time.Second, func() { sm.restartLeader(time.Second) })
+		}, func(timing scheduler.Timing) time.Duration { return 6*time.Second + timing.LeadershipLease }},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			sm := newSlowAdviceSimulation()
+			sm.submitLastingTask("advised")
+			sm.runFor(10 * time.Second)
+			v := sm.workerOf(lastingTask)
+			sc.fault(sm, v)
+			is.True(sm.waitForMove(lastingTask, v) < sc.limit(sm.timing)+request+time.Second)
+			is.Equal(len(sm.violations), 0)
+		})
+	}
+}
