Do not blame workers for tasks that fail everywhere

Callers saw a lasting task that did not run beside workers with room for it.

A worker on which three runs in a row fail gets no tasks for 3 s. Lasting tasks start again without limit: a job of 200 that fail on every worker kept all workers from getting tasks nearly all the time. They got some for moments, in which the adviser had not answered yet, and tickets expire after 2 s.

The runs of a task that has failed on three workers no longer count as failures of workers. So that a task does not move between two bad workers, it is placed on none of the last three on which it failed, if possible, instead of only not on the last.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/interference"
@@ -133,7 +134,7 @@
 	// rackBonus is for a worker in the rack that holds the input data and, if the
 	// step has SameRack set, for one in a rack with other members of the gang.
 	rackBonus = 4.0
-	// failedTaskPenalty is for the worker on which the task failed last.
+	// failedTaskPenalty is for the workers on which the task failed last.
 	failedTaskPenalty = 3.0
 	// slowWorkerPenalty is for a worker that counts as slow at the moment.
 	slowWorkerPenalty = 6.0
@@ -165,7 +166,7 @@
 	if st.spec.SameRack && gangMembersByRack[w.rack()] > 0 {
 		score += rackBonus
 	}
-	if t.lastFailedWorker == w.registration.Life.ID {
+	if slices.Contains(t.failedWorkers, w.registration.Life.ID) {
 		score -= failedTaskPenalty
 	}
 	if wouldInterfere(w, st) {
--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -332,3 +332,18 @@
 		})
 	}
 }
+
+// Runs of a job that fail on every worker were taken for faults of the workers. All of these got
+// no tasks for so long that the tickets of others expired.
+func TestFailingJobDoesNotKeepOthersFromAllWorkers(t *testing.T) {
+	is := is.New(t)
+	sm := newSlowAdviceSimulation()
+	failing := work.StepID{Job: "failing-1"}
+	sm.submit(&work.Job{ID: failing.Job, Queue: "batch", Steps: []work.Step{{Count: 200, Size: tenthOfWorker, Lasting: true}}}, fleet.TaskProfile{})
+	for i := range 200 { // The emulated workers end no lasting run.
+		sm.taskProfiles[work.TaskID{StepID: failing, Index: i}] = fleet.TaskProfile{Size: tenthOfWorker, Fails: true, RunTime: failedRunTime}
+	}
+	sm.runFor(5 * time.Second)
+	sm.submitLastingTask("advised")
+	is.True(sm.waitForRun(lastingTask) < 4*time.Second)
+}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -19,6 +19,9 @@
 	// new tasks for workerAvoidancePeriod.
 	failuresBeforeAvoidingWorker = 3
 	workerAvoidancePeriod        = 3 * time.Second
+	// The runs of a task that has failed on workersUntilTaskIsBlamed workers no longer count as
+	// failures of workers. A job that fails everywhere would keep all workers from getting tasks.
+	workersUntilTaskIsBlamed = 3
 )
 
 // StartAnswered handles the answer to a start order. An empty kind means that the
@@ -114,7 +117,7 @@
 	case backend.Done:
 		s.applyCompletedRun(t, now)
 	case backend.Failed:
-		s.applyFailedRun(t, w, e.Run, now)
+		s.applyFailedRun(t, e.Run, now)
 	default:
 		s.requeueTask(t, endedWith(e.Outcome))
 		s.stopOtherGangMembers(t, now)
@@ -180,8 +183,7 @@
 
 // applyFailedRun handles a run that has failed: the task is requeued, unless the
 // whole job fails.
-func (s *Scheduler) applyFailedRun(t *task, w *worker, run int64, now time.Time) {
-	t.lastFailedWorker = w.registration.Life.ID
+func (s *Scheduler) applyFailedRun(t *task, run int64, now time.Time) {
 	s.requeueTask(t, endedWith(backend.Failed))
 	if !s.countFailedRun(t, run, now) {
 		s.stopOtherGangMembers(t, now)
@@ -221,6 +223,9 @@
 		w.consecutiveFailures = 0
 		s.runTimes.recordRunTime(t, now)
 	case backend.Failed:
+		if t.noteFailedWorker(w.registration.Life.ID); len(t.failedWorkers) >= workersUntilTaskIsBlamed {
+			return
+		}
 		w.consecutiveFailures++
 		if w.consecutiveFailures >= failuresBeforeAvoidingWorker {
 			w.avoidUntil = now.Add(workerAvoidancePeriod)
@@ -230,6 +235,15 @@
 	}
 }
 
+// noteFailedWorker notes that a run of the task has failed on a worker.
+func (t *task) noteFailedWorker(id string) {
+	t.failedWorkers = slices.DeleteFunc(t.failedWorkers, func(known string) bool { return known == id })
+	t.failedWorkers = append(t.failedWorkers, id)
+	if n := len(t.failedWorkers) - workersUntilTaskIsBlamed; n > 0 {
+		t.failedWorkers = t.failedWorkers[n:]
+	}
+}
+
 // stopOtherGangMembers must be called when a member of a gang has ended or could not
 // start. It stops the members that may run, and requeues those that are only placed.
 // It does nothing for tasks outside of gangs.
