List only the first failed run of a lasting task

The record of a task lists its failed runs, since a job fails after a number of them. Lasting tasks have no such limit. The list of one that fails again and again grew without end, and is searched and stored with each failure.

Its record tells only that it has failed.

--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -119,7 +119,7 @@
 	// number than the one before.
 	runNumber int64
 	// failedRuns lists the numbers of the failed runs. Each is listed once, even if
-	// its failure is reported several times.
+	// its failure is reported several times. Of a lasting task, it lists only the first.
 	failedRuns []int64
 	// worker is the worker whose capacity the task uses, or nil.
 	worker *worker
--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -347,3 +347,15 @@
 	sm.submitLastingTask("advised")
 	is.True(sm.waitForRun(lastingTask) < 4*time.Second)
 }
+
+// The record of a lasting task that failed again and again listed each of these runs.
+func TestRecordOfAFailingLastingTaskDoesNotGrow(t *testing.T) {
+	is := is.New(t)
+	sm := newLastingSimulation()
+	sm.submitLastingTask("batch")
+	sm.taskProfiles[lastingTask] = fleet.TaskProfile{Size: tenthOfWorker, Fails: true, RunTime: failedRunTime}
+	sm.runFor(20 * time.Second)
+	progress := sm.storedProgress[lastingTask.Job].Steps[0].Tasks[0]
+	is.True(progress.Run > 10)
+	is.Equal(len(progress.Failed), 1)
+}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -198,6 +198,9 @@
 		members = t.step.tasks
 	}
 	for _, m := range members {
+		if m.step.spec.Lasting && len(m.failedRuns) > 0 {
+			continue // They are not limited, and the list would grow without end.
+		}
 		if !slices.Contains(m.failedRuns, run) {
 			m.failedRuns = append(m.failedRuns, run)
 		}
