Take late jobs with room for them despite a long queue

Callers saw accepted work that did not run beside workers with room for it.

Once a scheduling pass contains 500 jobs that compete for the same workers, it leaves out further ones whose results would come too late. Lasting jobs come before these for good. While 500 of them waited for room that did not exist, late jobs did not start, however much room there was for them.

Up to 100 more late jobs for whose tasks a worker has room take part.

--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -359,3 +359,19 @@
 	is.True(progress.Run > 10)
 	is.Equal(len(progress.Failed), 1)
 }
+
+// Lasting jobs that had no place counted as competitors of all others: jobs that were too late
+// were left out of the scheduling passes, although there was room for them.
+func TestLastingJobsWithoutAPlaceDoNotKeepLateJobsOut(t *testing.T) {
+	is := is.New(t)
+	sm := newLastingSimulation()
+	sm.submit(&work.Job{ID: "filler", Queue: "urgent", Steps: []work.Step{{Count: 5, Size: shareOfWorker(4), MostPerWorker: 1, Estimate: 10 * time.Second}}}, fleet.TaskProfile{RunTime: 10 * time.Second})
+	sm.runFor(time.Second)
+	for i := range 510 {
+		sm.submit(&work.Job{ID: fmt.Sprintf("lasting-%03d", i), Queue: "batch", Steps: []work.Step{{Count: 1, Size: shareOfWorker(6), Lasting: true}}}, fleet.TaskProfile{})
+	}
+	sm.runFor(time.Second)
+	sm.submit(&work.Job{ID: "late", Queue: "urgent", Steps: []work.Step{{Count: 1, Size: tenthOfWorker, Estimate: 100 * time.Millisecond}}}, fleet.TaskProfile{RunTime: time.Second})
+	sm.runFor(8 * time.Second)
+	is.True(sm.waitForRun(work.TaskID{StepID: work.StepID{Job: "late"}}) < 3*time.Second)
+}
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -37,6 +37,11 @@
 // too late to be useful.
 const tooLateJobsCutoff = 500
 
+// maxLateJobsWithRoom is the number of jobs beyond tooLateJobsCutoff that a scheduling pass takes
+// all the same if a worker has room for a task of them. The jobs before them may not be able to
+// use it, and may wait without end.
+const maxLateJobsWithRoom = 100
+
 // rankedJob is a job that takes part in a scheduling pass, with the keys by which it
 // is sorted.
 type rankedJob struct {
@@ -86,11 +91,15 @@
 	})
 	s.arrangeByShare(ranks)
 	order := make([]*job, 0, len(ranks))
-	jobsByClass, claims := map[classKey]int{}, quotaClaims{}
+	jobsByClass, lateJobsWithRoom, claims := map[classKey]int{}, map[classKey]int{}, quotaClaims{}
 	for i := range ranks {
 		r := &ranks[i]
 		// No caller waits for these jobs any more, and the other jobs come first.
 		r.job.leftOut = r.timeliness == timelinessTooLate && jobsByClass[r.class] >= tooLateJobsCutoff
+		if r.job.leftOut && lateJobsWithRoom[r.class] < maxLateJobsWithRoom && s.hasRoomForTaskOf(r) {
+			r.job.leftOut = false
+			lateJobsWithRoom[r.class]++
+		}
 		if !r.job.leftOut {
 			// A job that only the cap of its team keeps from running competes with no other.
 			if !r.heldByQuota && (r.runnable == nil || claims.claim(s, r.runnable) > 0) {
@@ -102,6 +111,13 @@
 	return order
 }
 
+// hasRoomForTaskOf reports whether a worker had enough free capacity for a task of a job in the
+// last scheduling pass.
+func (s *Scheduler) hasRoomForTaskOf(r *rankedJob) bool {
+	return r.runnable != nil && !r.heldByQuota &&
+		r.runnable.spec.ReservedCapacity().Fits(s.poolOfService(r.service).classOf(r.runnable.spec.Label).maxFreeCapacity)
+}
+
 // jobAllowance returns the time after its submission within which a job should
 // complete.
 func (s *Scheduler) jobAllowance(j *job, q *queue.Queue) time.Duration {
