Send a slow request although short ones keep all VMs busy

Callers saw a lasting job that did not start while many urgent jobs came.

Entry VMs send requests for advice one at a time. Short requests, those of urgent jobs, are not limited. If they kept all VMs busy, a lasting job with slow requests behind them was never sent one.

With two VMs or more, one request that is not short is sent first if none is under way and its step has waited for a second. So at most one VM is taken from the short requests.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -74,6 +74,8 @@
 	// workersAwaitingAnswer contains the workers named in requests that the adviser
 	// has not answered yet.
 	workersAwaitingAnswer map[*worker]bool
+	// requestedAt is when the last request was sent.
+	requestedAt time.Time
 	// outranked is true if, in the last scheduling pass, the steps before this one
 	// needed all free capacity of the pool.
 	outranked bool
@@ -278,6 +280,7 @@
 	timeout := max(v.busyUntil.Sub(now), 0) + cost + requestTimeoutMargin
 	v.requestsInFlight++
 	v.busyUntil = v.busyUntil.Add(cost)
+	st.advice.requestedAt = now
 	if st.advice.workersAwaitingAnswer == nil {
 		st.advice.workersAwaitingAnswer = map[*worker]bool{}
 	}
--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -24,6 +24,11 @@
 	}
 	limits := s.newRequestLimits(now)
 	candidates := s.requestCandidates(sortedJobs)
+	if len(s.dispatcher.vms) > 1 && limits.requestsInFlight == 0 {
+		if idle, ok = s.dispatchDelayedRequest(candidates, limits, idle, now); !ok {
+			return
+		}
+	}
 	idle, ok = s.dispatchWithinLimits(candidates, limits, idle, now)
 	if !ok {
 		return
@@ -33,6 +38,28 @@
 	s.dispatchWithinLimits(candidates, limits, idle, now)
 }
 
+// maxRequestDelay is how long steps without short requests wait for a VM before one of them is
+// sent its request first.
+const maxRequestDelay = time.Second
+
+// dispatchDelayedRequest has the VM named idle send the first request that is not short, of a
+// step that has waited for maxRequestDelay. Nothing else limits how many VMs are busy with short
+// requests: those of urgent jobs can keep all of them busy. It returns the next idle VM; ok is
+// false if there is none.
+func (s *Scheduler) dispatchDelayedRequest(candidates []*requestCandidate, limits *requestLimits, idle string, now time.Time) (nextIdle string, ok bool) {
+	var delayed []*requestCandidate
+	for _, c := range candidates {
+		if !hasShortRequests(c.queue) && c.step.open && now.Sub(c.step.openedAt) >= maxRequestDelay && now.Sub(c.step.advice.requestedAt) >= maxRequestDelay {
+			delayed = append(delayed, c)
+		}
+	}
+	perService, slow, all := limits.maxRequestsPerService, limits.maxSlowRequests, limits.maxRequests
+	limits.maxRequestsPerService, limits.maxSlowRequests, limits.maxRequests = 1, 1, 1
+	nextIdle, ok = s.dispatchWithinLimits(delayed, limits, idle, now)
+	limits.maxRequestsPerService, limits.maxSlowRequests, limits.maxRequests = perService, slow, all
+	return nextIdle, ok
+}
+
 // requestCandidate is a step that needs tickets.
 type requestCandidate struct {
 	step  *step
@@ -45,13 +72,13 @@
 
 // requestCandidates returns the steps of jobs that need tickets, in the order of the
 // jobs.
-func (s *Scheduler) requestCandidates(sortedJobs []*job) []requestCandidate {
-	candidates := make([]requestCandidate, 0, len(s.dispatcher.pendingSteps))
+func (s *Scheduler) requestCandidates(sortedJobs []*job) []*requestCandidate {
+	candidates := make([]*requestCandidate, 0, len(s.dispatcher.pendingSteps))
 	for _, j := range sortedJobs {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				if q := s.dispatcher.pendingSteps[st]; q != nil {
-					candidates = append(candidates, requestCandidate{step: st, queue: q})
+					candidates = append(candidates, &requestCandidate{step: st, queue: q})
 				}
 			}
 		}
@@ -62,10 +89,9 @@
 // dispatchWithinLimits has idle VMs send requests, first the VM named idle, until no VM
 // is idle or the limits allow no further request. It returns the next idle VM; ok is
 // false if there is none.
-func (s *Scheduler) dispatchWithinLimits(candidates []requestCandidate, limits *requestLimits, idle string, now time.Time) (nextIdle string, ok bool) {
+func (s *Scheduler) dispatchWithinLimits(candidates []*requestCandidate, limits *requestLimits, idle string, now time.Time) (nextIdle string, ok bool) {
 	stepsWithoutCapacity := map[*workerClass]int{}
-	for i := range candidates {
-		c := &candidates[i]
+	for _, c := range candidates {
 		st, q := c.step, c.queue
 		if c.done || !limits.allowsRequest(q) || (st.open && !s.isAdviceWorthRequesting(st, q, stepsWithoutCapacity)) || c.noRequestNeeded {
 			continue
--- a/internal/cell/scheduler/lasting_test.go
+++ b/internal/cell/scheduler/lasting_test.go
@@ -375,3 +375,19 @@
 	sm.runFor(8 * time.Second)
 	is.True(sm.waitForRun(work.TaskID{StepID: work.StepID{Job: "late"}}) < 3*time.Second)
 }
+
+// Requests of urgent jobs, which are short, kept all VMs busy. The slow request of a lasting job
+// was never sent.
+func TestUrgentRequestsLeaveVMsForLastingJobs(t *testing.T) {
+	is := is.New(t)
+	sm := newSlowAdviceSimulation()
+	sm.table.Queues = append(sm.table.Queues, queue.Queue{Name: "urgent-advised", Service: "desk", Stretch: 1.5, Objective: 250 * time.Millisecond, Advice: &queue.AdviceCost{Fixed: 50 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}})
+	for i := range 2000 {
+		sm.schedule(time.Duration(i)*20*time.Millisecond, func() {
+			sm.submit(&work.Job{ID: fmt.Sprintf("urgent-%04d", i), Queue: "urgent-advised", Steps: []work.Step{{Count: 1, Size: tenthOfWorker, Estimate: 100 * time.Millisecond}}}, fleet.TaskProfile{RunTime: 100 * time.Millisecond})
+		})
+	}
+	sm.runFor(3 * time.Second)
+	sm.submitLastingTask("advised")
+	is.True(sm.waitForRun(lastingTask) < 3*time.Second)
+}
