--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/interference"
@@ -72,13 +73,20 @@
 // has a higher score.
 func (c *workerSelection) considerWorker(w *worker) {
 	st := c.task.step
-	if !c.taskCapacity.Fits(w.freeCapacity()) || !w.registration.HasLabel(st.spec.Label) || c.reserved.blocksTask(w, st.job, c.expectedEnd) || !belowTaskLimit(w, st) || w.hasOrphanedRunOf(c.task.id) {
+	if !c.taskCapacity.Fits(w.freeCapacity()) || !w.registration.HasLabel(st.spec.Label) || !belowTaskLimit(w, st) || w.hasOrphanedRunOf(c.task.id) {
+		return
+	}
+	delaysReserved := c.reserved.delaysReservedTask(w, st, c.expectedEnd)
+	if delaysReserved && !st.spec.Lasting {
 		return
 	}
 	score := c.scheduler.scoreWorker(w, st, c.task, c.gangMembersByRack)
 	if c.now.Before(w.slowUntil) {
 		score -= slowWorkerPenalty
 	}
+	if delaysReserved {
+		score -= reservedWorkerPenalty
+	}
 	if len(c.partners) > 0 {
 		if isBetterWorker(w, score, c.bestWithout, c.bestScoreWithout) {
 			c.bestWithout, c.bestScoreWithout = w, score
@@ -126,10 +134,14 @@
 	// rackBonus is for a worker in the rack that holds the input data and, if the
 	// step has SameRack set, for one in a rack with other members of the gang.
 	rackBonus = 4.0
-	// failedTaskPenalty is for the worker on which the task failed last.
+	// failedTaskPenalty is for the workers on which the task failed last.
 	failedTaskPenalty = 3.0
 	// slowWorkerPenalty is for a worker that counts as slow at the moment.
 	slowWorkerPenalty = 6.0
+	// reservedWorkerPenalty is for a worker that is reserved for a task that would be delayed.
+	// It outweighs all others: a lasting task is placed on such a worker only if there is no
+	// other.
+	reservedWorkerPenalty = 20.0
 	// interferencePenalty is for placing a filling task on a worker with serving
 	// tasks, or a serving task on a worker with filling tasks.
 	interferencePenalty = 2.0
@@ -154,7 +166,7 @@
 	if st.spec.SameRack && gangMembersByRack[w.rack()] > 0 {
 		score += rackBonus
 	}
-	if t.lastFailedWorker == w.registration.Life.ID {
+	if slices.Contains(t.failedWorkers, w.registration.Life.ID) {
 		score -= failedTaskPenalty
 	}
 	if wouldInterfere(w, st) {
--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
@@ -164,11 +166,11 @@
 // claimableTasks returns for how many of its waiting tasks a step may claim capacity. Once the
 // adviser was asked about all workers, these are only the tasks that fit on approved ones: the
 // step would keep others from capacity that it never takes.
-func (s *Scheduler) claimableTasks(st *step, q *queue.Queue, tasks int) int {
+func (s *Scheduler) claimableTasks(st *step, q *queue.Queue, tasks int, now time.Time) int {
 	p := s.poolOfService(q.Service)
 	switch {
 	case !st.hasUnansweredWorker(p):
-		return min(tasks, s.countApprovedPlaces(st, q))
+		return min(tasks, s.countApprovedPlaces(st, q, now))
 	case st.spec.MostPerWorker > 0:
 		return min(tasks, st.spec.MostPerWorker*p.classOf(st.spec.Label).readyWorkers-st.countTasksOnWorkersOf(q))
 	}
@@ -177,10 +179,10 @@
 
 // countApprovedPlaces returns how many more tasks of a step the workers that the adviser has
 // approved could run now, whether their tickets have expired or not.
-func (s *Scheduler) countApprovedPlaces(st *step, q *queue.Queue) int {
-	n := 0
+func (s *Scheduler) countApprovedPlaces(st *step, q *queue.Queue, now time.Time) int {
+	n, expectedEnd := 0, now.Add(s.runTimes.expectedOccupancy(st))
 	for w := range st.advice.tickets {
-		if w.ready && w.acceptsTasksOf(q) && !s.reservations.isReservedForOtherJob(w, st.job) {
+		if w.ready && w.acceptsTasksOf(q) && !s.reservations.blocksTask(w, st, expectedEnd) {
 			n += usablePlaces(w, st)
 		}
 	}
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -56,9 +56,6 @@
 // not answered, later starts carry a higher fencing token: a process that has executed one
 // of them refuses the acknowledgement.
 //
-// A start counts for as long as a process may begin that executes it. Its run may have ended
-// beyond what a report lists, so that only an acknowledgement shows it.
-//
 // Where all starts carry tickets, the next process executes only those with a ticket that was
 // issued after its start. There an acknowledgement may go with a long poll, and starts are sent
 // meanwhile: otherwise a busy worker would be held twice as often.
@@ -72,8 +69,8 @@
 }
 
 // sendDelayedStarts sends the starts that were delayed by an acknowledgement, with the
-// present fencing token. A task that was stopped meanwhile is requeued instead, and one whose
-// start is too old because this VM was suspended.
+// present fencing token. A task that was stopped meanwhile is requeued instead, one whose worker
+// drains, and one whose start is too old because this VM was suspended.
 func (s *Scheduler) sendDelayedStarts(w *worker, now time.Time) {
 	w.acknowledging = false
 	delayed := w.delayedStarts
@@ -85,10 +82,10 @@
 		}
 		t.startDelayed = false
 		aboveQuota := s.isAboveQuota(t.step.job)
-		if t.phase != phaseStartOrdered || aboveQuota || now.Sub(t.orderedAt) > maxStartDelay {
+		if t.phase != phaseStartOrdered || aboveQuota || w.registration.Draining || now.Sub(t.orderedAt) > maxStartDelay {
 			s.requeueTask(t, "withdrawn")
 			s.logIfRunsEnded(t, w, "withdrawn", now)
-			if aboveQuota {
+			if aboveQuota || w.registration.Draining {
 				s.stopOtherGangMembers(t, now)
 			}
 			continue
--- a/internal/cell/scheduler/schedule.go
+++ b/internal/cell/scheduler/schedule.go
@@ -34,7 +34,7 @@
 			}
 		}
 	}
-	s.markOutrankedSteps(sortedJobs)
+	s.markOutrankedSteps(sortedJobs, now)
 	s.dispatchAdviceRequests(sortedJobs, now)
 }
 
