--- a/internal/cell/scheduler/overlap_property_test.go
+++ b/internal/cell/scheduler/overlap_property_test.go
@@ -227,11 +227,11 @@
 	return sm.violations
 }
 
-// logOfTasks plays the simulation again and returns the lines of its log about the tasks that
+// logOfTasks plays a simulation again and returns the lines of its log about the tasks that
 // a violation names, and about leaders and faults.
-func (p overlapPlan) logOfTasks(timing scheduler.Timing, violation string) string {
+func logOfTasks(play func(newLog func(*simulation) logr.Logger) []string, violation string) string {
 	var lines []string
-	p.play(timing, func(sm *simulation) logr.Logger {
+	play(func(sm *simulation) logr.Logger {
 		return funcr.New(func(_, args string) {
 			for _, word := range []string{"task ", "worker "} {
 				if _, name, ok := strings.Cut(violation, word); ok && strings.Contains(args, strings.Fields(name)[0]) {
@@ -269,7 +269,7 @@
 				for _, v := range plan.play(s.timing, func(*simulation) logr.Logger { return logr.Discard() }) {
 					rt.Errorf("%s", v)
 					if os.Getenv("OVERLAP_LOG") != "" {
-						rt.Logf("%s", plan.logOfTasks(s.timing, v))
+						rt.Logf("%s", logOfTasks(func(newLog func(*simulation) logr.Logger) []string { return plan.play(s.timing, newLog) }, v))
 					}
 				}
 			})
--- a/internal/cell/scheduler/simulation_test.go
+++ b/internal/cell/scheduler/simulation_test.go
@@ -121,6 +121,9 @@
 	prepareProcess func(v *fleet.Worker)
 	// beforeTicket is called before the adviser decides about a worker.
 	beforeTicket func(id string)
+	// approves reports whether the adviser approves a worker for a step.
+	approves      func(step work.StepID, worker string) bool
+	adviserFaults adviserFaults
 	// failProbabilities maps each task of which only some runs fail to the probability.
 	failProbabilities map[work.TaskID]float64
 	// wallClockStep is by how much the wall clocks of two leaders differ at most.
@@ -137,6 +140,16 @@
 	quotas *quotaCheck
 }
 
+// adviserFaults holds the faults of requests for advice.
+type adviserFaults struct {
+	// lostUntil is the time until which requests are not answered, failUntil the time until
+	// which they fail, and slowUntil the time until which an answer takes adviserDelay longer.
+	lostUntil, failUntil, slowUntil time.Time
+}
+
+// adviserDelay is longer than a leader waits for an answer.
+const adviserDelay = 2 * time.Second
+
 // maxLateness is the longest time after which a worker executes a call without an answer.
 const maxLateness = 12 * time.Second
 
@@ -158,7 +171,7 @@
 		cancelledJobs: map[string]bool{}, taskProfiles: map[work.TaskID]fleet.TaskProfile{}, completedTasks: map[work.TaskID]bool{}, lastExpiredLeaseEnd: map[backend.Life]int64{}, lastDoneAt: map[string]time.Time{}, log: logr.Discard(),
 		adviceVMs: []string{"vm-1", "vm-2"}, callFaults: newCallFaults(),
 		timing:           scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 10 * time.Second, HoldWait: time.Second, MaxOrderDelay: maxLateness, EndedJobRetention: time.Hour},
-		shortestLateness: 2 * time.Second, ticketValidity: 2 * time.Second, prepareProcess: func(*fleet.Worker) {}, beforeTicket: func(string) {}, failProbabilities: map[work.TaskID]float64{},
+		shortestLateness: 2 * time.Second, ticketValidity: 2 * time.Second, prepareProcess: func(*fleet.Worker) {}, beforeTicket: func(string) {}, approves: isApproved, failProbabilities: map[work.TaskID]float64{},
 	}
 }
 
@@ -683,20 +696,36 @@
 	if q := sm.table.Queue(sm.queueOf(a.Step.Job)); q != nil && sm.useDeclaredAdviceTimes {
 		took = q.Advice.RequestDuration(len(a.Workers))
 	}
+	if sm.now.Before(sm.adviserFaults.slowUntil) {
+		took += adviserDelay
+	}
 	sm.schedule(took, func() {
+		if sm.now.Before(sm.adviserFaults.lostUntil) || !slices.Contains(sm.adviceVMs, a.VM) {
+			return
+		}
 		answer := backend.Advice{Tickets: map[string]string{}, Validity: sm.ticketValidity}
 		for _, id := range a.Workers {
 			sm.beforeTicket(id)
-			if v := sm.currentProcess(id); v != nil && isApproved(a.Step, id) {
+			if v := sm.currentProcess(id); v != nil && sm.approves(a.Step, id) {
 				answer.Tickets[id] = sm.tickets.Issue(a.Step, v.Registration.Life, sm.now.Add(sm.ticketValidity))
 			}
 		}
 		l.updateScheduler(func(at time.Time) {
-			l.scheduler.AdviceAnswered(a.Number, answer, sm.occursWithProbability(sm.faultProbabilities.lostAnswerProbability), at)
+			failed := sm.now.Before(sm.adviserFaults.failUntil) || sm.occursWithProbability(sm.faultProbabilities.lostAnswerProbability)
+			l.scheduler.AdviceAnswered(a.Number, answer, failed, at)
 		})
 	})
 }
 
+// setAdviceVMs changes the entry VMs that can request advice. Requests that others have sent are
+// not answered.
+func (sm *simulation) setAdviceVMs(names []string) {
+	sm.adviceVMs = names
+	for _, l := range sm.leaders {
+		l.updateScheduler(func(time.Time) { l.scheduler.SetAdviceVMs(names) })
+	}
+}
+
 func (sm *simulation) queueOf(id string) string {
 	i := slices.IndexFunc(sm.jobs, func(j *work.Job) bool { return j.ID == id })
 	return sm.jobs[i].Queue
--- /dev/null
+++ b/internal/cell/scheduler/what_fits_property_test.go
@@ -0,0 +1,516 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
+	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/emulate/fleet"
+	"github.com/almondpost/almondpost/internal/emulate/seeded"
+	"github.com/almondpost/almondpost/internal/peer/backend"
+	"github.com/almondpost/almondpost/internal/state/resource"
+)
+
+const (
+	// fitFaultPeriod is the time in which faults begin and end. Only elections of leaders take
+	// up to fitFaultTail longer.
+	fitFaultPeriod = 16 * time.Second
+	fitFaultTail   = 3 * time.Second
+	// A waiting task runs within fitLimit if it fits twice over all the time, a lasting one
+	// also not before fitLastingLimit after its last run.
+	fitLimit        = 3 * time.Second
+	fitLastingLimit = 6 * time.Second
+	// fitCheckPeriod is how long the simulation goes on once nothing is left of the faults.
+	fitCheckPeriod = 12 * time.Second
+	// maxStartDelay is how long after its commit a leader may send a start.
+	maxStartDelay = 3 * time.Second
+	// fitMaxJobs bounds the steps that compete for requests to the adviser.
+	fitMaxJobs = 16
+)
+
+// fitFaults lists the kinds of faults besides those of the other properties.
+var fitFaults = []string{
+	"worker lost", "worker lost", "rack lost", "workers join", "workers join", "worker unreachable for good", "worker unreachable for good", "worker drains for long", "worker drains for long",
+	"adviser loses requests", "adviser fails", "adviser fails", "adviser slow", "advice VMs away", "advice VMs replaced",
+}
+
+// fitFaultInjector begins the faults of the other properties and further ones.
+type fitFaultInjector struct {
+	overlapFaultInjector
+	// unreachableForGood contains the worker processes that no call reaches until the end,
+	// although they stay listed.
+	unreachableForGood map[backend.Life]bool
+	joined             int
+}
+
+func (c *fitFaultInjector) inject(f cancellationFault) {
+	sm := c.simulation
+	id := fmt.Sprintf("worker-%d", f.worker)
+	v := sm.currentProcess(id)
+	until := sm.now.Add(f.length)
+	switch f.kind {
+	case "worker lost":
+		if v != nil {
+			sm.exit(v)
+		}
+	case "rack lost": // Some of its workers come back under other IDs.
+		for i := f.worker / 3 * 3; i < f.worker/3*3+3; i++ {
+			if v := sm.currentProcess(fmt.Sprintf("worker-%d", i)); v != nil {
+				sm.exit(v)
+			}
+		}
+		sm.schedule(f.length, func() { c.join(f.worker, 2) })
+	case "workers join":
+		c.join(f.worker, 1+f.worker%4)
+	case "worker unreachable for good":
+		if v != nil {
+			c.unreachableForGood[v.Registration.Life] = true
+		}
+	case "worker drains for long":
+		if v != nil {
+			v.Registration.Draining, v.Registration.Remaining = true, 2*time.Minute
+		}
+	case "adviser loses requests":
+		sm.adviserFaults.lostUntil = until
+	case "adviser fails":
+		sm.adviserFaults.failUntil = until
+	case "adviser slow":
+		sm.adviserFaults.slowUntil = until
+	case "advice VMs away":
+		all := sm.adviceVMs
+		sm.setAdviceVMs(all[:f.worker%2])
+		sm.schedule(f.length, func() { sm.setAdviceVMs(fitAdviceVMs) })
+	case "advice VMs replaced":
+		sm.setAdviceVMs([]string{"vm-3", "vm-4", "vm-5"})
+		sm.schedule(f.length, func() { sm.setAdviceVMs(fitAdviceVMs) })
+	default:
+		sm.log.Info("fault", "kind", f.kind, "worker", f.worker, "length", f.length.String())
+		c.overlapFaultInjector.inject(f)
+		return
+	}
+	sm.log.Info("fault", "kind", f.kind, "worker", f.worker, "length", f.length.String())
+}
+
+var fitAdviceVMs = []string{"vm-1", "vm-2", "vm-3", "vm-4"}
+
+// join adds n workers with new IDs in the rack of a worker.
+func (c *fitFaultInjector) join(worker, n int) {
+	for range n {
+		c.joined++
+		i := 100 + c.joined
+		c.simulation.addWorker(backend.Registration{
+			Life: backend.Life{ID: fmt.Sprintf("worker-%d", i), Born: int64(i)}, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 8400),
+			Service: "desk", Zone: fmt.Sprintf("zone-%d", i%3), Capacity: workerCapacity, Labels: []string{"a", fmt.Sprintf("rack-%d", worker/3)},
+		})
+	}
+}
+
+// end ends what a fault would begin later.
+func (c *fitFaultInjector) end() {
+	sm := c.simulation
+	sm.faultProbabilities, sm.beforeTicket = faultProbabilities{}, func(string) {}
+	for _, l := range sm.leaders {
+		l.freezeWithNextStarts, l.freezeWithNextAppend = 0, 0
+	}
+}
+
+// fitCheck checks, once the faults have ended, that tasks run which fit twice over. It knows
+// what runs from the emulated workers, and which tasks have completed from the store: an end
+// that is not stored leaves a task that has to run again.
+//
+// A run that the stored progress places on a worker may still exist until settledAt. Until
+// then, its task is not checked, and its capacity counts as used.
+type fitCheck struct {
+	*fitFaultInjector
+	settledAt time.Time
+	// possibleSince maps each task, or the first task of a gang, that waits to the time from
+	// which on it has fitted. endedAt maps each task to the time at which its last run was
+	// seen.
+	possibleSince, lastRunAt map[work.TaskID]time.Time
+	reported                 map[work.TaskID]bool
+	// checked counts the waits that were checked.
+	checked int
+}
+
+// update checks all tasks, and again every checkInterval.
+func (c *fitCheck) update() {
+	sm := c.simulation
+	for life := range c.unreachableForGood {
+		sm.unreachableWorkers[life] = true
+	}
+	running := map[work.TaskID]bool{}
+	for _, life := range sm.sortedLives() {
+		for _, id := range sm.workers[life].Running() {
+			running[id] = true
+			c.lastRunAt[id] = sm.now
+		}
+	}
+	for _, j := range sm.jobs {
+		p := sm.storedProgress[j.ID]
+		if sm.cancelledJobs[j.ID] || p != nil && p.State.Ended() {
+			continue
+		}
+		for i := range j.Steps {
+			c.checkStep(j, work.StepID{Job: j.ID, Step: i}, p, running)
+		}
+	}
+	sm.schedule(checkInterval, c.update)
+}
+
+// checkStep checks the tasks of a step, if the steps before it have completed.
+func (c *fitCheck) checkStep(j *work.Job, id work.StepID, p *work.Progress, running map[work.TaskID]bool) {
+	spec := &j.Steps[id.Step]
+	for _, a := range spec.After {
+		for i := range j.Steps[a].Count {
+			if !hasRecordedEnd(p, work.TaskID{StepID: work.StepID{Job: j.ID, Step: a}, Index: i}) {
+				return
+			}
+		}
+	}
+	waiting, mayRun := 0, false
+	var first work.TaskID
+	for i := range spec.Count {
+		t := work.TaskID{StepID: id, Index: i}
+		switch {
+		case running[t] || hasRecordedEnd(p, t):
+			delete(c.possibleSince, t)
+			continue
+		case c.simulation.now.Before(c.settledAt) && placedOn(p, t) != "":
+			delete(c.possibleSince, t)
+			mayRun = true
+			continue
+		}
+		waiting++
+		if waiting == 1 {
+			first = t
+		}
+		if !spec.Gang {
+			c.checkTask(t, spec, 2)
+		}
+	}
+	if spec.Gang && !mayRun && waiting > 0 {
+		for i := range spec.Count {
+			if t := (work.TaskID{StepID: id, Index: i}); t != first {
+				delete(c.possibleSince, t)
+			}
+		}
+		c.checkTask(first, spec, 2*spec.Count)
+	}
+}
+
+// checkTask checks a task that waits.
+func (c *fitCheck) checkTask(t work.TaskID, spec *work.Step, needed int) {
+	sm := c.simulation
+	places := c.countPlaces(t.StepID, spec)
+	if places < needed {
+		delete(c.possibleSince, t)
+		return
+	}
+	if c.possibleSince[t].IsZero() {
+		c.possibleSince[t] = sm.now
+		c.checked++
+	}
+	for _, limit := range []time.Time{c.possibleSince[t].Add(fitLimit), c.lastRunAt[t].Add(fitLastingLimit)} {
+		if sm.now.Before(limit) && (spec.Lasting || limit.Equal(c.possibleSince[t].Add(fitLimit))) {
+			return
+		}
+	}
+	if !c.reported[t] {
+		c.reported[t] = true
+		sm.reportViolation("LOST: task %s could run and doesn't, for %s, with %d places; gang %t, lasting %t, queue %s, settled %t, last run %s ago",
+			t, sm.now.Sub(c.possibleSince[t]), places, spec.Gang, spec.Lasting, sm.queueOf(t.Job), !sm.now.Before(c.settledAt), sm.now.Sub(c.lastRunAt[t]))
+	}
+}
+
+// countPlaces returns how many more tasks of a step the workers could run now that may run it.
+func (c *fitCheck) countPlaces(id work.StepID, spec *work.Step) int {
+	sm := c.simulation
+	q := sm.table.Queue(sm.queueOf(id.Job))
+	n := 0
+	for _, life := range sm.sortedLives() {
+		v := sm.workers[life]
+		if sm.listed[life.ID] != v || v.Registration.Draining || sm.unreachableWorkers[life] || !v.Registration.HasLabel(spec.Label) || q.Advice != nil && !sm.approves(id, life.ID) {
+			continue
+		}
+		used, ofStep := v.Used(), 0
+		for _, t := range c.tasksOn(v) {
+			if t.StepID == id {
+				ofStep++
+			}
+		}
+		for _, t := range c.unsettledTasks(v) {
+			used = used.Add(sm.taskProfiles[t].Size)
+			if t.StepID == id {
+				ofStep++
+			}
+		}
+		places := placesWithin(v.Registration.Capacity.Sub(used), spec.ReservedCapacity())
+		if spec.MostPerWorker > 0 {
+			places = min(places, max(spec.MostPerWorker-ofStep, 0))
+		}
+		n += places
+	}
+	return n
+}
+
+func (c *fitCheck) tasksOn(v *fleet.Worker) []work.TaskID { return v.Running() }
+
+// unsettledTasks returns the tasks that the stored progress places on a worker, that don't run
+// there, and of which a run may still exist there.
+func (c *fitCheck) unsettledTasks(v *fleet.Worker) []work.TaskID {
+	sm := c.simulation
+	if !sm.now.Before(c.settledAt) {
+		return nil
+	}
+	running := v.Running()
+	var list []work.TaskID
+	for _, j := range sm.jobs {
+		p := sm.storedProgress[j.ID]
+		if p == nil {
+			continue
+		}
+		for _, sp := range p.Steps {
+			for _, tp := range sp.Tasks {
+				t := work.TaskID{StepID: work.StepID{Job: j.ID, Occurrence: sp.Occurrence, Step: sp.Step}, Index: tp.Index}
+				if tp.Worker == v.Registration.Life.ID && !tp.Done && !slices.Contains(running, t) {
+					list = append(list, t)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// placedOn returns the ID of the worker on which the stored progress places a task, or "".
+func placedOn(p *work.Progress, id work.TaskID) string {
+	if p == nil {
+		return ""
+	}
+	for _, sp := range p.Steps {
+		for _, t := range sp.Tasks {
+			if sp.Occurrence == id.Occurrence && sp.Step == id.Step && t.Index == id.Index && !t.Done {
+				return t.Worker
+			}
+		}
+	}
+	return ""
+}
+
+// placesWithin returns how many tasks of a size fit into free capacity.
+func placesWithin(free, size resource.Vector) int {
+	n := 0
+	for ; size.Fits(free); n++ {
+		free = free.Sub(size)
+	}
+	return n
+}
+
+// fitPlan determines one simulation.
+type fitPlan struct {
+	seed          uint64
+	probabilities faultProbabilities
+	// lateOrders is true if calls may be executed late.
+	lateOrders     bool
+	allAdvised     bool
+	workers        int
+	approvedOf     uint32
+	ticketValidity time.Duration
+	jobs           []plannedJob
+	faults         []cancellationFault
+}
+
+// fitSizes are the sizes of tasks.
+var fitSizes = []resource.Vector{
+	tenthOfWorker, tenthOfWorker, taskSize, {Milliprocessors: workerCapacity.Milliprocessors / 2, MemoryMebibytes: workerCapacity.MemoryMebibytes / 2},
+}
+
+func drawFitStep(t *rapid.T, kind string) work.Step {
+	step := work.Step{Count: 1 + int(drawUniform(t, "tasks", 4)), Size: fitSizes[drawUniform(t, "size", int64(len(fitSizes)))]}
+	switch kind {
+	case "gang":
+		step.Gang, step.MostPerWorker = true, int(drawUniform(t, "limit", 3))
+		step.Count++
+	case "wide":
+		step.Count, step.MostPerWorker = 3+int(drawUniform(t, "wide", 10)), 1+int(drawUniform(t, "limit", 2))
+	case "wide lasting":
+		step.Count, step.MostPerWorker, step.Size, step.Lasting = 3+int(drawUniform(t, "wide", 10)), 1, tenthOfWorker, true
+	case "lasting":
+		step.Lasting = true
+	case "speculative":
+		step.Speculative = true
+	case "label":
+		step.Label = fmt.Sprintf("rack-%d", drawUniform(t, "rack", 3))
+	}
+	return step
+}
+
+func drawFitJob(t *rapid.T, number int, kinds, queues []string) plannedJob {
+	p := plannedJob{
+		runTime:     drawDuration(t, "runTime", 100*time.Millisecond, []time.Duration{time.Second, 3 * time.Second, 25 * time.Second}[drawUniform(t, "long", 3)]),
+		submittedAt: drawDuration(t, "submittedAt", 0, fitFaultPeriod+fitFaultTail+2*time.Second),
+		cancelled:   drawUniform(t, "cancelled", 12) == 0,
+		cancelAfter: drawDuration(t, "cancelAfter", 0, 12*time.Second),
+	}
+	if drawUniform(t, "early", 2) == 0 {
+		p.submittedAt /= 4
+	}
+	kind := kinds[drawUniform(t, "kind", int64(len(kinds)))]
+	steps := []work.Step{drawFitStep(t, kind)}
+	if !steps[0].Lasting {
+		for i := range int(drawUniform(t, "furtherSteps", 3)) {
+			next := drawFitStep(t, kinds[drawUniform(t, "kind", int64(len(kinds)))])
+			next.Lasting, next.After = false, []int{i}
+			steps = append(steps, next)
+		}
+	}
+	estimate := []time.Duration{time.Second, p.runTime}[drawUniform(t, "estimate", 2)]
+	for i := range steps {
+		steps[i].Estimate = estimate
+	}
+	// The adviser decides by the name of the job.
+	p.job = &work.Job{ID: fmt.Sprintf("job-%d-%d", number, drawUniform(t, "name", 1000)), Queue: queues[drawUniform(t, "queue", int64(len(queues)))], Steps: steps}
+	return p
+}
+
+func drawFitPlan(t *rapid.T) fitPlan {
+	p := fitPlan{
+		seed: rapid.Uint64().Draw(t, "seed"),
+		probabilities: faultProbabilities{
+			lostAnswerProbability: []float64{0, 0.04, 0.1}[drawUniform(t, "lostAnswers", 3)],
+			lateCallProbability:   []float64{0, 0.03, 0.1}[drawUniform(t, "lateCalls", 3)],
+		},
+		lateOrders:     drawUniform(t, "lateOrders", 3) == 0,
+		allAdvised:     drawUniform(t, "allAdvised", 2) == 0,
+		workers:        []int{6, 9, 9, 40}[drawUniform(t, "workers", 4)],
+		ticketValidity: []time.Duration{2 * time.Second, 4 * time.Second}[drawUniform(t, "ticketValidity", 2)],
+	}
+	if !p.lateOrders {
+		p.probabilities.lateCallProbability = 0
+	}
+	p.approvedOf = []uint32{1, 2, 3}[drawUniform(t, "approved", 3)]
+	if p.workers > cancellationWorkers && drawUniform(t, "rarelyApproved", 2) == 0 {
+		p.approvedOf = 20
+	}
+	queues := []string{"advised", "slow", "slowest"}
+	if !p.allAdvised {
+		queues = append(queues, "urgent", "batch", "batch")
+	}
+	kinds := []string{"single", "single", "gang", "wide", "wide lasting", "lasting", "lasting", "speculative", "label"}
+	if drawUniform(t, "crowded", 4) == 0 {
+		kinds = []string{"wide lasting", "wide lasting", "wide lasting", "wide", "single", "lasting"}
+	}
+	for i := range 2 + drawUniform(t, "jobs", fitMaxJobs-1) {
+		p.jobs = append(p.jobs, drawFitJob(t, int(i), kinds, queues))
+	}
+	all := slices.Concat(overlapFaults, fitFaults, fitFaults)
+	for range drawUniform(t, "faults", 14) {
+		f := cancellationFault{
+			kind: all[drawUniform(t, "kind", int64(len(all)))], at: drawDuration(t, "at", 0, fitFaultPeriod-time.Second),
+			worker: int(drawUniform(t, "worker", int64(p.workers))),
+		}
+		f.length = min(drawDuration(t, "length", 100*time.Millisecond, 14*time.Second), fitFaultPeriod-f.at)
+		if f.kind == "worker pauses" && !p.lateOrders {
+			f.kind = "keeper loses calls"
+		}
+		p.faults = append(p.faults, f)
+	}
+	return p
+}
+
+// approves decides whether the adviser approves a worker. Of approvedOf workers, it approves
+// about one.
+func (p fitPlan) approves(step work.StepID, worker string) bool {
+	h := fnv.New32a()
+	fmt.Fprint(h, step.Job, worker)
+	return h.Sum32()>>8%p.approvedOf == 0
+}
+
+// fitTable returns a configuration with queues of fast and slow advisers.
+func (p fitPlan) fitTable(sm *simulation) *queue.Table {
+	t := &queue.Table{Version: sm.table.Version, Queues: sm.table.Queues, Services: sm.table.Services}
+	for _, q := range []struct {
+		name  string
+		fixed time.Duration
+	}{{"slow", 170 * time.Millisecond}, {"slowest", 560 * time.Millisecond}} {
+		t.Queues = append(t.Queues, queue.Queue{Name: q.name, Service: "desk", Priority: 1, Stretch: 3, Objective: 2 * time.Second, Advice: &queue.AdviceCost{Fixed: q.fixed, PerWorker: 2 * time.Millisecond}})
+	}
+	t.Queues = slices.DeleteFunc(t.Queues, func(q queue.Queue) bool { return q.Advice == nil && p.allAdvised })
+	for i := range t.Queues {
+		if t.Queues[i].Advice != nil {
+			t.Queues[i].Advice.Validity = p.ticketValidity
+		}
+	}
+	return t
+}
+
+// play runs the simulation and returns the violations of its promise. newLog returns the log
+// of the leaders.
+func (p fitPlan) play(timing scheduler.Timing, newLog func(*simulation) logr.Logger) []string {
+	sm := newSimulation(p.seed, p.probabilities)
+	sm.log, sm.holdsWait, sm.useDeclaredAdviceTimes = newLog(sm), true, true
+	if !p.lateOrders {
+		timing.MaxOrderDelay = 0
+	}
+	sm.timing, sm.ticketValidity, sm.wallClockStep, sm.adviceVMs, sm.approves = timing, p.ticketValidity, overlapClockStep, fitAdviceVMs, p.approves
+	sm.table = p.fitTable(sm)
+	gangs := &fleet.Gangs{Wait: overlapGangWait}
+	sm.prepareProcess = func(v *fleet.Worker) { v.MaxLease, v.Gangs = timing.Lease, gangs }
+	sm.addWorkers(p.workers, workerCapacity)
+	sm.electLeader()
+	c := &fitCheck{
+		fitFaultInjector: &fitFaultInjector{overlapFaultInjector: overlapFaultInjector{newFaultInjector(sm)}, unreachableForGood: map[backend.Life]bool{}},
+		possibleSince:    map[work.TaskID]time.Time{}, lastRunAt: map[work.TaskID]time.Time{}, reported: map[work.TaskID]bool{},
+	}
+	c.run()
+	for _, j := range p.jobs {
+		j.submit(sm)
+	}
+	for _, f := range p.faults {
+		sm.schedule(f.at, func() { c.inject(f) })
+	}
+	sm.schedule(fitFaultPeriod, c.end)
+	sm.runFor(fitFaultPeriod + fitFaultTail)
+	// A leader waits until the latest execution of an order of its predecessors and for the
+	// lease from then on, by the slowest clock.
+	longestLease := max(timing.Lease, timing.LeadershipLease) * 102 / 100
+	settle := longestLease + 200*time.Millisecond
+	if p.lateOrders {
+		settle += maxStartDelay + timing.MaxOrderDelay
+	}
+	c.settledAt = sm.now.Add(settle)
+	c.update()
+	sm.runFor(settle + fitCheckPeriod)
+	if l := sm.leaders[len(sm.leaders)-1]; l.deposed || l.frozen || l.cutOffFromStore {
+		panic("the faults have left no leader")
+	}
+	return sm.violations
+}
+
+// Users saw accepted tasks that did not run although workers had room (issue 53). With
+// WHAT_FITS_LOG set, a failure prints the log of the tasks that it names.
+func TestWhatFitsRuns(t *testing.T) {
+	for _, s := range overlapTimings {
+		t.Run(s.testName, func(t *testing.T) {
+			seeded.SetChecks(t, 10)
+			rapid.Check(t, func(rt *rapid.T) {
+				plan := drawFitPlan(rt)
+				for _, v := range plan.play(s.timing, func(*simulation) logr.Logger { return logr.Discard() }) {
+					rt.Errorf("%s", v)
+					if os.Getenv("WHAT_FITS_LOG") != "" {
+						rt.Logf("%s", logOfTasks(func(newLog func(*simulation) logr.Logger) []string { return plan.play(s.timing, newLog) }, v))
+					}
+				}
+			})
+		})
+	}
+}
