Reserve no workers for a gang whose places are not expected

A gang reserved workers when all members would have fitted on empty ones, without its limit per worker, and although lasting tasks hold the capacity of others.

It now reserves only if the capacity that is free and that the expected ends of runs free suffices for all members under the limit.

--- a/internal/cell/scheduler/held_back_test.go
+++ b/internal/cell/scheduler/held_back_test.go
@@ -139,3 +139,36 @@
 	is.Equal(len(requests), 1)
 	is.Equal(len(requests[0].Workers), 4)
 }
+
+// A gang that lacked places which no end of a run brings kept the others reserved for good, and
+// other tasks from them.
+func TestGangReservesNoWorkersWhileItsPlacesAreNotExpected(t *testing.T) {
+	half := resource.Vector{Milliprocessors: workerCapacity.Milliprocessors / 2, MemoryMebibytes: workerCapacity.MemoryMebibytes / 2}
+	scenarios := []struct {
+		testName, queue string
+		lasting         int
+		gang            work.Step
+	}{
+		{"more members than approved workers", "advised", 0, work.Step{Count: 4, Gang: true, MostPerWorker: 1, Size: tenthOfWorker, Estimate: time.Second}},
+		{"lasting tasks on all but one worker", "batch", 4, work.Step{Count: 2, Gang: true, Size: half.Add(tenthOfWorker), Estimate: time.Second}},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			is := is.New(t)
+			sm := newSimulation(1, faultProbabilities{})
+			sm.fixedDelays, sm.useDeclaredAdviceTimes = true, true
+			sm.addWorkers(5, workerCapacity)
+			sm.electLeader()
+			if sc.lasting > 0 {
+				sm.submit(&work.Job{ID: "lasting", Queue: "batch", Steps: []work.Step{{Count: sc.lasting, Size: half, MostPerWorker: 1, Lasting: true}}}, fleet.TaskProfile{})
+			}
+			sm.runFor(time.Second)
+			sm.submit(&work.Job{ID: "gang-1", Queue: sc.queue, Steps: []work.Step{sc.gang}}, fleet.TaskProfile{RunTime: time.Second})
+			sm.runFor(5 * time.Second)
+			task := work.TaskID{StepID: work.StepID{Job: "single-1"}}
+			sm.submit(&work.Job{ID: task.Job, Queue: sc.queue, Steps: []work.Step{{Count: 1, Size: half.Add(tenthOfWorker), Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+			sm.runFor(3 * time.Second)
+			is.True(sm.workerOf(task) != nil)
+		})
+	}
+}
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -66,16 +66,14 @@
 		return
 	}
 	var places []expectedPlace
-	maxPlaces := 0
 	for _, w := range s.permittedWorkers(st, q) {
 		if r.isReservedForOtherJob(w, st.job) || !belowTaskLimit(w, st) {
 			continue
 		}
-		maxPlaces += countPlaces(st.spec.ReservedCapacity(), w.registration.Capacity)
 		places = s.appendExpectedPlaces(w, st, places, now)
 	}
-	if st.spec.Gang && maxPlaces < st.spec.Count {
-		return // The gang would not fit even if all these workers were empty.
+	if st.spec.Gang && len(places) < st.spec.Count {
+		return // No expected end makes room for the gang: the reservation would keep others away for good.
 	}
 	slices.SortFunc(places, func(a, b expectedPlace) int {
 		return cmp.Or(compareBools(!a.worker.ready, !b.worker.ready), cmp.Compare(a.timeUntilFree, b.timeUntilFree), compareLives(a.worker.registration.Life, b.worker.registration.Life))
