--- a/internal/cell/scheduler/held_back_test.go
+++ b/internal/cell/scheduler/held_back_test.go
@@ -172,3 +172,22 @@
 		})
 	}
 }
+
+// A gang counted on an empty worker that had stopped answering, but was still listed, and kept
+// the others reserved.
+func TestGangReservesNoWorkersWhileItCountsOnSilentOnes(t *testing.T) {
+	is := is.New(t)
+	sm := newSimulation(1, faultProbabilities{})
+	sm.fixedDelays, sm.useDeclaredAdviceTimes = true, true
+	sm.addWorkers(3, workerCapacity)
+	sm.electLeader()
+	sm.runFor(time.Second)
+	sm.unreachableWorkers[sm.currentProcess("worker-0").Registration.Life] = true
+	sm.runFor(2 * time.Second)
+	sm.submit(&work.Job{ID: "gang", Queue: "urgent", Steps: []work.Step{{Count: 3, Gang: true, MostPerWorker: 1, Size: tenthOfWorker, Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Second})
+	sm.runFor(3 * time.Second)
+	task := work.TaskID{StepID: work.StepID{Job: "single"}}
+	sm.submit(&work.Job{ID: task.Job, Queue: "batch", Steps: []work.Step{{Count: 1, Size: tenthOfWorker, Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+	sm.runFor(3 * time.Second)
+	is.True(sm.workerOf(task) != nil)
+}
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -60,14 +60,15 @@
 
 // reserveWorkers reserves workers for the waiting tasks of a large step. It chooses
 // the workers that are expected to have enough free capacity soonest, and none that
-// can never run the tasks. Workers that get no tasks at the moment come last.
+// can never run the tasks, or that are silent: they may stay listed without ever answering.
+// Other workers that get no tasks at the moment come last.
 func (s *Scheduler) reserveWorkers(st *step, q *queue.Queue, r *reservations, now time.Time) {
 	if !s.isLargeStep(st, q) || r.stepCountByService[q.Service] >= max(minReservingSteps, len(s.poolOfService(q.Service).workers)/workersPerReservingStep) {
 		return
 	}
 	var places []expectedPlace
 	for _, w := range s.permittedWorkers(st, q) {
-		if r.isReservedForOtherJob(w, st.job) || !belowTaskLimit(w, st) {
+		if r.isReservedForOtherJob(w, st.job) || w.isSilent() || !belowTaskLimit(w, st) {
 			continue
 		}
 		places = s.appendExpectedPlaces(w, st, places, now)
