--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -75,22 +75,21 @@
 
 // reserveWorkers reserves workers for the waiting tasks of a large step. It chooses
 // the workers that are expected to have enough free capacity soonest, and none that
-// can never run the tasks. Workers that get no tasks at the moment come last.
+// can never run the tasks, or that are silent: they may stay listed without ever answering.
+// Other workers that get no tasks at the moment come last.
 func (s *Scheduler) reserveWorkers(st *step, q *queue.Queue, r *reservations, now time.Time) {
 	if !s.isLargeStep(st, q) || r.stepCountByService[q.Service] >= max(minReservingSteps, len(s.poolOfService(q.Service).workers)/workersPerReservingStep) {
 		return
 	}
 	var places []expectedPlace
-	maxPlaces := 0
 	for _, w := range s.permittedWorkers(st, q) {
-		if r.isReservedForOtherJob(w, st.job) || !belowTaskLimit(w, st) {
+		if r.isReservedForOtherJob(w, st.job) || w.isSilent() || !belowTaskLimit(w, st) {
 			continue
 		}
-		maxPlaces += countPlaces(st.spec.ReservedCapacity(), w.capacityBesideLastingTasks())
 		places = s.appendExpectedPlaces(w, st, places, now)
 	}
-	if st.spec.Gang && maxPlaces < st.spec.Count {
-		return // The gang would not fit even if these workers ran lasting tasks only.
+	if st.spec.Gang && len(places) < st.spec.Count {
+		return // No expected end makes room for the gang: the reservation would keep others away for good.
 	}
 	slices.SortFunc(places, func(a, b expectedPlace) int {
 		return cmp.Or(compareBools(!a.worker.ready, !b.worker.ready), cmp.Compare(a.timeUntilFree, b.timeUntilFree), compareLives(a.worker.registration.Life, b.worker.registration.Life))
@@ -122,18 +121,6 @@
 	r.stepCountByService[q.Service]++
 }
 
-// capacityBesideLastingTasks returns the capacity of a worker that is free once all tasks have
-// ended that have an end.
-func (w *worker) capacityBesideLastingTasks() resource.Vector {
-	capacity := w.registration.Capacity
-	for _, t := range w.tasks {
-		if t.step.spec.Lasting {
-			capacity = capacity.Sub(t.step.spec.ReservedCapacity())
-		}
-	}
-	return capacity
-}
-
 // permittedWorkers returns the workers that may run the tasks of a step. If the queue
 // needs advice, these are the workers with a ticket, which may have expired;
 // otherwise all capable workers.
