Apply unchanged registrations again every 3 s

Callers could see accepted work wait beside a worker that was listed and idle.

The scheduler ignores the entry of a process that started earlier than the one that it has, and that of a process whose address another worker has taken. The leader passed the list on only when it had changed, so an entry that was ignored once was never used, even when the other process was gone.

The list is passed on every 3 s too.

TestNextProcessWithAnEarlierStartTimeIsUsed failed before.

--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -37,6 +37,10 @@
 	maxJobsReadAge = 2 * time.Second
 	// registrationsReadInterval is the pause between two reads of worker registrations.
 	registrationsReadInterval = 350 * time.Millisecond
+	// registrationsApplyInterval is the time after which the registrations are applied again
+	// although none has changed. The scheduler ignores some while it still has an earlier
+	// process of the worker.
+	registrationsApplyInterval = 3 * time.Second
 	// commitPause is the pause between two commits. It lets more changes accumulate for
 	// each commit.
 	commitPause = 6 * time.Millisecond
--- a/internal/node/entryvm/tail.go
+++ b/internal/node/entryvm/tail.go
@@ -106,7 +106,7 @@
 // tailRegistrations reads new worker registrations every registrationsReadInterval
 // until the leader is stopped.
 func (l *leader) tailRegistrations() {
-	from := int64(-1)
+	from, applied := int64(-1), now()
 	for sleep(l.ctx, registrationsReadInterval) {
 		batch, err := readFrom(l.ctx, l.node.store, store.Read{Topic: store.Workers, From: from})
 		if err != nil {
@@ -117,12 +117,14 @@
 		}
 		isSnapshot := from < 0
 		from = batch.Next
-		if len(batch.Records) == 0 && !isSnapshot {
+		due := isSnapshot || now().Sub(applied) >= registrationsApplyInterval
+		if len(batch.Records) == 0 && !due {
 			continue
 		}
 		l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
-			if l.applyRegistrations(batch.Records, isSnapshot) || isSnapshot {
+			if l.applyRegistrations(batch.Records, isSnapshot) || due {
 				s.SetWorkers(l.registrationList(), at)
+				applied = at
 			}
 		})
 	}
--- a/internal/node/entryvm/takeover_test.go
+++ b/internal/node/entryvm/takeover_test.go
@@ -262,6 +262,29 @@
 	}
 }
 
+// The next process of a worker had an earlier start time, because the clock of the worker was set
+// back. Its entry was ignored, and never read again once the earlier process was removed.
+func TestNextProcessWithAnEarlierStartTimeIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLeaderTrial(func(work.TaskID) time.Duration { return time.Second })
+		l := c.lead(memory.NewLink(c.store))
+		defer c.end(l)
+		for _, born := range []int64{9, 5} {
+			time.Sleep(time.Second)
+			for i := range trialWorkers {
+				for _, earlier := range []int64{1, 9} {
+					c.fleet.Remove(backend.Life{ID: workerID(i), Born: earlier}, func() {})
+				}
+				is.NoErr(c.fleet.Add(c.store, backend.Registration{Life: backend.Life{ID: workerID(i), Born: born}, Service: "desk", Capacity: resource.Vector{Milliprocessors: 8000, MemoryMebibytes: 8000}}))
+			}
+		}
+		l.addStoredJobs([]store.Record{c.storeJob("job", 0)})
+		time.Sleep(6 * time.Second)
+		is.Equal(c.ledger.startCount(firstTaskOf("job")), 1)
+	})
+}
+
 // firstTaskOf returns the ID of the first task of a job.
 func firstTaskOf(id string) work.TaskID { return work.TaskID{StepID: work.StepID{Job: id}} }
 
