--- a/internal/node/entryvm/all_vms_lost_test.go
+++ b/internal/node/entryvm/all_vms_lost_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/almondpost/almondpost/internal/cell/queue"
+	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/peer/store"
 	"github.com/almondpost/almondpost/internal/state/resource"
@@ -138,6 +140,9 @@
 		c.count("store_away")
 		c.awayUntil = time.Now().Add(down + c.between(500*time.Millisecond, 3*time.Second))
 	}
+	if c.draw(4) == 0 {
+		c.dropWorkerRecord(c.draw(faultyTrialWorkers))
+	}
 	time.Sleep(down)
 	c.lead()
 	c.calm = false
@@ -147,6 +152,23 @@
 	c.ledAt = time.Now()
 }
 
+// dropWorkerRecord removes the entry of a worker for seconds, and the records by which the next
+// leader would find it meanwhile.
+func (c *lostVMsTrial) dropWorkerRecord(i int) {
+	c.count("worker_record_dropped")
+	for _, r := range c.trial.store.Records(store.Progress, 0) {
+		if scheduler.IsWorkerRecord(&r) && strings.Contains(r.Key, "/"+workerID(i)+"/") {
+			_, _ = c.trial.store.Append(store.Append{Topic: store.Progress, Records: []store.Record{{Key: r.Key}}})
+		}
+	}
+	length := c.between(time.Second, 14*time.Second)
+	c.workers.list(i, false)
+	time.AfterFunc(length, func() { c.workers.list(i, true) })
+	if end := time.Now().Add(length); end.After(c.calmAt) {
+		c.calmAt = end
+	}
+}
+
 // isRestored reports whether the leader has restored the stored state.
 func (c *lostVMsTrial) isRestored() bool {
 	c.leader.mutex.Lock()
