Lose all entry VMs of the virtual cell at once

Whole entry VMs with elections and keepers end at once, once or twice in a row, and come back 0.3 to 6 s later, in some cases while the store refuses calls, or while a tenth of the workers restarts. Stored jobs of which no task was placed must be placed within 6 s, all jobs must complete, and tasks that run for longer than the test must run again once no earlier run can exist.

--- a/internal/node/entryvm/cut_domain_test.go
+++ b/internal/node/entryvm/cut_domain_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/peer/store"
 	"github.com/almondpost/almondpost/internal/state/resource"
 )
 
@@ -126,3 +127,95 @@
 		})
 	}
 }
+
+// loseAllVMs ends all VMs at once and starts them again after a while, one after the other. In a
+// third of the cases the store refuses their calls for some time after that.
+func (c *virtualCell) loseAllVMs() {
+	for i := range virtualVMs {
+		c.killVM(i)
+	}
+	if c.random.IntN(2) == 0 {
+		c.restartSomeWorkers()
+	}
+	time.Sleep(300*time.Millisecond + c.randomDuration(5700*time.Millisecond))
+	away := time.Duration(max(c.random.IntN(3)-1, 0)) * c.randomDuration(3*time.Second)
+	for _, i := range c.random.Perm(virtualVMs) {
+		time.Sleep(c.randomDuration(100 * time.Millisecond))
+		c.startVM(i)
+		c.links[i].RefuseCalls(away > 0)
+	}
+	time.Sleep(away)
+	for _, l := range c.links {
+		l.RefuseCalls(false)
+	}
+}
+
+// storedJobs returns the IDs of the jobs that are stored, and of those of which a task was ever
+// placed.
+func (c *virtualCell) storedJobs() (stored []string, placed map[string]bool) {
+	placed = map[string]bool{}
+	for _, r := range c.store.Records(store.Progress, 0) {
+		placed[r.Key] = true
+	}
+	for part := range 4 {
+		for _, r := range c.store.Records(store.Jobs, part) {
+			if len(r.Value) > 0 {
+				stored = append(stored, r.Key)
+			}
+		}
+	}
+	return stored, placed
+}
+
+// playAllVMsLost loses all VMs, once or twice in a row, while jobs are stored, and checks that
+// those of which no task was placed start, and that all complete.
+func (c *virtualCell) playAllVMsLost(t *testing.T) {
+	time.Sleep(2 * time.Second)
+	c.submitLasting("lasting", 40)
+	jobs := []*work.Job{}
+	var stored []string
+	var placed map[string]bool
+	for range 1 + c.random.IntN(2) {
+		for range 20 {
+			j := c.newJob(len(jobs))
+			jobs = append(jobs, j)
+			time.AfterFunc(c.randomDuration(2*time.Second), func() { c.submit(j) })
+		}
+		time.Sleep(time.Second + c.randomDuration(time.Second))
+		stored, placed = c.storedJobs()
+		c.loseAllVMs()
+	}
+	back := time.Now()
+	time.Sleep(electionLimit + 3*time.Second)
+	_, started := c.storedJobs()
+	for _, id := range stored {
+		if !placed[id] && !started[id] {
+			t.Errorf("no task of job %s was placed", id)
+		}
+	}
+	until := time.Now().Add(recoveryTimeout)
+	for _, j := range jobs {
+		if !c.awaitCompleted(j.ID, until) {
+			t.Errorf("job %s does not complete", j.ID)
+		}
+	}
+	// A run may exist until no process executes its start any more and its lease has ended.
+	time.Sleep(time.Until(back.Add(electionLimit + 3*time.Second + maxOrderDelay + 6300*time.Millisecond + 6*time.Second)))
+	if n := c.fleet.running("lasting"); n != 40 {
+		t.Errorf("%d of 40 lasting tasks run", n)
+	}
+	for i := range virtualVMs {
+		c.killVM(i)
+	}
+	time.Sleep(2 * maxLateness)
+	for _, v := range c.fleet.violations {
+		t.Error(v)
+	}
+}
+
+// All VMs were lost at once, and accepted jobs did not run once they were back.
+func TestAcceptedJobsRunOnceAllVMsAreBack(t *testing.T) {
+	forEachSeed(t, 2, func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) { newVirtualCell(t, seed).playAllVMsLost(t) })
+	})
+}
