Pause holds that an earlier process answers

A worker whose clock was set back when it restarted answers holds with an earlier start time than the listed process. Such a report says nothing about the listed process, whose next hold followed at once: 1,000 a second in the test, for each such worker, until the lease of the listed process had ended.

The next hold follows after the same pause as after a hold without an answer.

TestHoldsToAnEarlierProcessArePaused failed before with 40,000 holds of 4 workers in 10 s.

--- a/internal/node/entryvm/session.go
+++ b/internal/node/entryvm/session.go
@@ -116,10 +116,18 @@
 		}
 		return true
 	}
+	var pause time.Duration
 	s.leader.updateScheduler(func(c *scheduler.Scheduler, at time.Time) {
 		c.HoldSent(s.life, s.worker.KeeperOfLastHold())
 		c.HoldAnswered(s.life, sent, &report, at)
+		if report.Life.Born != 0 && report.Life.Born < s.life.Born {
+			pause = c.HoldRetryPause(s.life, at) // The report says nothing about this process.
+		}
 	})
+	if pause > 0 {
+		sleep(interruptible, pause)
+		return true
+	}
 	if len(report.Ended) > 0 {
 		s.awaitReportedEndsStored()
 		if hold.Acknowledged == 0 {
--- a/internal/node/entryvm/takeover_test.go
+++ b/internal/node/entryvm/takeover_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -285,6 +286,43 @@
 	})
 }
 
+// earlierProcess answers holds as a process that started earlier than the one that is called.
+type earlierProcess struct {
+	backend.Worker
+	life  backend.Life
+	holds *atomic.Int64
+}
+
+// Hold implements backend.Worker.
+func (p earlierProcess) Hold(context.Context, backend.Hold) (backend.Report, error) {
+	p.holds.Add(1)
+	time.Sleep(time.Millisecond)
+	return backend.Report{Life: backend.Life{ID: p.life.ID, Born: p.life.Born - 1}, Clock: time.Second}, nil
+}
+
+// The clock of a worker was set back, and its next process answered the holds to the earlier one,
+// which followed each other without a pause.
+func TestHoldsToAnEarlierProcessArePaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLeaderTrial(nil)
+		for i := range trialWorkers {
+			is.NoErr(c.fleet.Add(c.store, backend.Registration{Life: backend.Life{ID: workerID(i), Born: 9}, Service: "desk", Capacity: resource.Vector{Milliprocessors: 8000}}))
+		}
+		var holds atomic.Int64
+		n := c.startNode("vm-0", memory.NewLink(c.store))
+		n.dependencies.Dial = func(r backend.Registration) backend.Worker {
+			return earlierProcess{c.fleet.Dial(r), r.Life, &holds}
+		}
+		l := newLeader(n.ctx, n, 1)
+		n.swapLeader(nil, l)
+		go l.run()
+		defer c.end(l)
+		time.Sleep(10 * time.Second)
+		is.True(holds.Load() < 20*trialWorkers)
+	})
+}
+
 // firstTaskOf returns the ID of the first task of a job.
 func firstTaskOf(id string) work.TaskID { return work.TaskID{StepID: work.StepID{Job: id}} }
 
