--- a/internal/cell/scheduler/what_fits_property_test.go
+++ b/internal/cell/scheduler/what_fits_property_test.go
@@ -506,7 +506,7 @@
 // about one.
 func (p fitPlan) approves(step work.StepID, worker string) bool {
 	h := fnv.New32a()
-	fmt.Fprint(h, step.Job, worker)
+	_, _ = fmt.Fprint(h, step.Job, worker)
 	return h.Sum32()>>8%p.approvedOf == 0
 }
 
