--- a/internal/cell/scheduler/held_back_test.go
+++ b/internal/cell/scheduler/held_back_test.go
@@ -17,6 +17,9 @@
 // tenthOfWorker is the size of a task of which ten fit on a worker.
 var tenthOfWorker = resource.Vector{Milliprocessors: workerCapacity.Milliprocessors / 10, MemoryMebibytes: workerCapacity.MemoryMebibytes / 10}
 
+// halfOfWorker is the size of a task of which two fit on a worker.
+var halfOfWorker = resource.Vector{Milliprocessors: workerCapacity.Milliprocessors / 2, MemoryMebibytes: workerCapacity.MemoryMebibytes / 2}
+
 // workerOf returns a worker on which a task runs, or nil.
 func (sm *simulation) workerOf(id work.TaskID) *fleet.Worker {
 	for _, life := range sm.sortedLives() {
@@ -143,14 +146,13 @@
 // A gang that lacked places which no end of a run brings kept the others reserved for good, and
 // other tasks from them.
 func TestGangReservesNoWorkersWhileItsPlacesAreNotExpected(t *testing.T) {
-	half := resource.Vector{Milliprocessors: workerCapacity.Milliprocessors / 2, MemoryMebibytes: workerCapacity.MemoryMebibytes / 2}
 	scenarios := []struct {
 		testName, queue string
 		lasting         int
 		gang            work.Step
 	}{
 		{"more members than approved workers", "advised", 0, work.Step{Count: 4, Gang: true, MostPerWorker: 1, Size: tenthOfWorker, Estimate: time.Second}},
-		{"lasting tasks on all but one worker", "batch", 4, work.Step{Count: 2, Gang: true, Size: half.Add(tenthOfWorker), Estimate: time.Second}},
+		{"lasting tasks on all but one worker", "batch", 4, work.Step{Count: 2, Gang: true, Size: halfOfWorker.Add(tenthOfWorker), Estimate: time.Second}},
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
@@ -160,13 +162,13 @@
 			sm.addWorkers(5, workerCapacity)
 			sm.electLeader()
 			if sc.lasting > 0 {
-				sm.submit(&work.Job{ID: "lasting", Queue: "batch", Steps: []work.Step{{Count: sc.lasting, Size: half, MostPerWorker: 1, Lasting: true}}}, fleet.TaskProfile{})
+				sm.submit(&work.Job{ID: "lasting", Queue: "batch", Steps: []work.Step{{Count: sc.lasting, Size: halfOfWorker, MostPerWorker: 1, Lasting: true}}}, fleet.TaskProfile{})
 			}
 			sm.runFor(time.Second)
 			sm.submit(&work.Job{ID: "gang-1", Queue: sc.queue, Steps: []work.Step{sc.gang}}, fleet.TaskProfile{RunTime: time.Second})
 			sm.runFor(5 * time.Second)
 			task := work.TaskID{StepID: work.StepID{Job: "single-1"}}
-			sm.submit(&work.Job{ID: task.Job, Queue: sc.queue, Steps: []work.Step{{Count: 1, Size: half.Add(tenthOfWorker), Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
+			sm.submit(&work.Job{ID: task.Job, Queue: sc.queue, Steps: []work.Step{{Count: 1, Size: halfOfWorker.Add(tenthOfWorker), Estimate: time.Minute}}}, fleet.TaskProfile{RunTime: time.Minute})
 			sm.runFor(3 * time.Second)
 			is.True(sm.workerOf(task) != nil)
 		})
--- a/internal/cell/scheduler/what_fits_property_test.go
+++ b/internal/cell/scheduler/what_fits_property_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"net/netip"
@@ -40,7 +41,7 @@
 
 // fitFaults lists the kinds of faults besides those of the other properties.
 var fitFaults = []string{
-	"worker lost", "worker lost", "rack lost", "workers join", "workers join", "worker unreachable for good", "worker unreachable for good", "worker drains for long", "worker drains for long",
+	"worker lost", "worker lost", "rack lost", "workers join", "workers join", "workers replaced", "workers replaced", "worker unreachable for good", "worker unreachable for good", "worker drains for long", "worker drains for long",
 	"adviser loses requests", "adviser fails", "adviser fails", "adviser slow", "advice VMs away", "advice VMs replaced",
 }
 
@@ -80,6 +81,14 @@
 		if v != nil {
 			v.Registration.Draining, v.Registration.Remaining = true, 2*time.Minute
 		}
+	case "workers replaced": // Most leave slowly, as during an upgrade.
+		n := 2 + f.worker%3
+		for i := range n {
+			if v := sm.currentProcess(fmt.Sprintf("worker-%d", (f.worker+i)%9)); v != nil {
+				v.Registration.Draining, v.Registration.Remaining = true, 2*time.Minute
+			}
+		}
+		c.join(f.worker, n)
 	case "adviser loses requests":
 		sm.adviserFaults.lostUntil = until
 	case "adviser fails":
@@ -134,16 +143,21 @@
 	*fitFaultInjector
 	settledAt time.Time
 	// possibleSince maps each task, or the first task of a gang, that waits to the time from
-	// which on it has fitted. endedAt maps each task to the time at which its last run was
-	// seen.
+	// which on it has fitted, and lastRunAt maps each task to the time at which it was last seen
+	// running.
 	possibleSince, lastRunAt map[work.TaskID]time.Time
 	reported                 map[work.TaskID]bool
 	largeSteps               []largeStep
+	// firstRunAt maps each run to the time at which it was first seen.
+	firstRunAt map[runOnWorker]time.Time
+	// accurate is true if the estimates of all jobs are their run times.
+	accurate bool
 	// checked counts the waits that were checked.
 	checked int
 }
 
-// update checks all tasks, and again every checkInterval.
+// update notes what runs and, once the faults have ended, checks all tasks. It repeats this
+// every checkInterval.
 func (c *fitCheck) update() {
 	sm := c.simulation
 	for life := range c.unreachableForGood {
@@ -154,8 +168,15 @@
 		for _, id := range sm.workers[life].Running() {
 			running[id] = true
 			c.lastRunAt[id] = sm.now
+			if r := (runOnWorker{life, id}); c.firstRunAt[r].IsZero() {
+				c.firstRunAt[r] = sm.now
+			}
 		}
 	}
+	sm.schedule(checkInterval, c.update)
+	if c.settledAt.IsZero() {
+		return // The faults have not ended.
+	}
 	c.findLargeSteps(running)
 	for _, j := range sm.jobs {
 		p := sm.storedProgress[j.ID]
@@ -166,7 +187,6 @@
 			c.checkStep(j, work.StepID{Job: j.ID, Step: i}, p, running)
 		}
 	}
-	sm.schedule(checkInterval, c.update)
 }
 
 // checkStep checks the tasks of a step, if the steps before it have completed.
@@ -277,7 +297,7 @@
 		}
 		places := countPlacesOn(sm, v, id, spec, slices.Concat(v.Running(), c.unsettledTasks(v)))
 		n += places
-		if c.mayBeReserved(v, id) {
+		if c.mayBeReserved(v, id, spec) {
 			reservable = append(reservable, places)
 		}
 	}
@@ -344,9 +364,43 @@
 const largeFraction = 0.45
 
 // mayBeReserved reports whether a worker may be reserved for a large step of another job, as
-// in the trace of rapid seed 507: half a worker waited for the end of runs of 25 s.
-func (c *fitCheck) mayBeReserved(v *fleet.Worker, id work.StepID) bool {
-	return slices.ContainsFunc(c.largeSteps, func(l largeStep) bool { return l.id.Job != id.Job && l.usable[v] })
+// in the trace of rapid seed 507: half a worker waited for the end of runs of 25 s. If the
+// estimates are accurate, a task that needs no advice still runs there if it ends before.
+func (c *fitCheck) mayBeReserved(v *fleet.Worker, id work.StepID, spec *work.Step) bool {
+	sm := c.simulation
+	q := sm.table.Queue(sm.queueOf(id.Job))
+	needed := sm.taskProfiles[work.TaskID{StepID: id}].RunTime + reservationMargin
+	return slices.ContainsFunc(c.largeSteps, func(l largeStep) bool {
+		if l.id.Job == id.Job || !l.usable[v] {
+			return false
+		}
+		return !c.accurate || q.Advice != nil || spec.Lasting || c.timeUntilPlace(v, l) < needed
+	})
+}
+
+// reservationMargin covers the differences between the times of runs that the leader knows and
+// the real ones.
+const reservationMargin = time.Second
+
+// timeUntilPlace returns the time until the runs that end leave a place for a task of a large
+// step on a worker.
+func (c *fitCheck) timeUntilPlace(v *fleet.Worker, l largeStep) time.Duration {
+	sm := c.simulation
+	left := func(t work.TaskID) time.Duration { // A run that has just begun may not be seen yet.
+		return max(sm.taskProfiles[t].RunTime-sm.now.Sub(c.firstRunAt[runOnWorker{v.Registration.Life, t}]), 0)
+	}
+	beside := slices.Concat(v.Running(), c.unsettledTasks(v))
+	slices.SortFunc(beside, func(a, b work.TaskID) int { return cmp.Compare(left(a), left(b)) })
+	wait := time.Duration(0)
+	for countPlacesOn(sm, v, l.id, l.spec, beside) == 0 {
+		i := slices.IndexFunc(beside, func(t work.TaskID) bool { return !sm.taskProfiles[t].Lasting })
+		if i < 0 {
+			return wait
+		}
+		wait = left(beside[i])
+		beside = slices.Delete(beside, i, i+1)
+	}
+	return wait
 }
 
 // unsettledTasks returns the tasks that the stored progress places on a worker, that don't run
@@ -395,8 +449,10 @@
 	seed          uint64
 	probabilities faultProbabilities
 	// lateOrders is true if calls may be executed late.
-	lateOrders     bool
-	allAdvised     bool
+	lateOrders bool
+	allAdvised bool
+	// accurate makes the estimates of all jobs their run times.
+	accurate       bool
 	workers        int
 	approvedOf     uint32
 	ticketValidity time.Duration
@@ -406,7 +462,7 @@
 
 // fitSizes are the sizes of tasks.
 var fitSizes = []resource.Vector{
-	tenthOfWorker, tenthOfWorker, taskSize, {Milliprocessors: workerCapacity.Milliprocessors / 2, MemoryMebibytes: workerCapacity.MemoryMebibytes / 2},
+	tenthOfWorker, tenthOfWorker, taskSize, halfOfWorker,
 }
 
 func drawFitStep(t *rapid.T, kind string) work.Step {
@@ -423,13 +479,15 @@
 		step.Lasting = true
 	case "speculative":
 		step.Speculative = true
+	case "wide speculative":
+		step.Count, step.MostPerWorker, step.Speculative = 6+int(drawUniform(t, "wide", 20)), 1, true
 	case "label":
 		step.Label = fmt.Sprintf("rack-%d", drawUniform(t, "rack", 3))
 	}
 	return step
 }
 
-func drawFitJob(t *rapid.T, number int, kinds, queues []string) plannedJob {
+func drawFitJob(t *rapid.T, number int, accurate bool, kinds, queues []string) plannedJob {
 	p := plannedJob{
 		runTime:     drawDuration(t, "runTime", 100*time.Millisecond, []time.Duration{time.Second, 3 * time.Second, 25 * time.Second}[drawUniform(t, "long", 3)]),
 		submittedAt: drawDuration(t, "submittedAt", 0, fitFaultPeriod+fitFaultTail+2*time.Second),
@@ -448,15 +506,34 @@
 			steps = append(steps, next)
 		}
 	}
+	// The adviser decides by the name of the job.
+	name := fmt.Sprintf("job-%d-%d", number, drawUniform(t, "name", 1000))
 	estimate := []time.Duration{time.Second, p.runTime}[drawUniform(t, "estimate", 2)]
 	for i := range steps {
 		steps[i].Estimate = estimate
+		if accurate {
+			steps[i].Estimate, steps[i].Image = p.runTime, name
+		}
 	}
-	// The adviser decides by the name of the job.
-	p.job = &work.Job{ID: fmt.Sprintf("job-%d-%d", number, drawUniform(t, "name", 1000)), Queue: queues[drawUniform(t, "queue", int64(len(queues)))], Steps: steps}
+	p.job = &work.Job{ID: name, Queue: queues[drawUniform(t, "queue", int64(len(queues)))], Steps: steps}
 	return p
 }
 
+// fillingJobs returns jobs that leave room for small tasks only, and a large task that waits
+// until one of them ends.
+func fillingJobs(workers int) []plannedJob {
+	newJob := func(id, queue string, runTime, at time.Duration, step work.Step) plannedJob {
+		step.Estimate, step.Image = runTime, id
+		return plannedJob{runTime: runTime, submittedAt: at, job: &work.Job{ID: id, Queue: queue, Steps: []work.Step{step}}}
+	}
+	late := fitFaultPeriod + fitFaultTail
+	return []plannedJob{
+		newJob("filling", "batch", 40*time.Second, 0, work.Step{Count: 2 * workers, MostPerWorker: 2, Size: taskSize}),
+		newJob("large", "urgent", 20*time.Second, late, work.Step{Count: 3, Size: halfOfWorker}),
+		newJob("small", "batch", time.Second, late+500*time.Millisecond, work.Step{Count: 4, Size: tenthOfWorker}),
+	}
+}
+
 func drawFitPlan(t *rapid.T) fitPlan {
 	p := fitPlan{
 		seed: rapid.Uint64().Draw(t, "seed"),
@@ -480,12 +557,16 @@
 	if !p.allAdvised {
 		queues = append(queues, "urgent", "batch", "batch")
 	}
-	kinds := []string{"single", "single", "gang", "wide", "wide lasting", "lasting", "lasting", "speculative", "label"}
+	kinds := []string{"single", "single", "gang", "wide", "wide lasting", "lasting", "lasting", "speculative", "wide speculative", "label"}
 	if drawUniform(t, "crowded", 4) == 0 {
 		kinds = []string{"wide lasting", "wide lasting", "wide lasting", "wide", "single", "lasting"}
 	}
+	p.accurate = drawUniform(t, "accurate", 2) == 0
+	if p.accurate && !p.allAdvised && drawUniform(t, "filled", 2) == 0 {
+		p.jobs = fillingJobs(p.workers)
+	}
 	for i := range 2 + drawUniform(t, "jobs", fitMaxJobs-1) {
-		p.jobs = append(p.jobs, drawFitJob(t, int(i), kinds, queues))
+		p.jobs = append(p.jobs, drawFitJob(t, int(i), p.accurate, kinds, queues))
 	}
 	all := slices.Concat(overlapFaults, fitFaults, fitFaults)
 	for range drawUniform(t, "faults", 14) {
@@ -544,9 +625,10 @@
 	sm.electLeader()
 	c := &fitCheck{
 		fitFaultInjector: &fitFaultInjector{overlapFaultInjector: overlapFaultInjector{newFaultInjector(sm)}, unreachableForGood: map[backend.Life]bool{}},
-		possibleSince:    map[work.TaskID]time.Time{}, lastRunAt: map[work.TaskID]time.Time{}, reported: map[work.TaskID]bool{},
+		possibleSince:    map[work.TaskID]time.Time{}, lastRunAt: map[work.TaskID]time.Time{}, reported: map[work.TaskID]bool{}, firstRunAt: map[runOnWorker]time.Time{}, accurate: p.accurate,
 	}
 	c.run()
+	c.update()
 	for _, j := range p.jobs {
 		j.submit(sm)
 	}
@@ -563,7 +645,6 @@
 		settle += maxStartDelay + timing.MaxOrderDelay
 	}
 	c.settledAt = sm.now.Add(settle)
-	c.update()
 	sm.runFor(settle + fitCheckPeriod)
 	if l := sm.leaders[len(sm.leaders)-1]; l.deposed || l.frozen || l.cutOffFromStore {
 		panic("the faults have left no leader")
