Store the job after the list of workers was read in a test

TestNextProcessWithAnEarlierStartTimeIsUsed failed in 82 of 300 runs: the job was sometimes placed on the earlier process, whose lease then has to end. It is stored a second later now, and passes 500 of 500 runs; without the change that it guards it fails.

--- a/internal/node/entryvm/takeover_test.go
+++ b/internal/node/entryvm/takeover_test.go
@@ -280,6 +280,7 @@
 				is.NoErr(c.fleet.Add(c.store, backend.Registration{Life: backend.Life{ID: workerID(i), Born: born}, Service: "desk", Capacity: resource.Vector{Milliprocessors: 8000, MemoryMebibytes: 8000}}))
 			}
 		}
+		time.Sleep(time.Second) // A job stored before the list is read starts on the earlier process.
 		l.addStoredJobs([]store.Record{c.storeJob("job", 0)})
 		time.Sleep(6 * time.Second)
 		is.Equal(c.ledger.startCount(firstTaskOf("job")), 1)
