Take the store away right after a claim, and store jobs that nobody places

In the virtual cell whose VMs are all lost, the store now also refuses all calls from the moment at which a VM has claimed leadership, for up to 16 s.

--- a/internal/node/entryvm/cut_domain_test.go
+++ b/internal/node/entryvm/cut_domain_test.go
@@ -128,8 +128,9 @@
 	}
 }
 
-// loseAllVMs ends all VMs at once and starts them again after a while, one after the other. In a
-// third of the cases the store refuses their calls for some time after that.
+// loseAllVMs ends all VMs at once and starts them again after a while, one after the other. In
+// some cases the store refuses their calls for some time after that, or as soon as one has claimed
+// leadership, for longer than a leader takes to give up.
 func (c *virtualCell) loseAllVMs() {
 	for i := range virtualVMs {
 		c.killVM(i)
@@ -138,15 +139,32 @@
 		c.restartSomeWorkers()
 	}
 	time.Sleep(300*time.Millisecond + c.randomDuration(5700*time.Millisecond))
-	away := time.Duration(max(c.random.IntN(3)-1, 0)) * c.randomDuration(3*time.Second)
+	claims, variant := len(c.store.Records(store.Claims, 0)), c.random.IntN(4)
 	for _, i := range c.random.Perm(virtualVMs) {
 		time.Sleep(c.randomDuration(100 * time.Millisecond))
 		c.startVM(i)
-		c.links[i].RefuseCalls(away > 0)
+		c.links[i].RefuseCalls(variant == 0)
+	}
+	away := c.randomDuration(3 * time.Second)
+	switch variant {
+	case 0:
+	case 1:
+		for len(c.store.Records(store.Claims, 0)) == claims {
+			time.Sleep(time.Millisecond)
+		}
+		away = c.randomDuration(16 * time.Second)
+		c.refuseStoreCalls(true)
+	default:
+		return
 	}
 	time.Sleep(away)
+	c.refuseStoreCalls(false)
+}
+
+// refuseStoreCalls sets whether the store refuses the calls of all VMs.
+func (c *virtualCell) refuseStoreCalls(on bool) {
 	for _, l := range c.links {
-		l.RefuseCalls(false)
+		l.RefuseCalls(on)
 	}
 }
 
@@ -181,18 +199,27 @@
 			jobs = append(jobs, j)
 			time.AfterFunc(c.randomDuration(2*time.Second), func() { c.submit(j) })
 		}
-		time.Sleep(time.Second + c.randomDuration(time.Second))
+		time.Sleep(500*time.Millisecond + c.randomDuration(time.Second))
+		if c.random.IntN(2) == 0 { // Jobs are stored of which no task is placed.
+			c.network.freeze(c.processes[c.leader()].address, time.Minute)
+		}
+		time.Sleep(500 * time.Millisecond)
 		stored, placed = c.storedJobs()
 		c.loseAllVMs()
 	}
 	back := time.Now()
 	time.Sleep(electionLimit + 3*time.Second)
 	_, started := c.storedJobs()
+	waited := 0
 	for _, id := range stored {
-		if !placed[id] && !started[id] {
+		if placed[id] {
+			continue
+		}
+		if waited++; !started[id] {
 			t.Errorf("no task of job %s was placed", id)
 		}
 	}
+	t.Logf("%d jobs were stored and not placed when the VMs were lost", waited)
 	until := time.Now().Add(recoveryTimeout)
 	for _, j := range jobs {
 		if !c.awaitCompleted(j.ID, until) {
