--- a/internal/cell/scheduler/what_fits_property_test.go
+++ b/internal/cell/scheduler/what_fits_property_test.go
@@ -540,7 +540,7 @@
 func crowdedJobs() []plannedJob {
 	var jobs []plannedJob
 	for i := range 11 {
-		jobs = append(jobs, plannedStep(fmt.Sprintf("wide-%d", i), "slow", time.Second, time.Duration(i)*100*time.Millisecond, work.Step{Count: 14, MostPerWorker: 1, Size: tenthOfWorker, Lasting: true}))
+		jobs = append(jobs, plannedStep(fmt.Sprintf("wide-%d", i), "slow", 40*time.Second, time.Duration(i)*100*time.Millisecond, work.Step{Count: 14, MostPerWorker: 1, Size: tenthOfWorker, Lasting: i%3 > 0}))
 	}
 	for i := range 4 {
 		jobs = append(jobs, plannedStep(fmt.Sprintf("last-%d", i), "advised", time.Second, time.Duration(2+i)*time.Second, work.Step{Count: 1, Size: tenthOfWorker, Lasting: true}))
