--- a/docs/incidents/issue_50_days.py
+++ b/docs/incidents/issue_50_days.py
@@ -75,11 +75,14 @@
         entries.append(entry(uniform(r, 1, length - 3), f(r)))
     return write_day(f"gang-{seed}", length, entries, closing_fault(r, .3))
 
-p = argparse.ArgumentParser()
-p.add_argument("site"); p.add_argument("dir"); p.add_argument("first", type=int); p.add_argument("last", type=int)
-p.add_argument("--gangs", action="store_true")
-a = p.parse_args()
-troubles = own_troubles(a.site)
-for seed in range(a.first, a.last + 1):
-    name, content = (f"gang_{seed}", gang_day(seed)) if a.gangs else (f"new_{seed}", usual_day(seed, troubles))
-    with open(f"{a.dir}/{name}.toml", "w") as f: f.write(content)
+def main():
+    p = argparse.ArgumentParser()
+    p.add_argument("site"); p.add_argument("dir"); p.add_argument("first", type=int); p.add_argument("last", type=int)
+    p.add_argument("--gangs", action="store_true")
+    a = p.parse_args()
+    troubles = own_troubles(a.site)
+    for seed in range(a.first, a.last + 1):
+        name, content = (f"gang_{seed}", gang_day(seed)) if a.gangs else (f"new_{seed}", usual_day(seed, troubles))
+        with open(f"{a.dir}/{name}.toml", "w") as f: f.write(content)
+
+if __name__ == "__main__": main()
--- /dev/null
+++ b/docs/incidents/issue_53_days.py
@@ -0,0 +1,50 @@
+#!/usr/bin/env python3
+"""Writes generated days that crowd a service with lasting and wide jobs, one file a seed.
+
+  issue_53_days.py DIR FIRST LAST    DIR/wait_SEED.toml: 34 to 62 s, one to three bursts of
+                                     list-watch and letter-draft, one to three faults that take, move or
+                                     add workers, and in nine of ten days a final fault
+
+The kind of the final fault follows from the seed modulo 10: 0 none, 1 to 3 power_off_all, 4 to 6 kill_all,
+7 to 9 wipe_after_ack, each with how = timed, taken, oldest. Most faults come while the bursts run.
+"""
+import random, sys
+from issue_50_days import CLOSING, entry, uniform, write_day
+
+def workers_fault(r):
+    of_service = {"service": "punchlist-desk"} if r.random() < .7 else {}
+    return r.choice([
+        lambda: dict(kind="srv_crash", share=uniform(r, .1, .4), for_s=uniform(r, 1, 8), how=r.choice(["dark", "gone", "rack", "joined", "domain"]), **of_service),
+        lambda: dict(kind="replace_with_reuse", share=uniform(r, .1, .35), how=r.choice(["drain", "dark", "side", ""])),
+        lambda: dict(kind="scale_in", share=uniform(r, .05, .3), x=uniform(r, 1.5, 3), for_s=uniform(r, 2, 8), how=r.choice(["", "spot", "reclaim", "reclaim dry", "spot dry"])),
+        lambda: dict(kind="node_cut", share=uniform(r, .1, .4), for_s=uniform(r, 2, 9), how="servers" + r.choice(["", " one_way", " reborn", " across", " reborn across", " reset"]), **of_service),
+        lambda: dict(kind="srv_cut", share=uniform(r, .1, .4), x=uniform(r, .2, .8), for_s=uniform(r, 2, 9), how=r.choice(["", "fronts", "some", "one_way", "reborn", "fronts reborn", "some reborn"])),
+        lambda: dict(kind="srv_grey", share=uniform(r, .05, .25), x=1.0, for_s=uniform(r, 3, 8), how=r.choice(["hang", "mute", "errors", "shed"])),
+        lambda: dict(kind="core_cut", count=1, for_s=uniform(r, 2, 8), how=r.choice(["lure", "relieve", "leader one_way"])),
+        lambda: dict(kind="node_kill", on="core", count=1, for_s=uniform(r, .5, 4), how=r.choice(["leader race drain", "meet drain", "giver drain"])),
+        lambda: dict(kind="platform_compact", x=uniform(r, 1, 6), for_s=1.0, how=r.choice(["drain", "keyed drain", "rewind drain"])),
+        lambda: dict(kind="cloud_down", for_s=uniform(r, 2, 8), how=r.choice(["silent", "busy", "reset"])),
+        lambda: dict(kind="applied_late", x=uniform(r, .05, .5), for_s=uniform(r, 3, 8), how=r.choice(["orders", "grants", "all"])),
+    ])()
+
+def waiting_day(seed):
+    r = random.Random(seed * 104729)
+    length = uniform(r, 34, 62)
+    entries, late = [], r.random() < .5
+    for _ in range(r.randint(1, 3)):
+        lasting = r.random() < .6
+        entries.append(entry(uniform(r, length / 2 if late else 1, length - 4), dict(
+            kind="burst", **{"class": "list-watch" if lasting else "letter-draft"}, x=uniform(r, 4, 12) if lasting else uniform(r, 2, 7), for_s=uniform(r, 2, 6))))
+    for _ in range(r.randint(1, 3)):
+        entries.append(entry(uniform(r, length / 2 if late else 1, length - 3), workers_fault(r)))
+    if r.random() < .6:
+        entries.append(entry(uniform(r, 1, length - 3), dict(kind="scale_out", share=uniform(r, .1, .4), gap_s=uniform(r, .5, 4))))
+    closing = []
+    if seed % 10:
+        kind, how = divmod(seed % 10 - 1, 3)
+        closing = [f'closing = {{ kind = "{CLOSING[kind]}", down_s = {uniform(r, .5, 6)}, how = "{["timed", "taken", "oldest"][how]}" }}']
+    return write_day(f"wait-{seed}", length, entries, closing)
+
+if __name__ == "__main__":
+    for seed in range(int(sys.argv[2]), int(sys.argv[3]) + 1):
+        with open(f"{sys.argv[1]}/wait_{seed}.toml", "w") as f: f.write(waiting_day(seed))
