--- a/docs/incidents/issue_53_days.py
+++ b/docs/incidents/issue_53_days.py
@@ -4,6 +4,11 @@
   issue_53_days.py DIR FIRST LAST    DIR/wait_SEED.toml: 34 to 62 s, one to three bursts of
                                      list-watch and letter-draft, one to three faults that take, move or
                                      add workers, and in nine of ten days a final fault
+  seeds from 1000 on                 long bursts of list-watch first, then two to four faults that take
+                                     many workers for good, so that lasting steps keep too few approved
+                                     workers; then bursts of letter-draft
+  seeds from 2000 on                 many lasting jobs, whose leases end in a long darkness, so that all
+                                     their steps need advice again at once
 
 The kind of the final fault follows from the seed modulo 10: 0 none, 1 to 3 power_off_all, 4 to 6 kill_all,
 7 to 9 wipe_after_ack, each with how = timed, taken, oldest. Most faults come while the bursts run.
@@ -27,9 +32,50 @@
         lambda: dict(kind="applied_late", x=uniform(r, .05, .5), for_s=uniform(r, 3, 8), how=r.choice(["orders", "grants", "all"])),
     ])()
 
+def worker_loss(r):
+    return r.choice([
+        lambda: dict(kind="srv_crash", share=uniform(r, .2, .45), for_s=uniform(r, 2, 12), how=r.choice(["gone", "gone", "rack", "dark"]), service="punchlist-desk"),
+        lambda: dict(kind="replace_with_reuse", share=uniform(r, .15, .4), how=r.choice(["drain", "dark", "side", ""]), service="punchlist-desk"),
+        lambda: dict(kind="scale_in", share=uniform(r, .15, .4), x=uniform(r, 1.5, 3), for_s=uniform(r, 4, 12), how=r.choice(["", "spot", "reclaim dry", "spot dry"]), service="punchlist-desk"),
+        lambda: dict(kind="node_cut", share=uniform(r, .2, .5), for_s=uniform(r, 4, 12), how="servers" + r.choice(["", " reborn", " one_way"]), service="punchlist-desk"),
+    ])()
+
+def thinned_day(r, length):
+    entries = []
+    for _ in range(r.randint(1, 2)):
+        entries.append(entry(uniform(r, 1, length * .45), {"kind": "burst", "class": "list-watch", "x": uniform(r, 5, 12), "for_s": uniform(r, 3, 9)}))
+    for _ in range(r.randint(2, 4)):
+        entries.append(entry(uniform(r, length * .3, length - 2), worker_loss(r)))
+    for _ in range(r.randint(0, 2)):
+        entries.append(entry(uniform(r, length * .5, length - 3), {"kind": "burst", "class": r.choice(["letter-draft", "letter-draft", "list-watch"]), "x": uniform(r, 2, 6), "for_s": uniform(r, 2, 5)}))
+    if r.random() < .5:
+        entries.append(entry(uniform(r, length * .4, length - 2), workers_fault(r)))
+    return entries
+
+def lapsed_day(r, length):
+    entries = []
+    for _ in range(r.randint(2, 3)):
+        entries.append(entry(uniform(r, length * .2, length - 5), {"kind": "burst", "class": "list-watch", "x": uniform(r, 4, 9), "for_s": uniform(r, 3, 6)}))
+    for _ in range(r.randint(0, 2)):
+        entries.append(entry(uniform(r, length - 6, length - 2), {"kind": "burst", "class": r.choice(["photo-scan", "letter-draft"]), "x": uniform(r, 2, 4), "for_s": uniform(r, 2, 5)}))
+    if r.random() < .4:
+        entries.append(entry(uniform(r, length * .4, length * .7), dict(kind="herd_kill", on="core", share=1.0, how="off", for_s=uniform(r, 4, 9))))
+    if r.random() < .3:
+        entries.append(entry(uniform(r, length * .4, length - 4), worker_loss(r)))
+    return entries
+
 def waiting_day(seed):
     r = random.Random(seed * 104729)
     length = uniform(r, 34, 62)
+    entries = [crowded_day, thinned_day, lapsed_day][seed // 1000](r, length)
+    dark = 4 if seed >= 2000 else .5
+    closing = []
+    if seed % 10:
+        kind, how = divmod(seed % 10 - 1, 3)
+        closing = [f'closing = {{ kind = "{CLOSING[kind]}", down_s = {uniform(r, dark, 6)}, how = "{["timed", "taken", "oldest"][how]}" }}']
+    return write_day(f"wait-{seed}", length, entries, closing)
+
+def crowded_day(r, length):
     entries, late = [], r.random() < .5
     for _ in range(r.randint(1, 3)):
         lasting = r.random() < .6
@@ -39,11 +85,7 @@
         entries.append(entry(uniform(r, length / 2 if late else 1, length - 3), workers_fault(r)))
     if r.random() < .6:
         entries.append(entry(uniform(r, 1, length - 3), dict(kind="scale_out", share=uniform(r, .1, .4), gap_s=uniform(r, .5, 4))))
-    closing = []
-    if seed % 10:
-        kind, how = divmod(seed % 10 - 1, 3)
-        closing = [f'closing = {{ kind = "{CLOSING[kind]}", down_s = {uniform(r, .5, 6)}, how = "{["timed", "taken", "oldest"][how]}" }}']
-    return write_day(f"wait-{seed}", length, entries, closing)
+    return entries
 
 if __name__ == "__main__":
     for seed in range(int(sys.argv[2]), int(sys.argv[3]) + 1):
