--- a/docs/incidents/issue_53_days.py
+++ b/docs/incidents/issue_53_days.py
@@ -9,6 +9,9 @@
                                      workers; then bursts of letter-draft
   seeds from 2000 on                 many lasting jobs, whose leases end in a long darkness, so that all
                                      their steps need advice again at once
+  seeds from 3000 on                 the same with stronger bursts, and with 5.6 to 6 s of darkness
+  seeds from 4000 on                 workers are cut off, hang or fall silent until after the end, others come
+                                     back in another life, while a backlog of letter-draft waits
 
 The kind of the final fault follows from the seed modulo 10: 0 none, 1 to 3 power_off_all, 4 to 6 kill_all,
 7 to 9 wipe_after_ack, each with how = timed, taken, oldest. Most faults come while the bursts run.
@@ -64,11 +67,37 @@
         entries.append(entry(uniform(r, length * .4, length - 4), worker_loss(r)))
     return entries
 
+def flooded_day(r, length):
+    entries = []
+    for at in (.5, .65, .8):
+        entries.append(entry(uniform(r, length * at, length * at + 2), {"kind": "burst", "class": "list-watch", "x": uniform(r, 6, 12), "for_s": uniform(r, 4, 7)}))
+    for _ in range(r.randint(0, 2)):
+        entries.append(entry(uniform(r, length - 6, length - 2), {"kind": "burst", "class": r.choice(["photo-scan", "photo-scan", "letter-draft"]), "x": uniform(r, 2, 5), "for_s": uniform(r, 2, 5)}))
+    if r.random() < .3:
+        entries.append(entry(uniform(r, length * .4, length - 4), worker_loss(r)))
+    return entries
+
+def unready_day(r, length):
+    of_service = {"service": "punchlist-desk"}
+    entries = [
+        entry(uniform(r, length * .3, length * .7), {"kind": "burst", "class": "list-watch", "x": uniform(r, 4, 10), "for_s": uniform(r, 3, 6)}),
+        entry(uniform(r, length - 12, length - 3), {"kind": "burst", "class": "letter-draft", "x": uniform(r, 3, 7), "for_s": uniform(r, 2, 5)}),
+        entry(uniform(r, length - 8, length - 1), r.choice([
+            dict(kind="node_cut", share=uniform(r, .25, .5), for_s=uniform(r, 12, 40), how="servers" + r.choice(["", "", " one_way", " reset"]), **of_service),
+            dict(kind="srv_grey", share=uniform(r, .25, .5), x=1.0, for_s=uniform(r, 12, 40), how=r.choice(["hang", "mute"]), **of_service),
+            dict(kind="srv_cut", share=uniform(r, .25, .5), x=uniform(r, .2, .8), for_s=uniform(r, 12, 40), how=r.choice(["", "fronts", "some"]), **of_service)])),
+    ]
+    if r.random() < .7:
+        entries.append(entry(uniform(r, length - 8, length - 1), dict(kind="srv_crash", share=uniform(r, .2, .45), for_s=uniform(r, 1, 6), how="dark", **of_service)))
+    if r.random() < .5:
+        entries.append(entry(uniform(r, length - 8, length - 1), dict(kind="scale_out", share=uniform(r, .1, .4), gap_s=uniform(r, .5, 4), **of_service)))
+    return entries
+
 def waiting_day(seed):
     r = random.Random(seed * 104729)
     length = uniform(r, 34, 62)
-    entries = [crowded_day, thinned_day, lapsed_day][seed // 1000](r, length)
-    dark = 4 if seed >= 2000 else .5
+    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day][seed // 1000](r, length)
+    dark = [.5, .5, 4, 5.6, .5][seed // 1000]
     closing = []
     if seed % 10:
         kind, how = divmod(seed % 10 - 1, 3)
