--- a/docs/incidents/issue_53_days.py
+++ b/docs/incidents/issue_53_days.py
@@ -12,6 +12,8 @@
   seeds from 3000 on                 the same with stronger bursts, and with 5.6 to 6 s of darkness
   seeds from 4000 on                 workers are cut off, hang or fall silent until after the end, others come
                                      back in another life, while a backlog of letter-draft waits
+  seeds from 5000 on                 the same, with a longer backlog and workers that are away until the last
+                                     check of the day
 
 The kind of the final fault follows from the seed modulo 10: 0 none, 1 to 3 power_off_all, 4 to 6 kill_all,
 7 to 9 wipe_after_ack, each with how = timed, taken, oldest. Most faults come while the bursts run.
@@ -93,11 +95,26 @@
         entries.append(entry(uniform(r, length - 8, length - 1), dict(kind="scale_out", share=uniform(r, .1, .4), gap_s=uniform(r, .5, 4), **of_service)))
     return entries
 
+def away_day(r, length):
+    of_service = {"service": "punchlist-desk"}
+    entries = [
+        entry(uniform(r, length * .3, length * .6), {"kind": "burst", "class": "list-watch", "x": uniform(r, 5, 10), "for_s": uniform(r, 3, 6)}),
+        entry(uniform(r, length - 14, length - 4), {"kind": "burst", "class": "letter-draft", "x": uniform(r, 3, 8), "for_s": uniform(r, 3, 6)}),
+        entry(uniform(r, length - 8, length - 1), r.choice([
+            dict(kind="node_cut", share=uniform(r, .35, .55), for_s=70.0, how="servers" + r.choice(["", " one_way", " reset"]), **of_service),
+            dict(kind="srv_cut", share=uniform(r, .35, .55), x=uniform(r, .5, 1), for_s=70.0, how=r.choice(["", "fronts", "some"]), **of_service)])),
+    ]
+    if r.random() < .5:
+        entries.append(entry(uniform(r, length - 10, length - 2), {"kind": "burst", "class": "list-watch", "x": uniform(r, 5, 10), "for_s": uniform(r, 2, 4)}))
+    if r.random() < .5:
+        entries.append(entry(uniform(r, length - 8, length - 1), dict(kind="srv_crash", share=uniform(r, .1, .3), for_s=uniform(r, 1, 6), how="dark", **of_service)))
+    return entries
+
 def waiting_day(seed):
     r = random.Random(seed * 104729)
     length = uniform(r, 34, 62)
-    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day][seed // 1000](r, length)
-    dark = [.5, .5, 4, 5.6, .5][seed // 1000]
+    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day, away_day][seed // 1000](r, length)
+    dark = [.5, .5, 4, 5.6, .5, .5][seed // 1000]
     closing = []
     if seed % 10:
         kind, how = divmod(seed % 10 - 1, 3)
