--- a/docs/incidents/issue_53_days.py
+++ b/docs/incidents/issue_53_days.py
@@ -14,6 +14,10 @@
                                      back in another life, while a backlog of letter-draft waits
   seeds from 5000 on                 the same, with a longer backlog and workers that are away until the last
                                      check of the day
+  seeds from 6000 on                 the same with few workers away, and with many that join or come back in
+                                     another life, about which the waiting steps have not asked
+  seeds from 7000 on                 workers crash for good or fall dark, each time followed by 13 s or more
+                                     without any other fault; many starts are under way
 
 The kind of the final fault follows from the seed modulo 10: 0 none, 1 to 3 power_off_all, 4 to 6 kill_all,
 7 to 9 wipe_after_ack, each with how = timed, taken, oldest. Most faults come while the bursts run.
@@ -110,11 +114,35 @@
         entries.append(entry(uniform(r, length - 8, length - 1), dict(kind="srv_crash", share=uniform(r, .1, .3), for_s=uniform(r, 1, 6), how="dark", **of_service)))
     return entries
 
+def joining_day(r, length):
+    of_service = {"service": "punchlist-desk"}
+    entries = [
+        entry(uniform(r, length * .4, length * .8), {"kind": "burst", "class": "list-watch", "x": uniform(r, 5, 10), "for_s": uniform(r, 3, 6)}),
+        entry(uniform(r, length - 12, length - 4), {"kind": "burst", "class": "letter-draft", "x": uniform(r, 5, 9), "for_s": uniform(r, 3, 6)}),
+        entry(uniform(r, length - 8, length - 1), dict(kind="node_cut", share=uniform(r, .1, .25), for_s=70.0, how="servers" + r.choice(["", " one_way", " reset"]), **of_service)),
+        entry(uniform(r, length - 8, length - 1), dict(kind="srv_crash", share=uniform(r, .25, .45), for_s=uniform(r, 1, 4), how="dark", **of_service)),
+    ]
+    if r.random() < .6:
+        entries.append(entry(uniform(r, length - 6, length - .5), dict(kind="scale_out", share=uniform(r, .2, .5), gap_s=uniform(r, .3, 2), **of_service)))
+    return entries
+
+def crashes_day(r, length):
+    entries = [entry(uniform(r, 1, 4), {"kind": "burst", "class": "list-watch", "x": uniform(r, 5, 10), "for_s": uniform(r, 3, 6)})]
+    at = uniform(r, 9, 12)
+    while at < length - 2:
+        entries.append(entry(uniform(r, at - 2.5, at - .5), {"kind": "burst", "class": r.choice(["snag-sort", "letter-draft"]), "x": uniform(r, 1.5, 3), "for_s": uniform(r, 2, 3)}))
+        entries.append(entry(round(at, 2), r.choice([
+            dict(kind="srv_crash", share=uniform(r, .15, .4), for_s=.5, how=r.choice(["gone", "gone", "rack gone"]), service="punchlist-desk"),
+            dict(kind="srv_crash", share=uniform(r, .15, .4), for_s=uniform(r, .5, 3), how="dark", service="punchlist-desk"),
+            dict(kind="scale_in", share=uniform(r, .1, .25), x=uniform(r, 1, 2), for_s=2.0, how="spot", service="punchlist-desk")])))
+        at += uniform(r, 13, 16)
+    return entries
+
 def waiting_day(seed):
     r = random.Random(seed * 104729)
     length = uniform(r, 34, 62)
-    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day, away_day][seed // 1000](r, length)
-    dark = [.5, .5, 4, 5.6, .5, .5][seed // 1000]
+    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day, away_day, joining_day, crashes_day][seed // 1000](r, length)
+    dark = [.5, .5, 4, 5.6, .5, .5, .5, .5][seed // 1000]
     closing = []
     if seed % 10:
         kind, how = divmod(seed % 10 - 1, 3)
