--- a/docs/incidents/issue_53_days.py
+++ b/docs/incidents/issue_53_days.py
@@ -18,6 +18,8 @@
                                      another life, about which the waiting steps have not asked
   seeds from 7000 on                 workers crash for good or fall dark, each time followed by 13 s or more
                                      without any other fault; many starts are under way
+  seeds from 8000 on                 gangs with accelerators and small tasks crowd the other service, which
+                                     loses workers for good
 
 The kind of the final fault follows from the seed modulo 10: 0 none, 1 to 3 power_off_all, 4 to 6 kill_all,
 7 to 9 wipe_after_ack, each with how = timed, taken, oldest. Most faults come while the bursts run.
@@ -138,11 +140,19 @@
         at += uniform(r, 13, 16)
     return entries
 
+def gangs_day(r, length):
+    entries = [entry(uniform(r, length * .4, length - 8), dict(kind="srv_crash", share=uniform(r, .15, .45), for_s=.5, how="gone", service="photo-bench"))]
+    for kind in ("photo-scan", "stain-check", r.choice(["photo-scan", "stain-check"])):
+        entries.append(entry(uniform(r, length - 20, length - 4), {"kind": "burst", "class": kind, "x": uniform(r, 1.3, 3), "for_s": uniform(r, 2, 6)}))
+    if r.random() < .3:
+        entries.append(entry(uniform(r, length * .4, length - 3), workers_fault(r)))
+    return entries
+
 def waiting_day(seed):
     r = random.Random(seed * 104729)
     length = uniform(r, 34, 62)
-    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day, away_day, joining_day, crashes_day][seed // 1000](r, length)
-    dark = [.5, .5, 4, 5.6, .5, .5, .5, .5][seed // 1000]
+    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day, away_day, joining_day, crashes_day, gangs_day][seed // 1000](r, length)
+    dark = [.5, .5, 4, 5.6, .5, .5, .5, .5, .5][seed // 1000]
     closing = []
     if seed % 10:
         kind, how = divmod(seed % 10 - 1, 3)
