--- a/docs/incidents/issue_53_days.py
+++ b/docs/incidents/issue_53_days.py
@@ -20,6 +20,9 @@
                                      without any other fault; many starts are under way
   seeds from 8000 on                 gangs with accelerators and small tasks crowd the other service, which
                                      loses workers for good
+  seeds from 9000 on                 workers fall dark for good in the last 2 s, while many starts are under way
+  seeds from 9500 on                 workers crash for good while they are cut off; no other fault for 20 s;
+                                     from 9700 on with less load, so that there is room for what they ran
 
 The kind of the final fault follows from the seed modulo 10: 0 none, 1 to 3 power_off_all, 4 to 6 kill_all,
 7 to 9 wipe_after_ack, each with how = timed, taken, oldest. Most faults come while the bursts run.
@@ -148,11 +151,28 @@
         entries.append(entry(uniform(r, length * .4, length - 3), workers_fault(r)))
     return entries
 
+def dark_day(r, length):
+    of_service = {"service": "punchlist-desk"} if r.random() < .7 else {}
+    entries = [entry(uniform(r, length * .3, length * .7), {"kind": "burst", "class": "list-watch", "x": uniform(r, 4, 9), "for_s": uniform(r, 3, 6)})]
+    entries.append(entry(uniform(r, length - 5, length - 3), {"kind": "burst", "class": r.choice(["snag-sort", "snag-sort", "letter-draft"]), "x": uniform(r, 1.2, 2.2), "for_s": 5.0}))
+    entries.append(entry(uniform(r, length - 2, length - .1), dict(kind="srv_crash", share=uniform(r, .15, .4), for_s=40.0, how="dark", **of_service)))
+    return entries
+
+def cut_crash_day(r, length, light):
+    entries = [entry(uniform(r, 1, 5), {"kind": "burst", "class": "list-watch", "x": uniform(r, 6, 10), "for_s": uniform(r, 1, 2) if light else uniform(r, 4, 6)})]
+    at = uniform(r, 11, 14)
+    while at < length - 5:
+        entries.append(entry(uniform(r, at - 2.5, at - 1), {"kind": "burst", "class": "snag-sort", "x": uniform(r, 1.3, 2.2), "for_s": 4.0}))
+        entries.append(entry(round(at, 2), dict(kind="node_cut", share=.4, for_s=2.5, how="servers", service="punchlist-desk")))
+        entries.append(entry(round(at + 1.2, 2), dict(kind="srv_crash", share=.2 if light else .3, for_s=.5, how="gone", service="punchlist-desk")))
+        at += 99 if light else uniform(r, 22, 26)
+    return entries
+
 def waiting_day(seed):
     r = random.Random(seed * 104729)
     length = uniform(r, 34, 62)
-    entries = [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day, away_day, joining_day, crashes_day, gangs_day][seed // 1000](r, length)
-    dark = [.5, .5, 4, 5.6, .5, .5, .5, .5, .5][seed // 1000]
+    entries = cut_crash_day(r, length, seed >= 9700) if seed >= 9500 else [crowded_day, thinned_day, lapsed_day, flooded_day, unready_day, away_day, joining_day, crashes_day, gangs_day, dark_day][seed // 1000](r, length)
+    dark = [.5, .5, 4, 5.6, .5, .5, .5, .5, .5, .5][seed // 1000]
     closing = []
     if seed % 10:
         kind, how = divmod(seed % 10 - 1, 3)
