Allocate candidates for requests in one piece

Candidates for requests for advice are passed as pointers, since the delayed ones among them are handled first. Each was allocated by itself.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -73,12 +73,14 @@
 // requestCandidates returns the steps of jobs that need tickets, in the order of the
 // jobs.
 func (s *Scheduler) requestCandidates(sortedJobs []*job) []*requestCandidate {
+	list := make([]requestCandidate, 0, len(s.dispatcher.pendingSteps))
 	candidates := make([]*requestCandidate, 0, len(s.dispatcher.pendingSteps))
 	for _, j := range sortedJobs {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				if q := s.dispatcher.pendingSteps[st]; q != nil {
-					candidates = append(candidates, &requestCandidate{step: st, queue: q})
+					list = append(list, requestCandidate{step: st, queue: q})
+					candidates = append(candidates, &list[len(list)-1])
 				}
 			}
 		}
