--- a/internal/emulate/memory/fleet.go
+++ b/internal/emulate/memory/fleet.go
@@ -64,6 +64,19 @@
 	}
 }
 
+// Running returns the tasks that run on any worker.
+func (f *Fleet) Running() map[work.TaskID]bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	running := map[work.TaskID]bool{}
+	for _, w := range f.workers {
+		for _, id := range w.Running() {
+			running[id] = true
+		}
+	}
+	return running
+}
+
 // Add starts a worker and registers it in the store's Workers topic under its ID.
 func (f *Fleet) Add(s *Store, r backend.Registration) error {
 	f.Start(r, 1)
--- a/internal/node/entryvm/all_vms_lost_test.go
+++ b/internal/node/entryvm/all_vms_lost_test.go
@@ -214,24 +214,13 @@
 	return tasks, steps
 }
 
-// runningTasks returns the tasks that run.
-func (c *lostVMsTrial) runningTasks() map[work.TaskID]bool {
-	running := map[work.TaskID]bool{}
-	for _, w := range c.ledger.live {
-		for _, id := range w.Running() {
-			running[id] = true
-		}
-	}
-	return running
-}
-
 // checkWaiting checks how long the tasks of accepted jobs have waited.
 func (c *lostVMsTrial) checkWaiting() {
 	c.ask()
+	running := c.workers.fleet.Running()
 	c.ledger.mutex.Lock()
 	defer c.ledger.mutex.Unlock()
 	c.readProgress()
-	running := c.runningTasks()
 	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
 		if c.ended[id] {
 			continue
