--- a/internal/node/entryvm/all_vms_lost_test.go
+++ b/internal/node/entryvm/all_vms_lost_test.go
@@ -7,11 +7,8 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"github.com/almondpost/almondpost/internal/cell/queue"
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
@@ -343,22 +340,8 @@
 // All entry VMs are lost at once, once or twice, while work is accepted and ends. Afterwards
 // accepted work waited although there was room.
 func TestAcceptedWorkRunsAfterAllVMsWereLost(t *testing.T) {
-	counts := map[string]int{}
-	rapid.Check(t, func(rt *rapid.T) {
-		seed := rapid.Uint64().Draw(rt, "seed")
-		var violations []string
-		synctest.Test(t, func(*testing.T) {
-			c := newLostVMsTrial(seed)
-			violations = c.play()
-			for what, n := range c.ledger.counts {
-				counts[what] += n
-			}
-		})
-		if counts["checks"]++; len(violations) > 0 {
-			rt.Fatalf("%d violations, first: %v", len(violations), violations[:min(len(violations), 8)])
-		}
+	checkTrials(t, func(seed uint64) (violations []string, counts map[string]int) {
+		c := newLostVMsTrial(seed)
+		return c.play(), c.ledger.counts
 	})
-	for _, what := range slices.Sorted(maps.Keys(counts)) {
-		t.Logf("%s: %d", what, counts[what])
-	}
 }
--- a/internal/node/entryvm/replacement_test.go
+++ b/internal/node/entryvm/replacement_test.go
@@ -384,14 +384,22 @@
 // executed late, while all entry VMs are replaced again and again. What was told to callers
 // or acknowledged to workers must remain so.
 func TestNothingFinalIsTakenBack(t *testing.T) {
+	checkTrials(t, func(seed uint64) (violations []string, counts map[string]int) {
+		c := newReplacementTrial(seed)
+		return c.play(), c.ledger.counts
+	})
+}
+
+// checkTrials plays trials with random seeds, each in a bubble, and logs the sums of their counts.
+func checkTrials(t *testing.T, play func(seed uint64) (violations []string, counts map[string]int)) {
 	counts := map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		var violations []string
 		synctest.Test(t, func(*testing.T) {
-			c := newReplacementTrial(seed)
-			violations = c.play()
-			for what, n := range c.ledger.counts {
+			var occurred map[string]int
+			violations, occurred = play(seed)
+			for what, n := range occurred {
 				counts[what] += n
 			}
 		})
