Keep workers ready when the list of workers changes

step_waiting and waiting_tasks said no_capacity beside idle workers: when the list of workers changes, the pools are dropped, and until the next scheduling pass no worker counted as ready. Urgent jobs that arrive in that time were not placed either before the pass.

Workers that were ready in the last pass remain ready in the new pools.

TestReasonOfAWaitIsKnownAfterTheListChanges failed before.

--- a/internal/cell/scheduler/pool.go
+++ b/internal/cell/scheduler/pool.go
@@ -48,7 +48,8 @@
 	return &pool{}
 }
 
-// buildPools groups the workers into pools, one for each service.
+// buildPools groups the workers into pools, one for each service. Those that were ready in the
+// last scheduling pass remain ready.
 func (s *Scheduler) buildPools() {
 	s.pools = map[string]*pool{}
 	for _, life := range s.sortedLives() {
@@ -64,6 +65,9 @@
 		p.workers = append(p.workers, w)
 		p.maxCapacity = p.maxCapacity.Max(w.registration.Capacity)
 		p.minCapacity = p.minCapacity.Min(w.registration.Capacity)
+		if w.ready {
+			p.addReadyWorker(w)
+		}
 	}
 }
 
@@ -76,12 +80,16 @@
 	for _, w := range p.workers {
 		w.ready = !w.tokenUnconfirmed() && !now.Before(w.avoidUntil) && now.Sub(w.lastAnswerAt) <= maxSilence && !w.clockReadAt.IsZero()
 		if w.ready {
-			p.readyWorkers = append(p.readyWorkers, w)
-			p.maxFreeCapacity = p.maxFreeCapacity.Max(w.freeCapacity())
+			p.addReadyWorker(w)
 		}
 	}
 }
 
+func (p *pool) addReadyWorker(w *worker) {
+	p.readyWorkers = append(p.readyWorkers, w)
+	p.maxFreeCapacity = p.maxFreeCapacity.Max(w.freeCapacity())
+}
+
 // acceptsTasksOf reports whether a worker may get new tasks of a queue, as far as its
 // registration and service are concerned.
 func (w *worker) acceptsTasksOf(q *queue.Queue) bool {
--- a/internal/cell/scheduler/waiting_test.go
+++ b/internal/cell/scheduler/waiting_test.go
@@ -119,3 +119,22 @@
 	is.Equal(len(named), 1)
 	is.True(strings.Contains(named[0], `"phase"="start_ordered"`))
 }
+
+// A change of the list of workers made all of them look unready until the next scheduling pass.
+func TestReasonOfAWaitIsKnownAfterTheListChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	lines := &linesOf{event: "step_waiting"}
+	s := newLoggedScheduler(lines, now)
+	s.Submit(&work.Job{ID: "job", Queue: "short", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}, now)
+	for range 3 {
+		now = now.Add(2 * time.Second)
+		list := addHeldWorkers(s, 6, now, "bench", "desk")
+		s.Schedule(now)
+		s.SetWorkers(list[:5], now)
+		s.Tick(now)
+	}
+	named := lines.take()
+	is.Equal(len(named), 1)
+	is.True(strings.Contains(named[0], `"reason"="not_asked"`) && strings.Contains(named[0], `"ready"=2`))
+}
