--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -268,7 +268,7 @@
 			if st.areReservedWorkersSoonFree(q) && (st.advice.areReservedWorkersReady() || !st.hasUnansweredWorker(s.poolOfService(q.Service))) {
 				return st.advice.reservedWorkersWithoutValidTicket(now.Add(q.Advice.RequestDuration(len(st.advice.reservedWorkers))))
 			}
-		case len(stale) > 0 && places >= st.placesNeededToStart() && (st.spec.Lasting || !s.isLargeStep(st, q)):
+		case len(stale) > 0 && places >= st.placesNeededToStart():
 			return workersMostLikelyFree(stale, st)
 		}
 	}
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -184,9 +184,6 @@
 	return pause
 }
 
-// isSilent reports whether the worker has left several holds in a row unanswered.
-func (w *worker) isSilent() bool { return w.unansweredHolds >= silentAfterHolds }
-
 // fencedTokenIncrement is added to the fencing token of a worker after the worker has
 // refused it as too low. It is large enough to skip the tokens that this leader may
 // have used for the worker in an earlier session.
--- a/internal/cell/scheduler/reserve.go
+++ b/internal/cell/scheduler/reserve.go
@@ -75,15 +75,15 @@
 
 // reserveWorkers reserves workers for the waiting tasks of a large step. It chooses
 // the workers that are expected to have enough free capacity soonest, and none that
-// can never run the tasks, or that are silent: they may stay listed without ever answering.
-// Other workers that get no tasks at the moment come last.
+// can never run the tasks. Workers that get no tasks at the moment come last. One that has been
+// silent for longer than a lease may stay listed without ever answering, and is left out.
 func (s *Scheduler) reserveWorkers(st *step, q *queue.Queue, r *reservations, now time.Time) {
 	if !s.isLargeStep(st, q) || r.stepCountByService[q.Service] >= max(minReservingSteps, len(s.poolOfService(q.Service).workers)/workersPerReservingStep) {
 		return
 	}
 	var places []expectedPlace
 	for _, w := range s.permittedWorkers(st, q) {
-		if r.isReservedForOtherJob(w, st.job) || w.isSilent() || !belowTaskLimit(w, st) {
+		if r.isReservedForOtherJob(w, st.job) || now.Sub(w.lastAnswerAt) > s.timing.Lease || !belowTaskLimit(w, st) {
 			continue
 		}
 		places = s.appendExpectedPlaces(w, st, places, now)
@@ -91,18 +91,19 @@
 	if st.spec.Gang && len(places) < st.spec.Count {
 		return // No expected end makes room for the gang: the reservation would keep others away for good.
 	}
-	slices.SortFunc(places, func(a, b expectedPlace) int {
+	// Places on one worker keep their order: the last one tells what is spare beside all of them.
+	slices.SortStableFunc(places, func(a, b expectedPlace) int {
 		return cmp.Or(compareBools(!a.worker.ready, !b.worker.ready), cmp.Compare(a.timeUntilFree, b.timeUntilFree), compareLives(a.worker.registration.Life, b.worker.registration.Life))
 	})
 	tasks := r.quotaClaims.claim(s, st)
 	if tasks == 0 {
 		return
 	}
-	places = places[:min(tasks, len(places))]
-	timeUntilFree := time.Duration(0)
-	if len(places) > 0 {
-		timeUntilFree = places[0].timeUntilFree
+	if len(places) == 0 {
+		return
 	}
+	places = places[:min(tasks, len(places))]
+	timeUntilFree := places[0].timeUntilFree
 	for _, p := range places {
 		earlier, alreadyReserved := r.byWorker[p.worker]
 		if !alreadyReserved {
@@ -171,8 +172,8 @@
 	}
 	taskEnds := make([]taskEnd, 0, len(w.tasks))
 	for _, t := range w.tasks {
-		if remaining := s.runTimes.remainingRunTime(t, now); remaining < assumedLastingRunTime {
-			taskEnds = append(taskEnds, taskEnd{t.step.spec.ReservedCapacity(), remaining})
+		if !t.step.spec.Lasting {
+			taskEnds = append(taskEnds, taskEnd{t.step.spec.ReservedCapacity(), s.runTimes.remainingRunTime(t, now)})
 		}
 	}
 	slices.SortFunc(taskEnds, func(a, b taskEnd) int { return cmp.Compare(a.remaining, b.remaining) })
--- a/internal/cell/scheduler/stops.go
+++ b/internal/cell/scheduler/stops.go
@@ -110,7 +110,7 @@
 	l.runs = slices.DeleteFunc(l.runs, func(r runID) bool { return !w.awaitsStopOf(r) })
 	if len(l.runs) > 0 {
 		l.nextAt = now.Add(lostStopRetryInterval)
-		if w.isSilent() {
+		if w.unansweredHolds >= silentAfterHolds {
 			l.nextAt = now.Add(silentStopRetryInterval)
 		}
 		s.repeatStop(w, l.runs[0], now)
