Bound what claims cost, and take delayed requests in turn

They are counted only while capacity is left to claim, up to the number of waiting tasks.

Of the requests that urgent ones delay, always the first in job order was sent. Now it is the one whose step has waited longest since its last request.

--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -42,8 +42,8 @@
 // sent its request first.
 const maxRequestDelay = time.Second
 
-// dispatchDelayedRequest has the VM named idle send the first request that is not short, of a
-// step that has waited for maxRequestDelay. Nothing else limits how many VMs are busy with short
+// dispatchDelayedRequest has the VM named idle send the first request that is not short, of the
+// step that has waited longest since its last one, and for at least maxRequestDelay. Nothing else limits how many VMs are busy with short
 // requests: those of urgent jobs can keep all of them busy. It returns the next idle VM; ok is
 // false if there is none.
 func (s *Scheduler) dispatchDelayedRequest(candidates []*requestCandidate, limits *requestLimits, idle string, now time.Time) (nextIdle string, ok bool) {
@@ -53,6 +53,9 @@
 			delayed = append(delayed, c)
 		}
 	}
+	slices.SortStableFunc(delayed, func(a, b *requestCandidate) int {
+		return a.step.advice.requestedAt.Compare(b.step.advice.requestedAt)
+	})
 	perService, slow, all := limits.maxRequestsPerService, limits.maxSlowRequests, limits.maxRequests
 	limits.maxRequestsPerService, limits.maxSlowRequests, limits.maxRequests = 1, 1, 1
 	nextIdle, ok = s.dispatchWithinLimits(delayed, limits, idle, now)
@@ -213,7 +216,7 @@
 				if s.isLargeStep(st, q) {
 					continue
 				}
-				st.advice.outranked = s.poolOfService(q.Service).claimCapacity(st, s.claimableTasks(st, q, tasks, now))
+				st.advice.outranked = s.poolOfService(q.Service).claimCapacity(st, func() int { return s.claimableTasks(st, q, tasks, now) })
 			}
 		}
 	}
--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -170,7 +170,7 @@
 	p := s.poolOfService(q.Service)
 	switch {
 	case !st.hasUnansweredWorker(p):
-		return min(tasks, s.countApprovedPlaces(st, q, now))
+		return s.countApprovedPlaces(st, q, tasks, now)
 	case st.spec.MostPerWorker > 0:
 		return min(tasks, st.spec.MostPerWorker*p.classOf(st.spec.Label).readyWorkers-st.countTasksOnWorkersOf(q))
 	}
@@ -178,30 +178,38 @@
 }
 
 // countApprovedPlaces returns how many more tasks of a step the workers that the adviser has
-// approved could run now, whether their tickets have expired or not.
-func (s *Scheduler) countApprovedPlaces(st *step, q *queue.Queue, now time.Time) int {
+// approved could run now, at most the given number, whether their tickets have expired or not.
+func (s *Scheduler) countApprovedPlaces(st *step, q *queue.Queue, most int, now time.Time) int {
 	n, expectedEnd := 0, now.Add(s.runTimes.expectedOccupancy(st))
 	for w := range st.advice.tickets {
-		if w.ready && w.acceptsTasksOf(q) && !s.reservations.blocksTask(w, st, expectedEnd) {
-			n += usablePlaces(w, st)
+		if n >= most {
+			return most
+		}
+		if !w.ready || !w.acceptsTasksOf(q) {
+			continue
+		}
+		if places := usablePlaces(w, st); places > 0 && !s.reservations.blocksTask(w, st, expectedEnd) {
+			n += places
 		}
 	}
-	return n
+	return min(n, most)
 }
 
-// claimCapacity subtracts the capacity that a number of tasks of a step need from the
-// unclaimed capacity of the workers that may run them. It reports whether there was none
-// left for a single task.
-func (p *pool) claimCapacity(st *step, tasks int) (outranked bool) {
+// claimCapacity subtracts the capacity that the tasks of a step need from the unclaimed
+// capacity of the workers that may run them. tasks returns their number. It reports whether
+// there was none left for a single task.
+func (p *pool) claimCapacity(st *step, tasks func() int) (outranked bool) {
 	own, all, size := p.classOf(st.spec.Label), p.classOf(""), st.spec.ReservedCapacity()
-	outranked = !size.Fits(own.unclaimedCapacity)
-	for ; tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
+	if !size.Fits(own.unclaimedCapacity) {
+		return true
+	}
+	for tasks := tasks(); tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
 		own.unclaimedCapacity = own.unclaimedCapacity.Sub(size)
 		if own != all { // Steps without a label may have claimed more of it already.
 			all.unclaimedCapacity = all.unclaimedCapacity.Sub(size).Max(resource.Vector{})
 		}
 	}
-	return outranked
+	return false
 }
 
 // countTasksOnWorkersOf returns the number of tasks of a step that use capacity of a worker
