Keep pools when the list of workers brings nothing new

Also there: a worker that a leader knows from its record or from an answer counts as one of which it does not know since when it drains, and a hold that an earlier process answers counts as failed, so that starts that wait for it are sent.

--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -190,8 +190,7 @@
 		return
 	}
 	w := s.workers[r.Life]
-	added := w == nil
-	if added {
+	if w == nil {
 		w = s.addWorker(r, now)
 		s.replaceEarlierProcesses(w, now)
 	}
@@ -199,13 +198,15 @@
 		s.replaceProcess(old, w, "restarted", now)
 	}
 	s.latestWorkerByID[r.Life.ID] = w
-	if r.Draining && (added || !w.registration.Draining) {
-		w.drainEndUncertain = added
+	if r.Draining && (w.drainEnd.IsZero() || !w.registration.Draining) {
+		w.drainEndUncertain = !w.registered
 		w.drainEnd = now.Add(max(r.Remaining-drainNoticeDelay, 0))
 		s.log.Info("worker_draining", "worker", r.Life.ID, "remaining_ms", r.Remaining.Milliseconds(), "tasks", len(w.tasks))
 	}
+	if !w.registered || !hasSamePlaces(w.registration, r) {
+		s.pools = nil
+	}
 	w.registration, w.registered = r, true
-	s.pools = nil
 	if w.runs() > 0 {
 		s.recordWorker(w) // Its address may have been unknown before.
 	}
@@ -215,6 +216,12 @@
 	s.stopLastingTasksIfDraining(w, now)
 }
 
+// hasSamePlaces reports whether two registrations of a worker don't differ in what decides
+// which tasks it may get.
+func hasSamePlaces(a, b backend.Registration) bool {
+	return a.Service == b.Service && a.Draining == b.Draining && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
+}
+
 // openSession tells the caller to open a session with a worker.
 func (s *Scheduler) openSession(w *worker) {
 	w.sessionOpen = true
@@ -348,6 +355,7 @@
 func (s *Scheduler) otherProcessAnswered(w *worker, life backend.Life, now time.Time) {
 	if life.Born < w.registration.Life.Born {
 		s.log.Info("earlier_process_answered", "worker", life.ID, "born", w.registration.Life.Born, "answered_born", life.Born)
+		s.HoldFailed(w.registration.Life, backend.KindUnknown, now)
 		return
 	}
 	next := s.workers[life]
