Stop the other members when a delayed start of a gang is withdrawn

A delayed start without a ticket is not limited by one that its step has got since.

No tests of their own; the tests of the scheduler pass.

--- a/internal/cell/scheduler/choose.go
+++ b/internal/cell/scheduler/choose.go
@@ -134,7 +134,7 @@
 	// rackBonus is for a worker in the rack that holds the input data and, if the
 	// step has SameRack set, for one in a rack with other members of the gang.
 	rackBonus = 4.0
-	// failedTaskPenalty is for the workers on which the task failed last.
+	// failedTaskPenalty is for each of the last workers on which the task has failed.
 	failedTaskPenalty = 3.0
 	// slowWorkerPenalty is for a worker that counts as slow at the moment.
 	slowWorkerPenalty = 6.0
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -44,10 +44,11 @@
 }
 
 // hasUnreportedStart reports whether a start was ordered on the worker that its present
-// process is not known to have executed and that a later process may have executed. None has if
-// the present process has answered a hold that was sent after the start could last be executed.
-// Without this limit, a start whose end is beyond those that a report lists would keep the listed
-// ends from being acknowledged, and so its own end from being listed.
+// process is not known to have executed, and that a later process may still execute.
+//
+// Once this process has answered a hold that was sent at or after executableUntil, no later
+// process can execute the start. Without this limit, a start whose end is beyond those that a
+// report lists would keep the listed ends from being acknowledged, and so its own from being listed.
 //
 // If the worker has restarted under its ID, such a start may have been executed by the next
 // process, which numbers its ends anew. An acknowledgement that reached it would make it
@@ -85,14 +86,15 @@
 		if t.phase != phaseStartOrdered || aboveQuota || w.registration.Draining || now.Sub(t.orderedAt) > maxStartDelay {
 			s.requeueTask(t, "withdrawn")
 			s.logIfRunsEnded(t, w, "withdrawn", now)
-			if aboveQuota || w.registration.Draining {
-				s.stopOtherGangMembers(t, now)
-			}
+			s.stopOtherGangMembers(t, now)
 			continue
 		}
 		t.startToken, o.Order.Token = w.token, w.token
-		// Its ticket may have been renewed since, which only makes this later.
-		t.executableUntil = s.latestExecution(t.step.advice.tickets[w], now)
+		var carried ticket
+		if t.ticketed { // It may have been renewed since, which only makes the limit later.
+			carried = t.step.advice.tickets[w]
+		}
+		t.executableUntil = s.latestExecution(carried, now)
 		s.effects.Starts = append(s.effects.Starts, o)
 	}
 }
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -172,7 +172,7 @@
 	// startedAt is when the task was placed on its worker. Once the start is ordered,
 	// it is the time of that order.
 	startedAt time.Time
-	// failedWorkers lists the IDs of the last workersUntilTaskIsBlamed workers on which the
+	// failedWorkers lists the IDs of the last maxFailedWorkersPerTask workers on which the
 	// task has failed. It is placed on other workers if possible.
 	failedWorkers []string
 	// placeNotBefore is the earliest time at which the task may be placed again.
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -19,9 +19,9 @@
 	// new tasks for workerAvoidancePeriod.
 	failuresBeforeAvoidingWorker = 3
 	workerAvoidancePeriod        = 3 * time.Second
-	// The runs of a task that has failed on workersUntilTaskIsBlamed workers no longer count as
+	// The runs of a task that has failed on maxFailedWorkersPerTask workers no longer count as
 	// failures of workers. A job that fails everywhere would keep all workers from getting tasks.
-	workersUntilTaskIsBlamed = 3
+	maxFailedWorkersPerTask = 3
 )
 
 // StartAnswered handles the answer to a start order. An empty kind means that the
@@ -167,6 +167,7 @@
 func (s *Scheduler) applyCompletedRun(t *task, now time.Time) {
 	if t.step.spec.Lasting {
 		s.requeueTask(t, endedWith(backend.Done))
+		s.stopOtherGangMembers(t, now)
 		return
 	}
 	if !t.step.spec.Gang {
@@ -226,7 +227,7 @@
 		w.consecutiveFailures = 0
 		s.runTimes.recordRunTime(t, now)
 	case backend.Failed:
-		if t.noteFailedWorker(w.registration.Life.ID); len(t.failedWorkers) >= workersUntilTaskIsBlamed {
+		if t.noteFailedWorker(w.registration.Life.ID); len(t.failedWorkers) >= maxFailedWorkersPerTask {
 			return
 		}
 		w.consecutiveFailures++
@@ -242,7 +243,7 @@
 func (t *task) noteFailedWorker(id string) {
 	t.failedWorkers = slices.DeleteFunc(t.failedWorkers, func(known string) bool { return known == id })
 	t.failedWorkers = append(t.failedWorkers, id)
-	if n := len(t.failedWorkers) - workersUntilTaskIsBlamed; n > 0 {
+	if n := len(t.failedWorkers) - maxFailedWorkersPerTask; n > 0 {
 		t.failedWorkers = t.failedWorkers[n:]
 	}
 }
