--- a/internal/cell/scheduler/dispatch.go
+++ b/internal/cell/scheduler/dispatch.go
@@ -43,9 +43,9 @@
 const maxRequestDelay = time.Second
 
 // dispatchDelayedRequest has the VM named idle send the first request that is not short, of the
-// step that has waited longest since its last one, and for at least maxRequestDelay. Nothing else limits how many VMs are busy with short
-// requests: those of urgent jobs can keep all of them busy. It returns the next idle VM; ok is
-// false if there is none.
+// step that has waited longest since its last one, and for at least maxRequestDelay. Nothing
+// else limits how many VMs are busy with short requests: those of urgent jobs can keep all of
+// them busy. It returns the next idle VM; ok is false if there is none.
 func (s *Scheduler) dispatchDelayedRequest(candidates []*requestCandidate, limits *requestLimits, idle string, now time.Time) (nextIdle string, ok bool) {
 	var delayed []*requestCandidate
 	for _, c := range candidates {
--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -196,14 +196,14 @@
 }
 
 // claimCapacity subtracts the capacity that the tasks of a step need from the unclaimed
-// capacity of the workers that may run them. tasks returns their number. It reports whether
-// there was none left for a single task.
-func (p *pool) claimCapacity(st *step, tasks func() int) (outranked bool) {
+// capacity of the workers that may run them. countTasks returns their number, and is called only
+// if there is capacity left. It reports whether there was none left for a single task.
+func (p *pool) claimCapacity(st *step, countTasks func() int) (outranked bool) {
 	own, all, size := p.classOf(st.spec.Label), p.classOf(""), st.spec.ReservedCapacity()
 	if !size.Fits(own.unclaimedCapacity) {
 		return true
 	}
-	for tasks := tasks(); tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
+	for tasks := countTasks(); tasks > 0 && size.Fits(own.unclaimedCapacity); tasks-- {
 		own.unclaimedCapacity = own.unclaimedCapacity.Sub(size)
 		if own != all { // Steps without a label may have claimed more of it already.
 			all.unclaimedCapacity = all.unclaimedCapacity.Sub(size).Max(resource.Vector{})
--- a/internal/cell/scheduler/timeliness.go
+++ b/internal/cell/scheduler/timeliness.go
@@ -111,8 +111,8 @@
 	return order
 }
 
-// hasRoomForTaskOf reports whether a worker had enough free capacity for a task of a job in the
-// last scheduling pass.
+// hasRoomForTaskOf reports whether a worker may have enough free capacity for a task of a job:
+// the largest free amounts of each resource, which may be on different workers, suffice.
 func (s *Scheduler) hasRoomForTaskOf(r *rankedJob) bool {
 	return r.runnable != nil && !r.heldByQuota &&
 		r.runnable.spec.ReservedCapacity().Fits(s.poolOfService(r.service).classOf(r.runnable.spec.Label).maxFreeCapacity)
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -87,8 +87,8 @@
 	// workers were last sorted by it.
 	usedFraction float64
 	// drainEnd is the time before which a draining worker does not exit. If drainEndUncertain
-	// is true, the worker was draining when this leader first learned of it, and may exit earlier
-	// by the unknown age of its entry.
+	// is true, the worker was draining when this leader first listed it, and may exit earlier by
+	// the unknown age of its entry.
 	drainEnd          time.Time
 	drainEndUncertain bool
 	// consecutiveFailures counts the failed runs on the worker since the last
