End all processes of the scripts in every order of events

Cause: a process that was starting again while the script ended could outlive it, or end the script with the wrong status. Change: the stand-in starts nothing once it stops, and stops before it removes its folder.

--- a/review/standin2/machines.go
+++ b/review/standin2/machines.go
@@ -84,6 +84,9 @@
 
 // start starts the process, and again some time after each of its ends, as the platform does.
 func (v *vm) start(settings string) {
+	if v.isClosed() {
+		return
+	}
 	log, err := os.OpenFile(filepath.Join(v.folder, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		fail("log: %v", err)
@@ -91,11 +94,16 @@
 	cmd := exec.Command(v.program)
 	cmd.Env = []string{"ALMONDPOST_NODE_FILE=" + settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
 	cmd.Stdout, cmd.Stderr = log, log
+	exited := make(chan struct{})
+	v.mutex.Lock()
+	if v.closed { // So that no process outlives stop.
+		v.mutex.Unlock()
+		return
+	}
 	if err := cmd.Start(); err != nil {
+		v.mutex.Unlock()
 		fail("start %s: %v", v.program, err)
 	}
-	exited := make(chan struct{})
-	v.mutex.Lock()
 	v.cmd, v.exited = cmd, exited
 	v.mutex.Unlock()
 	v.record("%s started", v.name)
@@ -115,12 +123,7 @@
 		pause := v.restartAfter
 		v.mutex.Unlock()
 		time.Sleep(pause)
-		v.mutex.Lock()
-		closed = v.closed
-		v.mutex.Unlock()
-		if !closed {
-			v.start(settings)
-		}
+		v.start(settings)
 	}()
 }
 
@@ -174,6 +177,12 @@
 	return v.peak
 }
 
+func (v *vm) isClosed() bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.closed
+}
+
 // stop ends the process for good.
 func (v *vm) stop() {
 	v.mutex.Lock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,11 +22,17 @@
 	"time"
 )
 
-var cleanUp []func()
+var (
+	cleanUp []func()
+	exiting sync.Mutex
+)
 
+// exit ends all processes that were started, removes the folder and ends the program. Only the
+// first call has an effect.
 func exit(code int) {
-	for _, f := range cleanUp {
-		f()
+	exiting.Lock()
+	for i := len(cleanUp) - 1; i >= 0; i-- {
+		cleanUp[i]()
 	}
 	os.Exit(code)
 }
