--- a/review/standin2/machines.go
+++ b/review/standin2/machines.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -35,14 +36,27 @@
 	killed []string
 }
 
-// freeAddr returns a free address on loopback.
+// usedPorts holds the results of freeAddr.
+var usedPorts = map[int]bool{}
+
+// freeAddr returns a free address on loopback. Its port lies below those that the system gives to
+// outgoing connections, which could take it before the VM listens.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("no free port: %v", err)
+	for range 1000 {
+		port := 15000 + rand.Intn(16000)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		usedPorts[port] = true
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	fail("no free port")
+	return ""
 }
 
 func portOf(addr string) int {
