--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -93,6 +93,13 @@
 	s.partition(topic, "0").append([]record{{append(raw, value...)}})
 }
 
+// storedMB returns how much was stored. Nothing expires in the time of a script.
+func (s *logStore) storedMB() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.bytes >> 20
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	data, _ := json.Marshal(body)
 	w.Header().Set("Content-Type", "application/json")
