--- a/review/standin3/tasks.go
+++ b/review/standin3/bodies.go
@@ -5,21 +5,12 @@
 import (
 	"encoding/json"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-func envInt(name string, other int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return other
-}
-
 // submission returns the body of a submission with equal steps.
 func submission(spec string, steps, count int, image string) []byte {
 	list := make([]any, steps)
--- a/review/standin3/cell.go
+++ b/review/standin3/cell.go
@@ -26,9 +26,11 @@
 )
 
 const (
-	host    = "review.example"
-	prefix  = "/letters/"
-	service = "desk"
+	host   = "review.example"
+	prefix = "/letters/"
+	// otherPrefix belongs to the queue of another customer.
+	otherPrefix = "/photos/"
+	service     = "desk"
 )
 
 // cell is a small deployment: the entry VMs as processes, and the stand-ins of the platform's
@@ -41,7 +43,9 @@
 	wrapStore func(vm string, next http.Handler) http.Handler
 	vms       []*vm
 	workers   []*worker
-	record    *record
+	// checkpointBytes is the length of the checkpoints of tasks.
+	checkpointBytes int
+	record          *record
 }
 
 // record is the file record.txt.
@@ -86,11 +90,14 @@
 	}, nil
 }
 
-// publish stores a configuration with one queue that needs no advice.
+// publish stores a configuration with two queues that need no advice.
 func (c *cell) publish(version int) error {
+	route := func(name, pathPrefix string) map[string]any {
+		return map[string]any{"name": name, "host": host, "pathPrefix": pathPrefix, "service": service, "timeoutMs": 10000, "priority": 0, "maxAttempts": 4, "stretch": 2, "sloMs": 1000}
+	}
 	data, _ := json.Marshal(map[string]any{
 		"version":  version,
-		"routes":   []any{map[string]any{"name": "letters", "host": host, "pathPrefix": prefix, "service": service, "timeoutMs": 10000, "priority": 0, "maxAttempts": 4, "stretch": 2, "sloMs": 1000}},
+		"routes":   []any{route("letters", prefix), route("photos", otherPrefix)},
 		"services": []any{map[string]any{"name": service, "admissionCheck": false}},
 		"limits":   map[string]any{"bodyBytes": 262144, "headerBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
@@ -102,6 +109,7 @@
 func (c *cell) addWorkers(n int, runTime func(task, spec string) time.Duration, observe func(event, task string, run int64, w *worker)) error {
 	for i := range n {
 		w := newWorker(fmt.Sprintf("%08x%08x", rand.Uint32(), rand.Uint32()), fmt.Sprintf("%s.%d:9000", c.network, 100+i), fmt.Sprintf("zone-%d", i%3), runTime, observe)
+		w.checkpointBytes = c.checkpointBytes
 		if err := serveWorker(w); err != nil {
 			return err
 		}
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,9 @@
 	// observe is told of each start and end.
 	observe func(event, task string, run int64, w *worker)
 
+	// checkpointBytes is the length of a checkpoint.
+	checkpointBytes int
+
 	mutex     sync.Mutex
 	token     int64
 	deadline  int64
@@ -43,6 +47,9 @@
 	id   int64
 	end  *time.Timer
 	at   time.Time
+	// checkpoints counts the checkpoints so far, and checkpoint is the last one.
+	checkpoints int
+	checkpoint  string
 }
 
 type endRow struct {
@@ -214,8 +221,8 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for task, runs := range w.running {
-		for id := range runs {
-			running = append(running, []any{task, id, "", 50, 0})
+		for id, v := range runs {
+			running = append(running, []any{task, id, w.checkpoint(v), 50, 0})
 		}
 	}
 	for _, e := range w.ends[:min(len(w.ends), 500)] {
@@ -234,11 +241,40 @@
 	_, _ = rw.Write(data)
 }
 
+// checkpoint returns the newest checkpoint of a run, of which there is another with each
+// checkpointTime of work. It is empty for workers whose tasks save none.
+func (w *worker) checkpoint(v *run) string {
+	n := int(time.Since(v.at) / checkpointTime)
+	if w.checkpointBytes == 0 || n == 0 {
+		return ""
+	}
+	if v.checkpoints != n {
+		v.checkpoints, v.checkpoint = n, randomText(w.checkpointBytes)
+	}
+	return v.checkpoint
+}
+
+// workerCPU is the capacity of a worker, in thousandths of a core.
+const workerCPU = 32000
+
+// checkpointTime is checkpointS of the site.
+const checkpointTime = 2 * time.Second
+
+// randomText returns a text of n letters and digits, such as a token of a storage service.
+func randomText(n int) string {
+	const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789"
+	text := make([]byte, n)
+	for i := range text {
+		text[i] = letters[rand.IntN(len(letters))]
+	}
+	return string(text)
+}
+
 // entry returns the record with which the worker registers.
 func (w *worker) entry(service string, seq int) []byte {
 	data, _ := json.Marshal(map[string]any{
 		"service": service, "addr": w.address, "zone": w.zone, "version": "1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "seq": seq, "born": w.born,
-		"capacity": map[string]any{"cpu": 32000, "memMb": 128000, "gpu": 0}, "labels": []string{"kind-a", "r1"},
+		"capacity": map[string]any{"cpu": workerCPU, "memMb": 128000, "gpu": 0}, "labels": []string{"kind-a", "r1"},
 	})
 	return data
 }
