--- a/review/standin3/cell.go
+++ b/review/standin3/cell.go
@@ -323,4 +323,7 @@
 	return false
 }
 
+// address returns an address of this run.
+func (c *cell) address(host, port int) string { return fmt.Sprintf("%s.%d:%d", c.network, host, port) }
+
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
