Review case 14: a task runs twice after orders that are executed late

The leader counts the lease of a start without a ticket, but not that of a later hold, which the next process of the worker may execute late as well.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -43,4 +43,4 @@
 }
 
 // cases maps the names of the cases to functions that return the exit status.
-var cases = map[string]func(c *cell, program string, trouble bool) int{"long_checkpoints": longCheckpoints, "same_id": sameID, "silent_connection": silentConnection}
+var cases = map[string]func(c *cell, program string, trouble bool) int{"late_orders": lateOrders, "long_checkpoints": longCheckpoints, "same_id": sameID, "silent_connection": silentConnection}
