--- a/review/standin3/late.go
+++ b/review/standin3/late.go
@@ -17,15 +17,17 @@
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
 
-// The times of the case, counted from the arrival of the start that gets no answer. The cut takes 8 s,
-// and both late orders are executed at most 12 s after they were sent.
+// The times of the case, counted from the arrival of the start that gets no answer. Each of the two
+// cuts takes at most 5.5 s, and both late orders are executed at most 12 s after they were sent.
 const (
 	holdSent      = 9800 * time.Millisecond
 	cutBegin      = 10900 * time.Millisecond
 	nextBorn      = 11300 * time.Millisecond
 	startExecuted = 11700 * time.Millisecond
 	holdExecuted  = 17 * time.Second
-	cutEnd        = cutBegin + 8*time.Second
+	cutEnd        = cutBegin + 5500*time.Millisecond
+	secondBegin   = cutEnd - 100*time.Millisecond
+	secondEnd     = secondBegin + 2600*time.Millisecond
 	// onceTime is how long the task runs.
 	onceTime = 20 * time.Second
 )
@@ -54,7 +56,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	d := time.Since(p.begun)
-	return !p.begun.IsZero() && d >= cutBegin && d < cutEnd
+	return !p.begun.IsZero() && (d >= cutBegin && d < cutEnd || d >= secondBegin && d < secondEnd)
 }
 
 func (p *place) now() *worker {
@@ -123,6 +125,8 @@
 
 // restart crashes the worker behind the cut; the next lifetime has the same ID and address.
 func (p *place) restart() {
+	time.Sleep(time.Until(p.begun.Add(cutBegin)))
+	p.cell.record.printf("worker %s: the first cut begins", p.now().id)
 	time.Sleep(time.Until(p.begun.Add(nextBorn)))
 	old := p.now()
 	next := newWorker(old.id, old.address, old.zone, old.runTime, old.observe)
@@ -130,8 +134,10 @@
 	p.worker, p.seq = next, 0
 	p.mutex.Unlock()
 	p.cell.record.printf("worker %s: it has crashed and started again, born %d, before %d", old.id, next.born, old.born)
-	time.Sleep(time.Until(p.begun.Add(cutEnd)))
-	p.cell.record.printf("worker %s: the cut is over", old.id)
+	time.Sleep(time.Until(p.begun.Add(secondBegin)))
+	p.cell.record.printf("worker %s: the second cut begins, the first one ends", old.id)
+	time.Sleep(time.Until(p.begun.Add(secondEnd)))
+	p.cell.record.printf("worker %s: the second cut is over", old.id)
 }
 
 // register keeps the entry up to date. The platform removes it after three intervals of silence.
@@ -150,7 +156,8 @@
 }
 
 // lateOrders: a start without a ticket and a hold that was sent 10 s later get no answer and are executed
-// late, by the next lifetime of a worker that crashes behind a cut and starts again under its ID.
+// late, by the next lifetime of a worker that crashes behind a cut and starts again under its ID. Another
+// cut follows the first one.
 func lateOrders(c *cell, program string, trouble bool) int {
 	const workers = 12
 	var mutex sync.Mutex
