Store progress of any size, and end refused appends

Submissions were answered with 200 and stayed queued, and each VM that took over came to the same point.

Cause: the progress of a job is one record. Above the limit of a record even when compressed, the store refused it, and the refusal counted as one that may succeed later: the same append was repeated each 50 ms in front of all others. The log showed progress_not_stored with status 400, 20 times a second.

Change: progress that is too large is stored in parts, followed by the record that lists them, so a take-over after any append reads the earlier or the later progress. A refusal for content (store.KindInvalid, status 400 or 413) is told apart from one that may be accepted later: the append is split until the record is found, which is not sent again, is counted in a metric and costs only its job. The job writer does the same for submissions. The key of a worker record with a long ID was cut off. Appends are limited to 512 KB, which a relayed call can carry over a link of 10 Mbit/s.

The emulated store returns KindInvalid for what is too large, as the platform's store answers 400; the two tests of that expect it.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -21,6 +21,9 @@
 	// The caller sets it before Committed; it is UnknownOffset without an append. It is only
 	// logged.
 	EndOffset int64
+	// Refused holds the keys of the records that the store refuses for their content. The caller
+	// sets it before Committed.
+	Refused   []string
 	startedAt time.Time
 	// placedTasks are the tasks that the records name with their new worker.
 	placedTasks []*task
@@ -81,6 +84,7 @@
 	if len(c.Records) > 0 {
 		s.lastConfirmedAppendStart = c.startedAt
 	}
+	s.failRefusedJobs(c, now)
 	s.logEndsStored(c)
 	s.leasesReopened(c.reopenedLeases)
 	for j, state := range c.jobStates {
@@ -103,6 +107,23 @@
 	}
 }
 
+// failRefusedJobs ends the jobs whose progress the store refuses for its content: it can't be
+// stored later either, and a run that isn't stored could start again under the next leader. No
+// start of the commit is ordered for them.
+func (s *Scheduler) failRefusedJobs(c *Commit, now time.Time) {
+	for _, id := range c.Refused {
+		j := s.jobs[id]
+		if j == nil {
+			continue
+		}
+		delete(c.jobStates, j)
+		if !j.state.Ended() {
+			s.log.Info("job_failed", "job", id, "reason", "progress refused")
+			s.endJob(j, work.Failed, now)
+		}
+	}
+}
+
 // AppendConfirmed must be called when the store has accepted an append of this leader
 // that is not a commit. appendStart is when the append began.
 func (s *Scheduler) AppendConfirmed(appendStart time.Time) { s.lastConfirmedAppendStart = appendStart }
--- a/internal/cell/scheduler/worker_record.go
+++ b/internal/cell/scheduler/worker_record.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/almondpost/almondpost/internal/node/fault"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/peer/store"
@@ -46,8 +48,14 @@
 // rather than the progress of a job.
 func IsWorkerRecord(r *store.Record) bool { return strings.HasPrefix(r.Key, workerRecordPrefix) }
 
+// workerRecordKey returns the key of the record of a process. The ID of a worker may be as long as
+// a key, so a long one is replaced by its hash; the record contains it.
 func workerRecordKey(life backend.Life) string {
-	return workerRecordPrefix + life.ID + "/" + strconv.FormatInt(life.Born, 10)
+	born := "/" + strconv.FormatInt(life.Born, 10)
+	if len(workerRecordPrefix)+len(life.ID)+len(born) > store.MaxKeyBytes {
+		return workerRecordPrefix + strconv.FormatUint(xxhash.Sum64String(life.ID), 16) + born
+	}
+	return workerRecordPrefix + life.ID + born
 }
 
 func encodeWorkerRecord(r *backend.Registration, closed *closedLeaseRecord) store.Record {
--- a/internal/emulate/fleet/worker.go
+++ b/internal/emulate/fleet/worker.go
@@ -32,6 +32,8 @@
 	GangSize int
 	// Advised tasks start only with a valid ticket, if the worker checks tickets.
 	Advised bool
+	// Checkpoint is what every run reports as its checkpoint.
+	Checkpoint string
 }
 
 // Observer is notified of what happens on emulated workers. The methods are
@@ -163,7 +165,7 @@
 func (w *Worker) Runs() []backend.Run {
 	var runs []backend.Run
 	for _, r := range w.sortedRuns() {
-		runs = append(runs, backend.Run{Task: r.task, Run: r.number})
+		runs = append(runs, backend.Run{Task: r.task, Run: r.number, Checkpoint: r.profile.Checkpoint})
 	}
 	return runs
 }
--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -99,7 +99,7 @@
 // endOffset returns the offset that the next record gets.
 func (l *partitionLog) endOffset() int64 { return l.firstOffset + int64(len(l.records)) }
 
-// checkSizes returns KindRefused for an append that exceeds the limits of the store. The
+// checkSizes returns KindInvalid for an append that exceeds the limits of the store. The
 // caller holds the mutex.
 func (s *Store) checkSizes(records []store.Record) error {
 	total := 0
@@ -107,11 +107,11 @@
 		size := records[i].EncodedSize()
 		total += size
 		if len(records[i].Key) > maxKeyBytes || size-recordLengthBytes > s.recordBytes {
-			return fault.Newf("append", store.KindRefused, "the record of %.40s has %d bytes", records[i].Key, size)
+			return fault.Newf("append", store.KindInvalid, "the record of %.40s has %d bytes", records[i].Key, size)
 		}
 	}
 	if total > s.appendBytes {
-		return fault.Newf("append", store.KindRefused, "the append has %d bytes", total)
+		return fault.Newf("append", store.KindInvalid, "the append has %d bytes", total)
 	}
 	return nil
 }
@@ -121,7 +121,7 @@
 
 // Append appends records to a partition and returns the end of the partition. A retry of
 // one of a producer's last five appends returns the same end and appends nothing; an
-// append without records only sets the epoch. The error is KindRefused when the append is
+// append without records only sets the epoch. The error is KindInvalid when the append is
 // too large, and KindFenced when the producer's epoch is older than the last one. It is
 // KindConflict when the condition or the producer's sequence does not match; Append then
 // returns the end offset or the next sequence number, respectively.
--- a/internal/node/entryvm/commits.go
+++ b/internal/node/entryvm/commits.go
@@ -1,13 +1,13 @@
 package entryvm
 
 import (
-	"bytes"
 	"context"
 	"slices"
 	"time"
 
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
 	"github.com/almondpost/almondpost/internal/cell/work"
+	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/backend"
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
@@ -56,12 +56,13 @@
 		}
 		if len(records) > 0 {
 			var err error
-			if end, err = l.appendProgress(records); err != nil {
+			var refused []string
+			if end, refused, err = l.appendProgress(records); err != nil {
 				l.node.log.Info("claim_lost", "epoch", l.epoch, "error", err.Error())
 				return
 			}
 			if commit != nil {
-				commit.EndOffset = end
+				commit.EndOffset, commit.Refused = end, refused
 			}
 			renewal.Reset(claimRenewInterval)
 		}
@@ -91,56 +92,48 @@
 
 // appendProgress stores progress records in one append, or in several one after the other
 // if they exceed the size of an append. It returns the end offset of the topic after the
-// last append. It returns an error only if the claim is lost or the leader is stopped. Some
-// of the records may then be stored.
-func (l *leader) appendProgress(records []store.Record) (end int64, err error) {
-	records = compressLargeRecords(records, l.node.settings.MaxRecordBytes)
-	for _, group := range store.SplitRecords(records, l.node.settings.MaxAppendBytes) {
-		if end, err = l.appendProgressGroup(group); err != nil {
-			return end, err
-		}
-	}
-	return end, nil
-}
-
-// compressLargeRecords returns the records with compressed values in place of those that
-// make a record exceed maxBytes. Most records are small, and are kept readable.
-func compressLargeRecords(records []store.Record, maxBytes int) []store.Record {
-	records = slices.Clone(records)
-	for i := range records {
-		if records[i].EncodedSize() > maxBytes {
-			records[i].Value = compress(records[i].Value)
+// last append, and the keys of the records that the store refuses for their content. It
+// returns an error only if the claim is lost or the leader is stopped. Some of the records
+// may then be stored.
+func (l *leader) appendProgress(records []store.Record) (end int64, refused []string, err error) {
+	end = scheduler.UnknownOffset
+	groups := store.SplitRecords(l.progressEncoder.encode(records), l.node.settings.MaxAppendBytes)
+	for len(groups) > 0 {
+		group := slices.DeleteFunc(groups[0], func(r store.Record) bool { return slices.Contains(refused, jobOfRecord(r.Key)) })
+		groups = groups[1:]
+		if len(group) == 0 {
+			continue
 		}
-	}
-	return records
-}
-
-// gzipHeader begins a compressed value. JSON does not begin with it.
-var gzipHeader = []byte{0x1f, 0x8b}
-
-// decodeProgress decodes the value of a progress record, which may be compressed.
-func decodeProgress(value []byte) (*work.Progress, error) {
-	if bytes.HasPrefix(value, gzipHeader) {
-		var err error
-		if value, err = decompress(value); err != nil {
-			return nil, err
+		groupEnd, err := l.appendProgressGroup(group)
+		switch {
+		case err == nil:
+			end = groupEnd
+		case storeErrorKind(err) != store.KindInvalid:
+			return end, refused, err
+		case len(group) > 1:
+			groups = slices.Concat(slices.Collect(slices.Chunk(group, 1)), groups)
+		default:
+			refused = append(refused, jobOfRecord(group[0].Key))
+			l.node.measures.Count(measure.Key{Name: "progress_records_refused"})
+			l.node.log.Error(err, "progress_refused", "epoch", l.epoch, "key", group[0].Key, "bytes", group[0].EncodedSize())
 		}
 	}
-	return work.Decode[work.Progress](value)
+	return end, refused, nil
 }
 
 // appendProgressGroup appends progress records as the producer of this epoch. It repeats
-// an append that the store refuses or does not answer. The repeated append has the same
-// sequence number, so that the store recognizes one that it has already carried out and
-// repeats its answer. It returns the same as appendProgress.
+// an append that the store cannot take now or does not answer. The repeated append has the
+// same sequence number, so that the store recognizes one that it has already carried out and
+// repeats its answer. The error has store.KindInvalid if the store refuses the records for
+// their content; the next append then has their sequence number.
 func (l *leader) appendProgressGroup(records []store.Record) (int64, error) {
 	a := store.Append{Topic: store.Progress, Records: records, Producer: &store.Producer{Name: producerName, Epoch: l.epoch, Sequence: l.nextProducerSequence}}
-	l.nextProducerSequence++
 	for {
 		callCtx, cancel := context.WithTimeout(l.ctx, maxAppendTimeout+maxRelayAttempts*relayTimeout)
 		end, err := l.node.store.Append(callCtx, a)
 		cancel()
 		if err == nil {
+			l.nextProducerSequence++
 			return end, nil
 		}
 		if l.ctx.Err() != nil {
@@ -192,7 +185,8 @@
 }
 
 // appendTombstones appends records that delete submissions to a job partition. It retries
-// until the store accepts them, and returns false if the leader is stopped before.
+// until the store accepts them or refuses them for their content, and returns false if the
+// leader is stopped before.
 func (l *leader) appendTombstones(part int, records []store.Record) bool {
 	for {
 		callCtx, cancel := context.WithTimeout(l.ctx, storeCallTimeout)
@@ -201,6 +195,10 @@
 		if err == nil {
 			return true
 		}
+		if storeErrorKind(err) == store.KindInvalid {
+			l.node.log.Error(err, "job_deletions_refused", "records", len(records), "partition", part)
+			return true
+		}
 		l.node.log.Info("jobs_not_dropped", "records", len(records), "partition", part, "error", err.Error())
 		if !sleep(l.ctx, deleteRetryPause) {
 			return false
--- a/internal/node/entryvm/configuration.go
+++ b/internal/node/entryvm/configuration.go
@@ -105,7 +105,7 @@
 	if a.Version <= c.currentVersion() {
 		return nil
 	}
-	text, err := decompress(a.Text)
+	text, err := decompress(a.Text, maxConfigurationSize)
 	if err != nil {
 		c.node.log.Error(err, "configuration_unreadable", "source", "peer")
 		return err
--- a/internal/node/entryvm/heartbeats.go
+++ b/internal/node/entryvm/heartbeats.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -251,16 +252,19 @@
 // maxConfigurationSize limits the uncompressed size of a configuration in bytes.
 const maxConfigurationSize = 16 << 20
 
-// decompress is the inverse of compress. A text longer than maxConfigurationSize is an
-// error: a part of a configuration must not come into force.
-func decompress(data []byte) ([]byte, error) {
+// noSizeLimit is for data that this system has compressed itself.
+const noSizeLimit = math.MaxInt64 - 1
+
+// decompress is the inverse of compress. A text of more than maxBytes is an error; it is not
+// cut off.
+func decompress(data []byte, maxBytes int64) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, err
 	}
-	text, err := io.ReadAll(io.LimitReader(r, maxConfigurationSize+1))
-	if err == nil && len(text) > maxConfigurationSize {
-		return nil, fault.Newf("decompress", KindTooLarge, "the configuration has more than %d bytes", maxConfigurationSize)
+	text, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
+	if err == nil && int64(len(text)) > maxBytes {
+		return nil, fault.Newf("decompress", KindTooLarge, "the text has more than %d bytes", maxBytes)
 	}
 	return text, err
 }
--- a/internal/node/entryvm/jobs.go
+++ b/internal/node/entryvm/jobs.go
@@ -48,8 +48,7 @@
 	return r, nil
 }
 
-// SubmitRecord stores a record of EncodeJob. It returns the same errors as Submit, except
-// KindTooLarge.
+// SubmitRecord stores a record of EncodeJob. It returns the same errors as Submit.
 func (n *Node) SubmitRecord(ctx context.Context, r store.Record) error {
 	return n.storeJobRecord(ctx, r)
 }
--- a/internal/node/entryvm/leader.go
+++ b/internal/node/entryvm/leader.go
@@ -122,6 +122,7 @@
 	// nextProducerSequence is the sequence number for the next append of progress
 	// records.
 	nextProducerSequence int64
+	progressEncoder      *progressEncoder
 
 	// registrations maps a worker ID to the registration of the worker.
 	registrations map[string]backend.Registration
@@ -153,8 +154,8 @@
 	return &leader{
 		node: n, epoch: epoch, claimedAt: now(), ctx: ctx, stop: stop,
 		commitSignal: make(chan struct{}, 1), schedulingSignal: make(chan struct{}, 1), renewClaimSignal: make(chan struct{}, 1),
-		scheduler: scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log),
-		sessions:  map[backend.Life]*workerSession{}, nextCommitDone: make(chan struct{}), stateWaiters: map[string]chan struct{}{},
+		scheduler: scheduler.New(n.settings.Timing, epoch, now(), time.Now(), n.log), progressEncoder: newProgressEncoder(epoch, n.settings.MaxRecordBytes),
+		sessions: map[backend.Life]*workerSession{}, nextCommitDone: make(chan struct{}), stateWaiters: map[string]chan struct{}{},
 		jobsReadStartTimes: make([]time.Time, n.settings.Partitions), jobPartitions: map[string]uint64{},
 		registrations: map[string]backend.Registration{}, lastHeartbeatAnswer: map[string]time.Time{}, vmReachesStore: map[string]bool{}, historySentAt: map[string]time.Time{}, outdatedVMs: newOutdatedVMTracker(), handOverTimerStart: now(),
 	}
--- a/internal/node/entryvm/node.go
+++ b/internal/node/entryvm/node.go
@@ -62,6 +62,9 @@
 	// Settings.MaxRecordBytes or Settings.MaxAppendBytes is 0.
 	defaultMaxRecordBytes = 256 << 10
 	defaultMaxAppendBytes = 2 << 20
+	// largestAppendBytes limits Settings.MaxAppendBytes. Over a link of 10 Mbit/s an append of
+	// this size takes half of relayTimeout; a larger one could never be relayed.
+	largestAppendBytes = 512 << 10
 )
 
 // Settings configures a Node.
@@ -97,7 +100,7 @@
 func (s Settings) withDefaults() Settings {
 	s.Partitions = cmp.Or(s.Partitions, defaultPartitionCount)
 	s.MaxRecordBytes = cmp.Or(s.MaxRecordBytes, defaultMaxRecordBytes)
-	s.MaxAppendBytes = cmp.Or(s.MaxAppendBytes, defaultMaxAppendBytes)
+	s.MaxAppendBytes = min(cmp.Or(s.MaxAppendBytes, defaultMaxAppendBytes), largestAppendBytes)
 	return s
 }
 
--- a/internal/node/entryvm/takeover.go
+++ b/internal/node/entryvm/takeover.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/almondpost/almondpost/internal/cell/scheduler"
-	"github.com/almondpost/almondpost/internal/cell/work"
 	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
@@ -59,22 +58,17 @@
 		return saved.nextJobOffsets, err
 	}
 	<-historyLearned
-	var workers []store.Record
-	progress := make(map[string]*work.Progress, len(saved.progressRecords))
-	for i := range saved.progressRecords {
-		r := &saved.progressRecords[i]
-		if scheduler.IsWorkerRecord(r) {
-			workers = append(workers, *r)
-			continue
+	jobRecords, workers := slices.Clone(saved.progressRecords), []store.Record(nil)
+	jobRecords = slices.DeleteFunc(jobRecords, func(r store.Record) bool {
+		if scheduler.IsWorkerRecord(&r) {
+			workers = append(workers, r)
+			return true
 		}
-		p, err := decodeProgress(r.Value)
-		if err != nil {
-			l.node.log.Error(err, "progress_unreadable", "job", r.Key)
-			continue
-		}
-		p.Offset = r.Offset
-		progress[r.Key] = p
-	}
+		return false
+	})
+	progress := l.progressEncoder.decode(jobRecords, func(key string, err error) {
+		l.node.log.Error(err, "progress_unreadable", "job", key)
+	})
 	l.updateScheduler(func(s *scheduler.Scheduler, at time.Time) {
 		s.AppendConfirmed(begun)
 		s.SetHistory(&l.node.progressHistory)
@@ -114,7 +108,7 @@
 		return err
 	})
 	g.Go(func() error {
-		end, err := l.appendProgress(l.claimRenewalRecords())
+		end, _, err := l.appendProgress(l.claimRenewalRecords())
 		if err != nil {
 			return err
 		}
--- a/internal/node/entryvm/writer.go
+++ b/internal/node/entryvm/writer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/almondpost/almondpost/internal/node/fault"
+	"github.com/almondpost/almondpost/internal/operate/measure"
 	"github.com/almondpost/almondpost/internal/peer/link"
 	"github.com/almondpost/almondpost/internal/peer/store"
 )
@@ -42,6 +43,9 @@
 	pendingWrites []*pendingWrite
 	// currentPartition is the partition that the next append goes to.
 	currentPartition int
+	// singleAppends is the number of records that are appended one by one, because the store
+	// refuses one of them for its content.
+	singleAppends int
 }
 
 // pendingWrite is a record whose caller waits until it is stored.
@@ -52,8 +56,10 @@
 	// deadline is the time until which the caller waits for the result.
 	deadline time.Time
 	// failed is closed when no further attempt is made to store the record, because too
-	// little time is left or this VM is isolated.
+	// little time is left, this VM is isolated or the store refuses the record for its content.
 	failed chan struct{}
+	// invalid is true in the last case. It is set before failed is closed.
+	invalid bool
 	// inFlight is true while an append that contains the record is not answered.
 	inFlight bool
 	// attempted is true once an append that contains the record was started.
@@ -67,7 +73,8 @@
 }
 
 // write stores a record. The error has KindNotStored if the record is not stored and
-// never will be, and KindUnknown if it may be.
+// never will be, KindTooLarge if the store also refuses it for its content, and KindUnknown if
+// it may be stored.
 func (w *jobWriter) write(ctx context.Context, r store.Record) error {
 	p := &pendingWrite{record: r, stored: make(chan struct{}), failed: make(chan struct{}), deadline: time.Now().Add(defaultWriteTimeout)}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -112,6 +119,9 @@
 			break
 		}
 	}
+	if p.invalid {
+		return fault.Newf("store_job", KindTooLarge, "the store refuses the record of %d bytes", p.record.EncodedSize())
+	}
 	if p.inFlight || p.maybeStored {
 		return fault.Newf("store_job", KindUnknown, "the store has not answered the append")
 	}
@@ -167,6 +177,10 @@
 	if groups := store.SplitRecords(recordsOf(batch), w.node.settings.MaxAppendBytes); len(groups) > 0 {
 		batch = batch[:len(groups[0])]
 	}
+	if w.singleAppends > 0 && len(batch) > 0 {
+		batch = batch[:1]
+		w.singleAppends--
+	}
 	for _, p := range batch {
 		p.inFlight, p.attempted = true, true
 	}
@@ -193,7 +207,11 @@
 	defer w.mutex.Unlock()
 	for _, p := range batch {
 		p.inFlight = false
-		p.maybeStored = p.maybeStored || (err != nil && storeErrorKind(err) != store.KindRefused)
+		p.maybeStored = p.maybeStored || (err != nil && storeErrorKind(err) != store.KindRefused && storeErrorKind(err) != store.KindInvalid)
+	}
+	if err != nil && storeErrorKind(err) == store.KindInvalid {
+		w.refuseBatch(batch, err)
+		return true
 	}
 	if err != nil {
 		w.node.log.Info("jobs_not_stored", "records", len(batch), "partition", w.currentPartition, "error", err.Error())
@@ -216,6 +234,22 @@
 	return true
 }
 
+// refuseBatch handles a batch that the store refuses for its content. A single record fails,
+// and those of a larger batch are appended one by one, so that only the callers of invalid
+// records are told so. The caller must hold the mutex.
+func (w *jobWriter) refuseBatch(batch []*pendingWrite, cause error) {
+	if len(batch) > 1 {
+		w.singleAppends = len(batch)
+		return
+	}
+	p := batch[0]
+	w.node.measures.Count(measure.Key{Name: "job_records_refused"})
+	w.node.log.Error(cause, "job_refused", "key", p.record.Key, "bytes", p.record.EncodedSize())
+	w.pendingWrites = slices.DeleteFunc(w.pendingWrites, func(o *pendingWrite) bool { return o == p })
+	p.invalid = true
+	close(p.failed)
+}
+
 const (
 	// maxNotifyLeaderAttempts limits the attempts to notify the leader, and
 	// notifyLeaderRetryPause is the pause between them. All attempts together take
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -14,8 +14,12 @@
 
 // The kinds of Error.
 const (
-	// KindRefused means that the store rejected the call and changed nothing.
+	// KindRefused means that the store rejected the call and changed nothing. It may accept
+	// the same call later.
 	KindRefused Kind = "refused"
+	// KindInvalid means that the store rejected the content of the call, such as the size of
+	// a record, and changed nothing. The same call is never accepted.
+	KindInvalid Kind = "invalid"
 	// KindUnknown means that the call may have taken effect or may still take
 	// effect.
 	KindUnknown Kind = "unknown"
@@ -62,6 +66,9 @@
 	Offset int64
 }
 
+// MaxKeyBytes is the largest length of a key.
+const MaxKeyBytes = 255
+
 // recordHeaderBytes is the size of the lengths of a record and of its key.
 const recordHeaderBytes = 5
 
