Count holds that a later process of a worker may execute

Cause: a call names the ID of a worker and may be executed up to 12 s late by the process that runs then. A hold that was sent to one process after a start, and executed late by the next one after that had executed the start late, extends the lease there, since its deadline on the clock of the earlier process lies far ahead. The leader counted the late start and one lease, but not the late hold.

Change: the time until which an unanswered hold may be executed counts too, for starts without a ticket that no report has shown and whose token does not fence the hold. The lease is extended beside an unanswered start only once its progress record says so, so that the next leader counts the same. A hold extends the lease only within 3 s of an answer and while the leadership lasts, which bounds what a suspended VM sends. Waits of starts with tickets, and where no start is unanswered, stay as they were: the bounds of 22.3 s in TestRunOfALostWorkerEndsAlthoughItsJobGoesOn and TestRunsOfALostWorkerEndAlthoughLeadersFollowOneAnother hold unchanged.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -25,8 +25,10 @@
 	// sets it before Committed.
 	Refused   []string
 	startedAt time.Time
-	// placedTasks are the tasks that the records name with their new worker.
-	placedTasks []*task
+	// placedTasks are the tasks that the records name with their new worker, and extendedTasks
+	// those of which they say that the lease may be extended although the start is unanswered.
+	placedTasks   []*task
+	extendedTasks []*task
 	// Workers number the ends of their runs. lastEndNumberByWorker maps a worker to
 	// the number of the last end whose effect is in the records.
 	lastEndNumberByWorker map[*worker]int64
@@ -57,6 +59,7 @@
 			t.leaseDeadline = t.worker.leaseDeadline(now, s.leadershipEnd(), s.timing)
 			c.placedTasks = append(c.placedTasks, t)
 		}
+		c.extendedTasks = append(c.extendedTasks, j.unstoredExtensions()...)
 	}
 	// Records of workers come before the placements on them, and are deleted after these, since
 	// the caller may store the records in several appends.
@@ -100,6 +103,11 @@
 	for w, number := range c.lastEndNumberByWorker {
 		w.lastStoredEndNumber = number
 	}
+	for _, t := range c.extendedTasks {
+		if t.lateExtension == lateExtensionNoted {
+			t.lateExtension = lateExtensionStored
+		}
+	}
 	for _, t := range c.placedTasks {
 		if t.phase == phasePlaced && t.inCommit {
 			s.orderStart(t, c.startedAt, now)
@@ -148,6 +156,7 @@
 	}
 	ticket := t.step.advice.tickets[w]
 	t.phase, t.startToken, t.startedAt, t.orderedAt, t.commitStartedAt = phaseStartOrdered, w.startToken(ticket), now, now, commitStart
+	t.startUnanswered, t.lateExtension = false, noLateExtension
 	t.executableUntil, t.ticketed = s.latestExecution(ticket, now), ticket.text != ""
 	w.extendLease(commitStart, s.timing)
 	if j := t.step.job; !j.anyStartOrdered {
@@ -255,7 +264,7 @@
 		tp := work.TaskProgress{Index: t.id.Index, Done: t.phase == phaseDone, Run: t.runNumber, Failed: t.failedRuns, Checkpoint: t.checkpoint}
 		if t.worker != nil {
 			tp.Worker, tp.Born = t.worker.registration.Life.ID, t.worker.registration.Life.Born
-			tp.Listed = t.runReported
+			tp.Listed, tp.Extended = t.runReported, t.lateExtension != noLateExtension
 			if t.phase != phasePlaced && !t.startSettled && !t.startDelayed {
 				tp.ExecutableFor = timeLeft(t.executableUntilForSuccessors(), now)
 			}
--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -23,9 +23,12 @@
 		w.acknowledgedEndNumber = w.lastStoredEndNumber
 	}
 	leaseClosed := s.isLeaseClosed(w)
-	if w.unansweredHolds == 0 && !leaseClosed {
-		// Only the first hold after an answer extends the lease. Otherwise the lease
-		// of a silent worker would never end.
+	answered := w.unansweredHolds == 0 && !w.clockReadAt.IsZero() && now.Sub(w.lastAnswerAt) <= maxHoldDelay
+	extensionUnstored := answered && !leaseClosed && !s.prepareExtension(w, now)
+	if answered && !leaseClosed && !extensionUnstored && now.Before(s.leadershipEnd()) {
+		// Only the first hold soon after an answer extends the lease. Otherwise the lease
+		// of a silent worker would never end. A deadline that has passed on the clock of this
+		// process lies ahead on that of the next one, so it isn't sent either.
 		hold.Deadline = max(w.leaseDeadline(now, s.leadershipEnd(), s.timing), 0)
 	}
 	// A hold after an unanswered one does not wait, so that it soon shows whether the
@@ -33,7 +36,7 @@
 	mayWait := w.unansweredHolds == 0
 	w.unansweredHolds++
 	w.held.sentAt = now
-	if mayWait && (!guarded || !acknowledgementDue) && !w.tokenUnconfirmed() && !leaseClosed && w.lastHandledEndNumber == w.lastStoredEndNumber {
+	if mayWait && !extensionUnstored && (!guarded || !acknowledgementDue) && !w.tokenUnconfirmed() && !leaseClosed && w.lastHandledEndNumber == w.lastStoredEndNumber {
 		hold.Wait = s.holdWait()
 	}
 	if hold.Deadline > 0 {
@@ -44,6 +47,10 @@
 	return hold, SentHold{eventSequence: s.eventSequence, token: w.token, acknowledged: hold.Acknowledged, sentAt: now, extends: hold.Deadline > 0}, true
 }
 
+// maxHoldDelay is the longest time after an answer of a worker at which a hold still extends the
+// lease. It is only exceeded if this VM was suspended.
+const maxHoldDelay = 3 * time.Second
+
 // hasUnreportedStart reports whether a start was ordered on the worker that its present
 // process is not known to have executed, and that a later process may still execute.
 //
@@ -141,6 +148,9 @@
 		if w.acknowledging || w.holdTakesEffect {
 			w.requireToken(w.token + 1)
 		}
+		if kind != backend.KindUnreachable {
+			w.noteUnansweredHold(s.timing)
+		}
 	}
 	w.holdTakesEffect = false
 	s.sendDelayedStarts(w, now)
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -150,6 +150,9 @@
 	// the present process is known to have the run, from its report or from its answer to
 	// the start.
 	startSettled, runReported bool
+	// startUnanswered is true if the start order was not answered, as far as this leader knows.
+	startUnanswered bool
+	lateExtension   lateExtension
 	// startDelayed is true while the start is in worker.delayedStarts.
 	startDelayed bool
 	// inCommit is true while a commit with the placement of the task is being stored.
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -26,6 +26,8 @@
 	// by a later process under the ID of the worker, or zero if it can't. It is only set
 	// for runs that are charged to a team.
 	lateUntil time.Time
+	// ticketed is as in task.
+	ticketed bool
 }
 
 // addOrphanedRun must be called before a task is taken off a worker on which its run
@@ -33,7 +35,7 @@
 func (s *Scheduler) addOrphanedRun(w *worker, t *task) {
 	r := orphanedRun{usage: usageOf(t), eventSequence: s.eventSequence}
 	if r.usage.team != "" && !t.startSettled {
-		r.lateUntil = t.executableUntil
+		r.lateUntil, r.ticketed = t.executableUntil, t.ticketed
 	}
 	s.putOrphanedRun(w, runID{t.id, t.runNumber}, r)
 }
@@ -161,7 +163,7 @@
 
 // extendLease updates leaseEnd after a lease was granted at a given time.
 func (w *worker) extendLease(at time.Time, timing Timing) {
-	if end := at.Add(time.Duration(float64(timing.Lease)*maxClockDrift) + leaseMargin); end.After(w.leaseEnd) {
+	if end := at.Add(leaseDuration(timing)); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
 }
@@ -171,17 +173,28 @@
 func (s *Scheduler) extendFormerLease(w *worker, now time.Time) {
 	end := w.formerLeaseEnd
 	if end.IsZero() {
-		lastAppend := s.lastFormerAppend
-		if lastAppend.IsZero() || lastAppend.After(now) {
-			lastAppend = now
-		}
-		end = lastAppend.Add(time.Duration(float64(s.timing.LeadershipLease)*maxClockDrift) + leaseMargin)
+		end = s.formerLeadershipEnd(now)
 	}
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
 }
 
+// formerLeadershipEnd returns the time by which the leadership of all earlier leaders has ended,
+// LeadershipLease after the last append of one.
+func (s *Scheduler) formerLeadershipEnd(now time.Time) time.Time {
+	lastAppend := s.lastFormerAppend
+	if lastAppend.IsZero() || lastAppend.After(now) {
+		lastAppend = now
+	}
+	return lastAppend.Add(time.Duration(float64(s.timing.LeadershipLease)*maxClockDrift) + leaseMargin)
+}
+
+// leaseDuration returns how long after a lease was granted it has certainly ended.
+func leaseDuration(timing Timing) time.Duration {
+	return time.Duration(float64(timing.Lease)*maxClockDrift) + leaseMargin
+}
+
 // hasExecutableStart reports whether any process of the worker may execute a start order at a
 // given time that it is not known to have executed or refused.
 func (w *worker) hasExecutableStart(at time.Time) bool {
@@ -198,6 +211,92 @@
 	return false
 }
 
+// noteUnansweredHold notes that the hold under way, if it extends the lease, may be executed late.
+func (w *worker) noteUnansweredHold(timing Timing) {
+	if w.holdTakesEffect {
+		w.noteLateHold(w.held.extensionSentAt.Add(timing.MaxOrderDelay), w.heldToken)
+	}
+}
+
+// noteLateHold notes that a hold which extends the lease may be executed until a given time.
+func (w *worker) noteLateHold(until time.Time, token int64) {
+	if until.After(w.lateHoldUntil) {
+		w.lateHoldUntil = until
+	}
+	w.lateHoldToken = max(w.lateHoldToken, token)
+}
+
+// lateExtension says whether holds extend the lease of a worker although a start there was not
+// answered.
+type lateExtension int
+
+const (
+	noLateExtension lateExtension = iota
+	// lateExtensionNoted means that the next commit stores that they may, and
+	// lateExtensionStored that it is stored, so that they do.
+	lateExtensionNoted
+	lateExtensionStored
+)
+
+// prepareExtension reports whether a hold may extend the lease of a worker. If a start without a
+// ticket was not answered there, the next leader must know: a later process may execute the
+// start late, and then the hold. A hold beside a start that is under way is executed no later than
+// the next leader takes the start to be, unless it is sent after maxStartDelay.
+func (s *Scheduler) prepareExtension(w *worker, now time.Time) bool {
+	ready := true
+	for _, t := range w.tasks {
+		underWay := !t.startUnanswered && now.Sub(t.commitStartedAt) <= maxStartDelay
+		if underWay || t.runReported || t.ticketed || t.phase == phasePlaced || t.lateExtension == lateExtensionStored {
+			continue
+		}
+		ready = false
+		if t.lateExtension == noLateExtension {
+			t.lateExtension = lateExtensionNoted
+			s.markJobDirty(t.step.job)
+		}
+	}
+	return ready
+}
+
+// unstoredExtensions returns the tasks of a job whose late extension is not stored yet.
+func (j *job) unstoredExtensions() []*task {
+	var tasks []*task
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				if t.lateExtension == lateExtensionNoted {
+					tasks = append(tasks, t)
+				}
+			}
+		}
+	}
+	return tasks
+}
+
+// mayExtendLate reports whether a later process of the worker may execute a hold at a given time
+// while it has a run that this one doesn't have: it executed the start late, and the deadline
+// of the hold, a time on the clock of this process, lies far ahead on its own.
+//
+// The hold was sent after the start, as it would be fenced otherwise, and after an answer of this
+// process. A start with a ticket is executed by the process that ran when the ticket was issued, so
+// the later one ran before that answer, which is impossible.
+func (w *worker) mayExtendLate(at time.Time) bool {
+	if !at.Before(w.lateHoldUntil) {
+		return false
+	}
+	for _, t := range w.tasks {
+		if t.phase != phasePlaced && !t.runReported && !t.ticketed && t.startToken <= w.lateHoldToken {
+			return true
+		}
+	}
+	for _, r := range w.orphanedRuns {
+		if !r.lateUntil.IsZero() && !r.ticketed {
+			return true
+		}
+	}
+	return false
+}
+
 // requeueLapsedRuns requeues the tasks on a worker whose runs are known to have ended
 // without a report, because the lease has ended or the worker process is gone.
 func (s *Scheduler) requeueLapsedRuns(w *worker, hasLapsed func(t *task) bool, now time.Time) {
@@ -227,7 +326,10 @@
 			lastStart, until = t.id.String(), t.executableUntil
 		}
 	}
-	return []any{"lease_ended_ms", millisecondsSince(w.leaseEnd, now), "last_start", lastStart, "last_start_ended_ms", millisecondsSince(until, now)}
+	return []any{
+		"lease_ended_ms", millisecondsSince(w.leaseEnd, now), "last_start", lastStart, "last_start_ended_ms", millisecondsSince(until, now),
+		"late_hold_ended_ms", millisecondsSince(w.lateHoldUntil, now),
+	}
 }
 
 // speculationDelay is added to holdWait. If a worker is silent for longer than the
@@ -303,15 +405,15 @@
 			continue
 		}
 		if len(w.tasks) > 0 || len(w.orphanedRuns) > 0 {
-			// A start that the next process executes at the latest time extends the lease of all
-			// runs there. The runs that this process has reported are not among them, and the
+			// A start or a hold that the next process executes at the latest time extends the lease
+			// of all runs there. The runs that this process has reported are not among them, and the
 			// deadline of a start is a time on this process' clock that has passed.
-			lastExecutedAt := now.Add(-time.Duration(float64(s.timing.Lease)*maxClockDrift) - leaseMargin)
-			lateStart := w.hasExecutableStart(lastExecutedAt)
-			if !lateStart {
+			lastExecutedAt := now.Add(-leaseDuration(s.timing))
+			executedLate := w.hasExecutableStart(lastExecutedAt) || w.mayExtendLate(lastExecutedAt)
+			if !executedLate {
 				s.removeOrphanedRuns(w, lastExecutedAt)
 			}
-			s.requeueLapsedRuns(w, func(t *task) bool { return t.phase != phasePlaced && (t.runReported || !lateStart) }, now)
+			s.requeueLapsedRuns(w, func(t *task) bool { return t.phase != phasePlaced && (t.runReported || !executedLate) }, now)
 		}
 		if w.confirmedToken != 0 && now.Sub(w.lastAnswerAt) > s.timing.Lease {
 			// When the worker answers again, its report may still list earlier runs.
--- a/internal/cell/scheduler/lease_next_process_test.go
+++ b/internal/cell/scheduler/lease_next_process_test.go
@@ -221,6 +221,9 @@
 		s.AppendConfirmed(r.now)
 		r.answerHold(r.first, &backend.Report{Clock: time.Second + r.now.Sub(begin)})
 		s.Tick(r.now)
+		if c := s.NextCommit(r.now); c != nil {
+			s.Committed(c, r.now)
+		}
 	}
 	last, _, _ := s.NextHold(r.first.Life, r.now) // It isn't answered: the worker restarts.
 	is.True(last.Deadline > 0)
--- a/internal/cell/scheduler/restore.go
+++ b/internal/cell/scheduler/restore.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -148,6 +149,28 @@
 	t.startSettled, t.runReported, t.paceUnconfirmed = p.Listed, p.Listed, true
 	t.step.job.tasksOnWorkers++
 	w.addTask(t)
+	if t.runReported || t.ticketed {
+		return
+	}
+	t.startUnanswered = true
+	if p.Extended {
+		t.lateExtension = lateExtensionStored
+		s.noteFormerHold(w, t.executableUntil, now)
+	}
+}
+
+// noteFormerHold notes that earlier leaders may have extended the lease of a worker after a start
+// without a ticket, which a later process executes until startUntil at the latest. Their last hold
+// followed an answer of the process before the later one by at most maxHoldDelay.
+func (s *Scheduler) noteFormerHold(w *worker, startUntil, now time.Time) {
+	sentBy := startUntil.Add(maxHoldDelay)
+	if end := s.formerLeadershipEnd(now); end.Before(sentBy) {
+		sentBy = end
+	}
+	if last := w.formerLeaseEnd.Add(-leaseDuration(s.timing)); !w.formerLeaseEnd.IsZero() && last.Before(sentBy) {
+		sentBy = last
+	}
+	w.noteLateHold(sentBy.Add(s.timing.MaxOrderDelay), math.MaxInt64)
 }
 
 // workerOfRestoredRun returns the worker process on which a restored run may exist, and
@@ -172,8 +195,12 @@
 	}
 	id := work.TaskID{StepID: work.StepID{Job: j.spec.ID, Occurrence: p.Occurrence, Step: p.Step}, Index: p.Index}
 	r := orphanedRun{usage: s.usageOfReported(id), eventSequence: s.eventSequence}
-	r.lateUntil, _ = s.restoredOrderLimit(j, p.ExecutableFor, now)
-	s.putOrphanedRun(s.workerOfRestoredRun(backend.Life{ID: p.Worker, Born: p.Born}, now), runID{id, p.Run}, r)
+	r.lateUntil, r.ticketed = s.restoredOrderLimit(j, p.ExecutableFor, now)
+	w := s.workerOfRestoredRun(backend.Life{ID: p.Worker, Born: p.Born}, now)
+	s.putOrphanedRun(w, runID{id, p.Run}, r)
+	if !r.ticketed {
+		s.noteFormerHold(w, r.lateUntil, now)
+	}
 }
 
 // restoredRecordStoredBy returns the time by which the progress record of a restored job was
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -78,6 +78,7 @@
 	s.log.Info("start_refused", "task", t.id.String(), "run", t.runNumber, "worker", life.ID, "born", life.Born, "token", o.Token, "kind", string(kind))
 	switch kind {
 	case backend.KindUnknown:
+		t.startUnanswered = true
 		if t.startToken >= w.requiredToken {
 			s.raiseToken(w)
 		}
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -82,6 +82,11 @@
 	held           holdTimes
 	// unansweredHolds counts the holds sent since the worker last answered one.
 	unansweredHolds int
+	// lateHoldUntil is the time until which a later process under the ID of the worker may
+	// execute a hold that extends the lease and that was not answered, and lateHoldToken the
+	// fencing token of the last such hold.
+	lateHoldUntil time.Time
+	lateHoldToken int64
 	// requestsInFlight counts the unanswered requests for advice that name the
 	// worker.
 	requestsInFlight int
@@ -327,6 +332,8 @@
 		moved++
 	}
 	moved += s.moveLateOrphanedRuns(old, next, now)
+	old.noteUnansweredHold(s.timing)
+	next.noteLateHold(old.lateHoldUntil, old.lateHoldToken)
 	if next.token <= old.token {
 		next.requireToken(old.token + 1)
 	}
--- a/internal/cell/work/progress.go
+++ b/internal/cell/work/progress.go
@@ -76,7 +76,10 @@
 	// at most. It is negative if none does since before that, and nil if the limit only follows
 	// from when the record was stored.
 	ExecutableFor *time.Duration `json:"executable_for,omitempty"`
-	Checkpoint    string         `json:"checkpoint,omitempty"`
+	// Extended is true if holds that extend the lease may have been sent after the start was not
+	// answered: a later process may execute the start late, and then such a hold.
+	Extended   bool   `json:"extended,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // Encode returns the record of a job or of its progress as JSON.
