Let no call between VMs wait for a write that blocks

Cause: link.Call wrote the request under the mutex of the client before it watched its context. A request above the send buffer blocked there, since a silent peer takes no bytes; the time-out that closes the connection never ran, and all calls to that peer waited for the mutex.

Change: a call ends with its context whatever the write does. A write fails, and closes the connection, if the peer doesn't take 64 KB of it within a second; so do the answers of the server. A connection that a peer has opened ends after two minutes without calls, twice as long as peers keep theirs.

--- a/internal/peer/link/client.go
+++ b/internal/peer/link/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,11 +126,49 @@
 	now := time.Now()
 	c.dropUnused(now)
 	p = &connection{lastUsedAt: now}
-	p.Client = rpc.NewClient(&watchedConn{Conn: conn, ended: func() { c.forgetConnection(a, p) }})
+	p.Client = rpc.NewClient(&watchedConn{Conn: boundedConn{conn}, ended: func() { c.forgetConnection(a, p) }})
 	c.connections[a] = p
 	return p, nil
 }
 
+const (
+	// writeTimeout limits how long a peer may take for each writeChunkBytes of a message.
+	writeTimeout    = time.Second
+	writeChunkBytes = 64 << 10
+	// maxServedIdleTime is how long a connection that a peer has opened may be idle. The peer
+	// closes it sooner, unless it ended without a word.
+	maxServedIdleTime = 2 * maxIdleTime
+)
+
+// boundedConn is a connection whose writes fail if the peer takes no bytes, and which is then
+// closed. All calls over a connection wait for a write under way.
+type boundedConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c boundedConn) Write(b []byte) (int, error) {
+	written := 0
+	for chunk := range slices.Chunk(b, writeChunkBytes) {
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := c.Conn.Write(chunk)
+		written += n
+		if err != nil {
+			_ = c.Close()
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// servedConn is a connection that a peer has opened. It ends after maxServedIdleTime without
+// calls.
+type servedConn struct{ boundedConn }
+
+// Read implements net.Conn.
+func (c servedConn) Read(b []byte) (int, error) {
+	_ = c.SetReadDeadline(time.Now().Add(maxServedIdleTime))
+	return c.Conn.Read(b)
+}
+
 // watchedConn calls ended before it reports that the peer has closed the connection, and closes it.
 type watchedConn struct {
 	net.Conn
@@ -225,9 +264,10 @@
 		return reply, fault.New(method, KindUnreachable, err)
 	}
 	sentAt := time.Now()
-	call := p.Go(c.service+"."+method, args, &reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	go p.Go(c.service+"."+method, args, &reply, done) // It may wait for the writes of other calls.
 	select {
-	case <-call.Done:
+	case call := <-done:
 		var serverError rpc.ServerError
 		switch {
 		case call.Error == nil:
@@ -275,7 +315,7 @@
 		connDone := make(chan struct{})
 		go func() {
 			defer close(connDone)
-			server.ServeConn(conn)
+			server.ServeConn(servedConn{boundedConn{conn}})
 		}()
 		go func() {
 			select {
