Count no refused commit as a proof of leadership

Found in the reading of the change: a commit whose records the store refuses for their content stores nothing, but counted as an append that proves the claim, so leases could be extended by a VM that no longer leads.

Measured: TestRefusedCommitDoesNotExtendLeadership failed before ("8s != 3s" of lease).

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -82,9 +82,9 @@
 
 // Committed must be called once a commit is stored. It orders the starts whose
 // placements are now stored. A commit without records needs no append, so it does not
-// confirm that this VM is still the leader.
+// confirm that this VM is still the leader, nor does one whose records are all refused.
 func (s *Scheduler) Committed(c *Commit, now time.Time) {
-	if len(c.Records) > 0 {
+	if len(c.Records) > len(c.Refused) {
 		s.lastConfirmedAppendStart = c.startedAt
 	}
 	s.failRefusedJobs(c, now)
--- a/internal/cell/scheduler/commit_test.go
+++ b/internal/cell/scheduler/commit_test.go
@@ -240,3 +240,27 @@
 	is.Equal(len(s.TakeEffects().Starts), 1)
 	is.True(len(c.Records[len(c.Records)-1].Value) > 0) // The last record is that of the new run.
 }
+
+// A commit whose only record is refused stores nothing, so it does not prove that this VM still
+// leads. The job must fail without a start.
+func TestRefusedCommitDoesNotExtendLeadership(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: time.Second, EndedJobRetention: time.Hour}, 1, start, start, logr.Discard())
+	s.SetTable(&queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}})
+	w := addHeldWorkers(s, 1, start.Add(6*time.Second), "desk")[0]
+	s.AppendConfirmed(start)
+	now := start.Add(7 * time.Second)
+	s.Submit(&work.Job{ID: "job", Queue: "urgent", Accepted: now, Steps: []work.Step{{Count: 1, Size: taskSize}}}, now)
+	s.Schedule(now)
+	c := s.NextCommit(now)
+	is.Equal(len(c.Records), 1)
+	c.Refused = []string{"job"}
+	s.Committed(c, now)
+	is.Equal(len(s.TakeEffects().Starts), 0)
+	hold, _, _ := s.NextHold(w.Life, now)
+	is.Equal(hold.Deadline, 3*time.Second) // The clock reads 2 s, and the leadership ends in one.
+	s.Committed(s.NextCommit(now), now)
+	state, _ := s.Status("job")
+	is.Equal(state, work.Failed)
+}
