--- a/internal/node/entryvm/configuration.go
+++ b/internal/node/entryvm/configuration.go
@@ -37,9 +37,6 @@
 	// failedStoreChecks is the number of failed calls of checkStore since the last completed
 	// read.
 	failedStoreChecks int
-	// outdatedSince is since when heartbeats tell a newer version than that of the table, and
-	// readAgainAt when the waiting read was last sent again for it. Both are zero otherwise.
-	outdatedSince, readAgainAt time.Time
 	// checkingStore, checkingPeers and fetching are true while a goroutine reads from the
 	// store, asks other VMs for their versions, or fetches a configuration from one.
 	checkingStore, checkingPeers, fetching atomic.Bool
@@ -102,33 +99,6 @@
 	}
 }
 
-const (
-	// outdatedReadDelay is how long heartbeats must have told a newer version until the waiting
-	// read is sent again. A read that doesn't hang has returned the configuration by then.
-	outdatedReadDelay = 250 * time.Millisecond
-	// outdatedReadInterval is the pause before that is repeated: a large configuration may be
-	// arriving over a slow link.
-	outdatedReadInterval = 3 * time.Second
-)
-
-// noteLeaderVersion compares the configuration with the version that a heartbeat tells. If it
-// stays older, the read that waits for a new configuration hangs, and is sent again. The time counts
-// on when another VM becomes the leader.
-func (c *configurationWatcher) noteLeaderVersion(version int64, at time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	switch {
-	case c.table != nil && version <= c.table.Version:
-		c.outdatedSince, c.readAgainAt = time.Time{}, time.Time{}
-	case c.outdatedSince.IsZero():
-		c.outdatedSince = at
-	case at.Sub(c.outdatedSince) >= outdatedReadDelay && at.Sub(c.readAgainAt) >= outdatedReadInterval:
-		c.readAgainAt = at
-		c.node.log.Info("configuration_outdated", "newer", version, "since_ms", at.Sub(c.outdatedSince).Milliseconds())
-		c.node.longPolls.interrupt()
-	}
-}
-
 // applyCompressed makes a configuration that another VM passes on the current one if its
 // version is higher.
 func (c *configurationWatcher) applyCompressed(a ConfigurationArgs) error {
--- a/internal/node/entryvm/long_polls.go
+++ b/internal/node/entryvm/long_polls.go
@@ -19,10 +19,6 @@
 	// first time. The margin doubles with each further timeout in a row, up to
 	// storeCallTimeout, for a store that is slow or a large record on a slow link.
 	leaderLongPollMargin = 700 * time.Millisecond
-	// cautiousPeriod is how long after a call that the store did not answer every VM uses the
-	// waits of the leader: a read that is sent meanwhile may hang although the store is back. It
-	// is as long as such a read would hang otherwise.
-	cautiousPeriod = longPollWait
 	// minInterruptInterval is the shortest time between two interruptions of the long polls
 	// because of calls that the store did not answer.
 	minInterruptInterval = time.Second
@@ -38,8 +34,6 @@
 	round           context.Context
 	endRound        context.CancelFunc
 	lastInterrupted time.Time
-	// lastUnanswered is when the store last did not answer a call.
-	lastUnanswered time.Time
 }
 
 // currentRound returns a context that is done when a read that is sent now is to be sent
@@ -70,26 +64,18 @@
 // delivering messages, those of the long polls may have done so too.
 func (p *longPolls) interruptIfDue() {
 	p.mutex.Lock()
-	p.lastUnanswered = now()
-	due := p.lastUnanswered.Sub(p.lastInterrupted) >= minInterruptInterval
+	due := now().Sub(p.lastInterrupted) >= minInterruptInterval
 	p.mutex.Unlock()
 	if due {
 		p.interrupt()
 	}
 }
 
-// unansweredLately reports whether the store has not answered a call within cautiousPeriod.
-func (p *longPolls) unansweredLately() bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return !p.lastUnanswered.IsZero() && now().Sub(p.lastUnanswered) < cautiousPeriod
-}
-
 // longPollWait returns how long the store may wait for a new record before it answers a
 // read that is sent now, and by how much its answer may exceed that. timeouts is the number
 // of timeouts of such reads in a row.
 func (n *Node) longPollWait(timeouts int) (wait, margin time.Duration) {
-	if n.activeLeader() == nil && !n.longPolls.unansweredLately() {
+	if n.activeLeader() == nil {
 		return longPollWait, storeCallTimeout
 	}
 	margin = leaderLongPollMargin
--- a/internal/node/entryvm/protocol.go
+++ b/internal/node/entryvm/protocol.go
@@ -163,7 +163,6 @@
 
 // Heartbeat records a heartbeat of the leader.
 func (h *rpcHandler) Heartbeat(a HeartbeatArgs, r *HeartbeatReply) error {
-	h.node.configuration.noteLeaderVersion(a.Version, now())
 	*r = HeartbeatReply{Epoch: h.node.election.recordHeartbeat(a), Version: h.node.configuration.currentVersion(), ReachesStore: h.node.store.reachableFor(now()) > 0}
 	return nil
 }
