Let no goroutine wait for the lock of a blocked owner in a test

Its observer sleeps while the loop of the owner holds the lock. The clock of synctest stands still while any goroutine waits for a lock, so the test hung whenever the loop took the lock before the Run call that had just admitted the attempt asked for it again in waitForEnd. The product isn't at fault: the sleep stands for a freeze of the whole process.

The start of the attempt now waits for a limit of its plan, which the test raises in a call that needs no lock afterwards. The checks are the same, and a detectLoopPause that never acts is still noticed.

--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -73,16 +73,15 @@
 	})
 }
 
-// blockingObserver blocks the loop of the owner at the first start, as a freeze
+// blockingObserver blocks the loop of the owner at the start of one attempt, as a freeze
 // of the process does.
 type blockingObserver struct {
-	duration   time.Duration
-	hasBlocked bool
+	attempt  string
+	duration time.Duration
 }
 
-func (b *blockingObserver) Started(entry.Task, time.Duration) {
-	if !b.hasBlocked {
-		b.hasBlocked = true
+func (b blockingObserver) Started(t entry.Task, _ time.Duration) {
+	if t.Attempt == b.attempt {
 		time.Sleep(b.duration)
 	}
 }
@@ -96,10 +95,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := &idleWorker{startDelay: time.Minute}
-		o, stop := startOwner(is, w, &blockingObserver{duration: entry.HolderLease})
+		o, stop := startOwner(is, w, blockingObserver{"first/1", entry.HolderLease})
 		epochBeforePause := o.Epoch()
-		_, err := o.Run(runArgs(epochBeforePause, "first/1"))
+		// The limit of the plan delays the start of first/1 until SetPlans raises it: the
+		// loop holds the lock while it is blocked, and the clock of synctest stands still
+		// while a goroutine waits for a lock, as a Run call could that has just admitted
+		// an attempt.
+		o.SetPlans(planIndex(is, 0.5))
+		small := runArgs(epochBeforePause, "small/1")
+		small.Task.Size = resource.Vector{Milliprocessors: 1}
+		_, err := o.Run(small)
 		is.NoErr(err)
+		first := runArgs(epochBeforePause, "first/1")
+		first.Task.Size = resource.Vector{Milliprocessors: 900}
+		_, err = o.Run(first)
+		is.NoErr(err)
+		o.SetPlans(planIndex(is, 1))
 		time.Sleep(2 * entry.HolderLease)
 		_, err = o.Run(runArgs(epochBeforePause, "late/1"))
 		is.True(errors.Is(err, entry.ErrEpochMismatch))
@@ -117,15 +128,21 @@
 	is.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	o := owner.New(ctx, "o", 1, owner.DefaultTiming, owner.Limits{MaxWaiting: 10, PayloadBytes: 1000}, func(vmlist.VM) worker.Peer { return w }, observer, logr.Discard())
+	o.SetPlans(planIndex(is, 1))
+	o.Assign([]vmlist.VM{{Name: "w"}})
+	time.Sleep(time.Second)
+	return o, cancel
+}
+
+// planIndex returns the plans of a customer whose only plan may use a fraction of the pool.
+func planIndex(is *is.I, limit float64) *plan.Index {
+	is.Helper()
 	x, err := plan.NewIndex(plan.Lists{
 		Customers:    plan.Customers{Customers: []plan.Customer{{Name: "c", Plans: []string{"p"}}}},
-		Entitlements: plan.Entitlements{Plans: []plan.Entitlement{{Plan: "p", PromisedShare: 1, LimitShare: 1, QueueLimit: 10, Classes: plan.Classes[:]}}},
+		Entitlements: plan.Entitlements{Plans: []plan.Entitlement{{Plan: "p", PromisedShare: limit, LimitShare: limit, QueueLimit: 10, Classes: plan.Classes[:]}}},
 	})
 	is.NoErr(err)
-	o.SetPlans(x)
-	o.Assign([]vmlist.VM{{Name: "w"}})
-	time.Sleep(time.Second)
-	return o, cancel
+	return x
 }
 
 // runArgs returns the arguments of a Run call that does not wait until the
