Extend no lease beside a start whose ticket may be for the next process

A task with a ticket ran on two workers at once in the property on late orders, once that drew tickets as well.

Cause: a ticket holds for the process that runs when it is issued. If a worker restarts after its last answer and before the ticket, the next process executes the start. A hold that was sent after the start, with a deadline on the clock of the earlier process, may be executed there up to 12 s late and extends the lease of the run. mayExtendLate left out all starts with tickets, because the later process would have had to run before the answer that precedes the hold; but that answer may precede the ticket too.

Change: beside a start whose ticket arrived after the last answered hold was sent, a hold doesn't extend the lease and doesn't wait, so that its answer follows in one round trip. A start that was answered by the known process doesn't count. So nothing is reckoned longer for queues with advice, and nothing more is stored.

--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -157,7 +157,7 @@
 	ticket := t.step.advice.tickets[w]
 	t.phase, t.startToken, t.startedAt, t.orderedAt, t.commitStartedAt = phaseStartOrdered, w.startToken(ticket), now, now, commitStart
 	t.startUnanswered, t.lateExtension = false, noLateExtension
-	t.executableUntil, t.ticketed = s.latestExecution(ticket, now), ticket.text != ""
+	t.executableUntil, t.ticketed, t.ticketReceivedAt = s.latestExecution(ticket, now), ticket.text != "", ticket.receivedAt
 	w.extendLease(commitStart, s.timing)
 	if j := t.step.job; !j.anyStartOrdered {
 		j.anyStartOrdered = true
--- a/internal/cell/scheduler/job.go
+++ b/internal/cell/scheduler/job.go
@@ -145,6 +145,8 @@
 	// the process that ran when the ticket was issued executes it.
 	executableUntil time.Time
 	ticketed        bool
+	// ticketReceivedAt is when that ticket arrived, or zero if an earlier leader ordered the start.
+	ticketReceivedAt time.Time
 	// startSettled is true once a process of the worker is known to have executed or
 	// refused the start order, so that none executes it later. runReported is true once
 	// the present process is known to have the run, from its report or from its answer to
--- a/internal/cell/scheduler/late_orders_property_test.go
+++ b/internal/cell/scheduler/late_orders_property_test.go
@@ -35,6 +35,10 @@
 	worker     backend.Registration
 	workers    []backend.Registration
 	starts     []backend.Start
+	// ticketValidity is how long tickets are valid. It is 0 if the queue needs none.
+	ticketValidity time.Duration
+	// ticketIssuedAt is when the adviser last issued tickets.
+	ticketIssuedAt time.Time
 	// lateHolds are the holds that were not answered, with the times at which they are executed.
 	lateHolds []lateHold
 }
@@ -56,6 +60,7 @@
 	s.AppendConfirmed(c.now)
 	s.SetTable(c.table)
 	s.SetWorkers(c.workers, c.now)
+	s.SetAdviceVMs([]string{"vm-1"})
 	var workers []store.Record
 	var progress *work.Progress
 	for _, r := range c.records {
@@ -90,9 +95,18 @@
 		c.history.Add(c.offset, c.now)
 		s.Committed(commit, c.now)
 	}
-	for _, o := range s.TakeEffects().Starts {
+	effects := s.TakeEffects()
+	for _, o := range effects.Starts {
 		c.starts = append(c.starts, o.Order)
 	}
+	for _, a := range effects.AdviceRequests {
+		tickets := map[string]string{}
+		for _, id := range a.Workers {
+			tickets[id] = "ticket"
+		}
+		c.ticketIssuedAt = c.now
+		s.AdviceAnswered(a.Number, backend.Advice{Tickets: tickets, Validity: c.ticketValidity}, false, c.now)
+	}
 }
 
 // hold sends a hold to the worker, which answers it, or else executes it after late, which is
@@ -112,7 +126,7 @@
 	}
 }
 
-// A start, and holds that were sent to the process before, are executed up to 12 s late by the next
+// A start, with or without a ticket, and holds that were sent to the process before, are executed up to 12 s late by the next
 // process under the ID of the worker, while leaders follow one another. The task must not
 // start on another worker before the run there has ended.
 func TestOrdersForAnEarlierProcessLetNoTaskRunTwice(t *testing.T) {
@@ -125,12 +139,25 @@
 		c.worker = backend.Registration{Life: backend.Life{ID: "worker-0", Born: 1}, Address: address, Service: "desk", Capacity: workerCapacity}
 		c.workers = []backend.Registration{c.worker}
 		c.table = &queue.Table{Version: 1, Queues: []queue.Queue{{Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}}
+		if rapid.Bool().Draw(rt, "needs tickets") {
+			c.ticketValidity = drawDuration(rt, "tickets valid for", time.Second, 8*time.Second)
+			c.table.Queues[0].Advice = &queue.AdviceCost{Fixed: 50 * time.Millisecond, PerWorker: time.Millisecond, Validity: c.ticketValidity}
+		}
 		c.job = &work.Job{ID: "job", Queue: "urgent", Accepted: begin, Steps: []work.Step{{Count: 1, Size: taskSize, Estimate: time.Second}}}
 		c.lead()
 		c.hold(true, begin, 0)
+		c.now = c.now.Add(time.Millisecond)
+		c.update() // The adviser is asked, if the queue needs tickets.
 		c.update()
 		is.Equal(len(c.starts), 1)
 		start, sentAt := c.starts[0], c.now
+		// A ticket holds for the process that ran when it was issued. The next process refuses a
+		// start with it, unless it ran by then, although the leader didn't know it.
+		restartedBeforeTicket := c.ticketValidity > 0 && rapid.Bool().Draw(rt, "restarted before the ticket")
+		latestStart := sentAt.Add(maxLateness)
+		if c.ticketValidity > 0 {
+			latestStart = c.ticketIssuedAt.Add(c.ticketValidity)
+		}
 		answerLostAt := sentAt.Add(550 * time.Millisecond)
 		failStart := func() {
 			if c.epoch == 1 && !c.now.Before(answerLostAt) {
@@ -138,7 +165,7 @@
 			}
 		}
 		// The worker answers holds without the run, until it restarts.
-		for alive := c.now.Add(drawDuration(rt, "answers for", 0, maxLateness-time.Second)); c.now.Before(alive); {
+		for alive := c.now.Add(drawDuration(rt, "answers for", 0, maxLateness-time.Second)); !restartedBeforeTicket && c.now.Before(alive); {
 			c.now = c.now.Add(drawDuration(rt, "pause", 50*time.Millisecond, time.Second))
 			failStart()
 			if rapid.IntRange(0, 9).Draw(rt, "take-over") == 0 {
@@ -155,13 +182,21 @@
 		next := fleet.New(registration, slowestClockRate, restartedAt, func(work.TaskID) fleet.TaskProfile {
 			return fleet.TaskProfile{Size: taskSize, RunTime: time.Hour}
 		}, ignoreRuns{})
-		startedLate := restartedAt.Add(drawDuration(rt, "start late", 0, max(sentAt.Add(maxLateness).Sub(restartedAt), time.Millisecond)))
+		startedLate := restartedAt.Add(drawDuration(rt, "start late", 0, max(latestStart.Sub(restartedAt), time.Millisecond)))
+		if startedLate.After(latestStart) || c.ticketValidity > 0 && !restartedBeforeTicket {
+			startedLate = time.Time{} // Refused.
+		}
 		other := c.worker
 		other.Life = backend.Life{ID: "worker-1", Born: 1}
 		c.workers = []backend.Registration{other} // The entry of the worker has lapsed.
 		c.scheduler.SetWorkers(c.workers, c.now)
+		listedAt := restartedAt.Add(drawDuration(rt, "next process is listed after", 0, 30*time.Second))
 		for len(c.starts) == 1 {
 			c.now = c.now.Add(50 * time.Millisecond)
+			if !listedAt.IsZero() && !c.now.Before(listedAt) { // It answers no hold.
+				listedAt, c.workers = time.Time{}, append(c.workers, registration)
+				c.scheduler.SetWorkers(c.workers, c.now)
+			}
 			is.True(c.now.Sub(begin) < 90*time.Second) // The task is not started again.
 			if !startedLate.IsZero() && !c.now.Before(startedLate) {
 				next.Start(start, startedLate)
@@ -179,6 +214,9 @@
 				c.lead()
 			}
 			c.hold(false, begin, -1)
+			if _, _, ok := c.scheduler.NextHold(registration.Life, c.now); ok {
+				c.scheduler.HoldFailed(registration.Life, backend.KindUnknown, c.now)
+			}
 			if _, sent, ok := c.scheduler.NextHold(other.Life, c.now); ok {
 				c.scheduler.HoldAnswered(other.Life, sent, &backend.Report{Life: other.Life, Clock: time.Minute + c.now.Sub(begin)}, c.now)
 			}
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -26,8 +26,9 @@
 	// by a later process under the ID of the worker, or zero if it can't. It is only set
 	// for runs that are charged to a team.
 	lateUntil time.Time
-	// ticketed is as in task.
-	ticketed bool
+	// ticketed and ticketReceivedAt are as in task.
+	ticketed         bool
+	ticketReceivedAt time.Time
 }
 
 // addOrphanedRun must be called before a task is taken off a worker on which its run
@@ -35,7 +36,7 @@
 func (s *Scheduler) addOrphanedRun(w *worker, t *task) {
 	r := orphanedRun{usage: usageOf(t), eventSequence: s.eventSequence}
 	if r.usage.team != "" && !t.startSettled {
-		r.lateUntil, r.ticketed = t.executableUntil, t.ticketed
+		r.lateUntil, r.ticketed, r.ticketReceivedAt = t.executableUntil, t.ticketed, t.ticketReceivedAt
 	}
 	s.putOrphanedRun(w, runID{t.id, t.runNumber}, r)
 }
@@ -242,11 +243,20 @@
 // ticket was not answered there, the next leader must know: a later process may execute the
 // start late, and then the hold. A hold beside a start that is under way is executed no later than
 // the next leader takes the start to be, unless it is sent after maxStartDelay.
+//
+// No hold extends the lease beside a start whose ticket may be for the next process. The answer to
+// the hold shows that it is not, so the hold after it extends the lease.
 func (s *Scheduler) prepareExtension(w *worker, now time.Time) bool {
 	ready := true
 	for _, t := range w.tasks {
-		underWay := !t.startUnanswered && now.Sub(t.commitStartedAt) <= maxStartDelay
-		if underWay || t.runReported || t.ticketed || t.phase == phasePlaced || t.lateExtension == lateExtensionStored {
+		if t.runReported || t.phase == phasePlaced || t.lateExtension == lateExtensionStored {
+			continue
+		}
+		if t.ticketed {
+			ready = ready && !w.mayBeForNextProcess(t.ticketReceivedAt)
+			continue
+		}
+		if underWay := !t.startUnanswered && now.Sub(t.commitStartedAt) <= maxStartDelay; underWay {
 			continue
 		}
 		ready = false
@@ -255,6 +265,11 @@
 			s.markJobDirty(t.step.job)
 		}
 	}
+	for _, r := range w.orphanedRuns {
+		if r.ticketed && !r.lateUntil.IsZero() && w.mayBeForNextProcess(r.ticketReceivedAt) {
+			return false
+		}
+	}
 	return ready
 }
 
@@ -277,9 +292,9 @@
 // while it has a run that this one doesn't have: it executed the start late, and the deadline
 // of the hold, a time on the clock of this process, lies far ahead on its own.
 //
-// The hold was sent after the start, as it would be fenced otherwise, and after an answer of this
-// process. A start with a ticket is executed by the process that ran when the ticket was issued, so
-// the later one ran before that answer, which is impossible.
+// The hold was sent after the start, as it would be fenced otherwise. Beside a start with a ticket it
+// was only sent after an answer of this process that followed the ticket, see prepareExtension, so
+// the later process refuses the ticket.
 func (w *worker) mayExtendLate(at time.Time) bool {
 	if !at.Before(w.lateHoldUntil) {
 		return false
--- a/internal/cell/scheduler/worker.go
+++ b/internal/cell/scheduler/worker.go
@@ -117,16 +117,22 @@
 // startToken returns the fencing token for a start with a ticket, which may be empty. It is
 // above the token of the hold under way if the next process of the worker may execute the
 // start: that process numbers its ends anew and has another clock, and must refuse the hold
-// after the start. A ticket that was issued before the last answered hold was sent holds for
-// no process after the one that has answered.
+// after the start.
 func (w *worker) startToken(t ticket) int64 {
-	nextProcessMayStart := t.text == "" || t.receivedAt.After(w.reportedAsOf)
+	nextProcessMayStart := t.text == "" || w.mayBeForNextProcess(t.receivedAt)
 	if w.holdTakesEffect && w.heldToken == w.token && nextProcessMayStart {
 		w.token++
 	}
 	return w.token
 }
 
+// mayBeForNextProcess reports whether a ticket that arrived at a given time may have been issued
+// for the next process of the worker. One that was issued before the last answered hold was sent
+// holds for no process after the one that has answered.
+func (w *worker) mayBeForNextProcess(ticketReceivedAt time.Time) bool {
+	return ticketReceivedAt.After(w.reportedAsOf)
+}
+
 // rack returns the rack of the worker. Its name is the second label of the worker.
 func (w *worker) rack() string { return labelAt(w.registration.Labels, 1) }
 
