--- a/internal/node/entryvm/replacement_test.go
+++ b/internal/node/entryvm/replacement_test.go
@@ -76,7 +76,7 @@
 	f := memory.NewObservedFleet(c.profile, c.ledger)
 	c.workers = &faultyWorkers{store: s, fleet: f, ledger: c.ledger, draw: c.draw, quiet: c.quiet}
 	c.ledger.calmSince = c.workers.calmSince
-	c.trial = &leaderTrial{store: s, fleet: f, table: &queue.Table{Version: 1, Queues: []queue.Queue{{Name: "mail", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}}}
+	c.trial = &leaderTrial{store: s, fleet: f, maxRecordBytes: smallAppendBytes, maxAppendBytes: smallAppendBytes, table: &queue.Table{Version: 1, Queues: []queue.Queue{{Name: "mail", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}}}
 	for i := range trialWorkers {
 		c.workers.start(i)
 		c.workers.list(i, true)
--- a/internal/node/entryvm/takeover_test.go
+++ b/internal/node/entryvm/takeover_test.go
@@ -154,6 +154,8 @@
 	ledger *runLedger
 	table  *queue.Table
 	epoch  int64
+	// maxRecordBytes and maxAppendBytes are the limits of the store.
+	maxRecordBytes, maxAppendBytes int
 }
 
 // trialWorkers is the number of workers of a leaderTrial, and trialPartitions the number
@@ -169,15 +171,21 @@
 // newLeaderTrial starts the workers, on which each task runs as long as it says.
 func newLeaderTrial(runTime func(work.TaskID) time.Duration) *leaderTrial {
 	s := memory.New()
-	s.LimitAppends(smallAppendBytes, smallAppendBytes)
 	l := newRunLedger(s)
 	trial := &leaderTrial{store: s, ledger: l, fleet: memory.NewObservedFleet(func(id work.TaskID) fleet.TaskProfile {
 		return fleet.TaskProfile{RunTime: runTime(id), Size: resource.Vector{Milliprocessors: trialTaskMilliprocessors}}
 	}, l), table: &queue.Table{Version: 1, Queues: []queue.Queue{{Name: "mail", Service: "desk", MaxAttempts: 3, Stretch: 2, Objective: time.Second}}}}
+	trial.limitAppends(smallAppendBytes, smallAppendBytes)
 	trial.addWorkers()
 	return trial
 }
 
+// limitAppends sets the limits of the store, which the entry VMs know.
+func (c *leaderTrial) limitAppends(recordBytes, appendBytes int) {
+	c.store.LimitAppends(recordBytes, appendBytes)
+	c.maxRecordBytes, c.maxAppendBytes = recordBytes, appendBytes
+}
+
 // addWorkers adds the workers to the fleet.
 func (c *leaderTrial) addWorkers() {
 	for i := range trialWorkers {
@@ -207,7 +215,7 @@
 	n := &Node{
 		log: logr.Discard(), measures: measure.New(), ctx: ctx, cancel: cancel, peerClient: link.NewClient(rpcServiceName, link.TCP{}),
 		settings: Settings{
-			Name: name, Domain: "domain-0", Fitness: 1, ListenAddress: netip.MustParseAddrPort("127.0.0.1:1"), Partitions: trialPartitions, MaxRecordBytes: smallAppendBytes, MaxAppendBytes: smallAppendBytes,
+			Name: name, Domain: "domain-0", Fitness: 1, ListenAddress: netip.MustParseAddrPort("127.0.0.1:1"), Partitions: trialPartitions, MaxRecordBytes: c.maxRecordBytes, MaxAppendBytes: c.maxAppendBytes,
 			Timing: scheduler.Timing{Lease: 6 * time.Second, LeadershipLease: 8 * time.Second, HoldWait: 200 * time.Millisecond, EndedJobRetention: time.Hour},
 		},
 		dependencies: Dependencies{Store: s, Adviser: c.fleet, Dial: c.fleet.Dial, DecodeRegistration: memory.DecodeRegistration},
