--- a/internal/cell/scheduler/hold.go
+++ b/internal/cell/scheduler/hold.go
@@ -24,8 +24,8 @@
 	}
 	leaseClosed := s.isLeaseClosed(w)
 	answered := w.unansweredHolds == 0 && !w.clockReadAt.IsZero() && now.Sub(w.lastAnswerAt) <= maxHoldDelay
-	extensionUnstored := answered && !leaseClosed && !s.prepareExtension(w, now)
-	if answered && !leaseClosed && !extensionUnstored && now.Before(s.leadershipEnd()) {
+	extensionDelayed := answered && !leaseClosed && !s.prepareExtension(w, now)
+	if answered && !leaseClosed && !extensionDelayed && now.Before(s.leadershipEnd()) {
 		// Only the first hold soon after an answer extends the lease. Otherwise the lease
 		// of a silent worker would never end. A deadline that has passed on the clock of this
 		// process lies ahead on that of the next one, so it isn't sent either.
@@ -36,7 +36,7 @@
 	mayWait := w.unansweredHolds == 0
 	w.unansweredHolds++
 	w.held.sentAt = now
-	if mayWait && !extensionUnstored && (!guarded || !acknowledgementDue) && !w.tokenUnconfirmed() && !leaseClosed && w.lastHandledEndNumber == w.lastStoredEndNumber {
+	if mayWait && !extensionDelayed && (!guarded || !acknowledgementDue) && !w.tokenUnconfirmed() && !leaseClosed && w.lastHandledEndNumber == w.lastStoredEndNumber {
 		hold.Wait = s.holdWait()
 	}
 	if hold.Deadline > 0 {
--- a/internal/cell/scheduler/late_orders_property_test.go
+++ b/internal/cell/scheduler/late_orders_property_test.go
@@ -126,9 +126,9 @@
 	}
 }
 
-// A start, with or without a ticket, and holds that were sent to the process before, are executed up to 12 s late by the next
-// process under the ID of the worker, while leaders follow one another. The task must not
-// start on another worker before the run there has ended.
+// A start, with or without a ticket, and holds that were sent to the process before, are executed up
+// to 12 s late by the next process under the ID of the worker, while leaders follow one another. The
+// task must not start on another worker before the run there has ended.
 func TestOrdersForAnEarlierProcessLetNoTaskRunTwice(t *testing.T) {
 	seeded.SetChecks(t, 400)
 	rapid.Check(t, func(rt *rapid.T) {
