--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -131,7 +131,7 @@
 // latestTicketUse returns the time after which a worker certainly refuses a ticket that was
 // issued at a given time or before.
 func latestTicketUse(issued time.Time, validity time.Duration) time.Time {
-	return issued.Add(time.Duration(float64(validity)*maxClockDrift) + leaseMargin)
+	return issued.Add(longestDuration(validity))
 }
 
 // AdviceRequest is a request for advice about Step. The caller of the scheduler must
--- a/internal/cell/scheduler/commit.go
+++ b/internal/cell/scheduler/commit.go
@@ -53,13 +53,13 @@
 		j := s.dirtyJobs[id]
 		progress = append(progress, store.Record{Key: id, Value: work.Encode(j.progress(now))})
 		c.jobStates[j] = j.state
-		for _, t := range j.unstoredPlacements() {
+		for _, t := range j.tasksWhere(func(t *task) bool { return t.phase == phasePlaced && !t.inCommit }) {
 			t.inCommit = true
 			s.recordWorker(t.worker)
 			t.leaseDeadline = t.worker.leaseDeadline(now, s.leadershipEnd(), s.timing)
 			c.placedTasks = append(c.placedTasks, t)
 		}
-		c.extendedTasks = append(c.extendedTasks, j.unstoredExtensions()...)
+		c.extendedTasks = append(c.extendedTasks, j.tasksWhere(func(t *task) bool { return t.lateExtension == lateExtensionNoted })...)
 	}
 	// Records of workers come before the placements on them, and are deleted after these, since
 	// the caller may store the records in several appends.
@@ -192,14 +192,13 @@
 // which the next leader waits before it requeues the tasks.
 const maxStartDelay = 3 * time.Second
 
-// unstoredPlacements returns the tasks of a job that are placed on a worker, but
-// whose placement is in no commit yet.
-func (j *job) unstoredPlacements() []*task {
+// tasksWhere returns the tasks of a job that meet a condition.
+func (j *job) tasksWhere(condition func(t *task) bool) []*task {
 	var tasks []*task
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if t.phase == phasePlaced && !t.inCommit {
+				if condition(t) {
 					tasks = append(tasks, t)
 				}
 			}
--- a/internal/cell/scheduler/lease.go
+++ b/internal/cell/scheduler/lease.go
@@ -188,14 +188,18 @@
 	if lastAppend.IsZero() || lastAppend.After(now) {
 		lastAppend = now
 	}
-	return lastAppend.Add(time.Duration(float64(s.timing.LeadershipLease)*maxClockDrift) + leaseMargin)
+	return lastAppend.Add(longestDuration(s.timing.LeadershipLease))
 }
 
-// leaseDuration returns how long after a lease was granted it has certainly ended.
-func leaseDuration(timing Timing) time.Duration {
-	return time.Duration(float64(timing.Lease)*maxClockDrift) + leaseMargin
+// longestDuration returns after how long a duration has certainly passed on the clock of another
+// machine.
+func longestDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*maxClockDrift) + leaseMargin
 }
 
+// leaseDuration returns how long after a lease was granted it has certainly ended.
+func leaseDuration(timing Timing) time.Duration { return longestDuration(timing.Lease) }
+
 // hasExecutableStart reports whether any process of the worker may execute a start order at a
 // given time that it is not known to have executed or refused.
 func (w *worker) hasExecutableStart(at time.Time) bool {
@@ -273,21 +277,6 @@
 	return ready
 }
 
-// unstoredExtensions returns the tasks of a job whose late extension is not stored yet.
-func (j *job) unstoredExtensions() []*task {
-	var tasks []*task
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				if t.lateExtension == lateExtensionNoted {
-					tasks = append(tasks, t)
-				}
-			}
-		}
-	}
-	return tasks
-}
-
 // mayExtendLate reports whether a later process of the worker may execute a hold at a given time
 // while it has a run that this one doesn't have: it executed the start late, and the deadline
 // of the hold, a time on the clock of this process, lies far ahead on its own.
