--- a/internal/emulate/memory/store.go
+++ b/internal/emulate/memory/store.go
@@ -63,8 +63,6 @@
 	// Store.appendBytes unless LimitAppends sets others.
 	defaultRecordBytes = 262144
 	defaultAppendBytes = 2097152
-	// maxKeyBytes limits the length of a key.
-	maxKeyBytes = 255
 	// maxPageRecords and maxPageBytes limit a page of the newest records. A page contains
 	// at least one record.
 	maxPageRecords = 500
@@ -106,7 +104,7 @@
 	for i := range records {
 		size := records[i].EncodedSize()
 		total += size
-		if len(records[i].Key) > maxKeyBytes || size-recordLengthBytes > s.recordBytes {
+		if len(records[i].Key) > store.MaxKeyBytes || size-recordLengthBytes > s.recordBytes {
 			return fault.Newf("append", store.KindInvalid, "the record of %.40s has %d bytes", records[i].Key, size)
 		}
 	}
--- a/internal/node/entryvm/progress_parts.go
+++ b/internal/node/entryvm/progress_parts.go
@@ -115,8 +115,8 @@
 	return append(records, p.list())
 }
 
-// decode returns the progress of jobs by their IDs, and the other records, from all records
-// that are stored. unreadable is called for each record that cannot be decoded. Parts that no
+// decode returns the progress of jobs by their IDs, from all records of jobs that are stored.
+// unreadable is called for each record that cannot be decoded. Parts that no
 // list names were left by a leader that was replaced before it stored the list.
 func (e *progressEncoder) decode(stored []store.Record, unreadable func(key string, err error)) map[string]*work.Progress {
 	parts := map[string][]byte{}
--- a/internal/node/entryvm/takeover.go
+++ b/internal/node/entryvm/takeover.go
@@ -58,14 +58,14 @@
 		return saved.nextJobOffsets, err
 	}
 	<-historyLearned
-	jobRecords, workers := slices.Clone(saved.progressRecords), []store.Record(nil)
-	jobRecords = slices.DeleteFunc(jobRecords, func(r store.Record) bool {
-		if scheduler.IsWorkerRecord(&r) {
-			workers = append(workers, r)
-			return true
+	var jobRecords, workers []store.Record
+	for i := range saved.progressRecords {
+		if r := &saved.progressRecords[i]; scheduler.IsWorkerRecord(r) {
+			workers = append(workers, *r)
+		} else {
+			jobRecords = append(jobRecords, *r)
 		}
-		return false
-	})
+	}
 	progress := l.progressEncoder.decode(jobRecords, func(key string, err error) {
 		l.node.log.Error(err, "progress_unreadable", "job", key)
 	})
--- a/internal/node/entryvm/writer.go
+++ b/internal/node/entryvm/writer.go
@@ -203,13 +203,15 @@
 	callCtx, cancel := context.WithTimeout(ctx, maxAppendTimeout+maxRelayAttempts*relayTimeout)
 	_, err := w.node.store.Append(callCtx, store.Append{Topic: store.Jobs, Part: w.currentPartition, Records: records})
 	cancel()
+	invalid := err != nil && storeErrorKind(err) == store.KindInvalid
+	maybeStored := err != nil && !invalid && storeErrorKind(err) != store.KindRefused
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, p := range batch {
 		p.inFlight = false
-		p.maybeStored = p.maybeStored || (err != nil && storeErrorKind(err) != store.KindRefused && storeErrorKind(err) != store.KindInvalid)
+		p.maybeStored = p.maybeStored || maybeStored
 	}
-	if err != nil && storeErrorKind(err) == store.KindInvalid {
+	if invalid {
 		w.refuseBatch(batch, err)
 		return true
 	}
